Serve a job end to end across three processes

Cause: the project had no code; the first need is one request served from end to end by separate processes.

Ruled out: retrying through net/http. A POST with GetBody or an Idempotency-Key header is replayed on a stale connection, which would start a task twice, so the starter sends neither.

--- /dev/null
+++ b/appender/doc.go
@@ -0,0 +1,2 @@
+// Package appender is the HTTP client of the platform's append-only log.
+package appender
--- /dev/null
+++ b/cmd/hyssoplift/main_test.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssoplift/hyssoplift/appender"
+)
+
+const testBundle = `[bundle]
+version = 1
+[failure-domain local]
+[target runner-1]
+failure-domain = local
+service = demo
+address = %s
+slots = 8
+[kind loop-check]
+service = demo
+repeatable = true
+[team demo]
+max-in-flight = 100
+`
+
+// binaries builds the two commands and returns the folder that holds them.
+func binaries(t *testing.T) string {
+	t.Helper()
+	folder := t.TempDir()
+	build := exec.Command("go", "build", "-o", folder, ".", "../hyssoplift-standin")
+	output, err := build.CombinedOutput()
+	if err != nil {
+		t.Fatalf("building the commands: %v\n%s", err, output)
+	}
+	return folder
+}
+
+// launch starts a process that is killed at the end of the test.
+func launch(t *testing.T, path string, args ...string) *exec.Cmd {
+	t.Helper()
+	command := exec.Command(path, args...)
+	command.Stderr = os.Stderr
+	t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	return command
+}
+
+// standin starts a stand-in and returns the address that it prints.
+func standin(t *testing.T, folder string, args ...string) string {
+	t.Helper()
+	command := launch(t, filepath.Join(folder, "hyssoplift-standin"), args...)
+	output, err := command.StdoutPipe()
+	if err == nil {
+		err = command.Start()
+	}
+	if err != nil {
+		t.Fatalf("starting stand-in %v: %v", args, err)
+	}
+	line, err := bufio.NewReader(output).ReadString('\n')
+	if err != nil {
+		t.Fatalf("reading the address of stand-in %v: %v", args, err)
+	}
+	return strings.TrimSpace(line)
+}
+
+// instance starts an entry instance on a free port and returns the address in its first log line.
+func instance(t *testing.T, folder string, settings ...string) string {
+	t.Helper()
+	command := launch(t, filepath.Join(folder, "hyssoplift"), append([]string{"serve", "--listen", "127.0.0.1:0"}, settings...)...)
+	command.Stderr = nil
+	output, err := command.StderrPipe()
+	if err == nil {
+		err = command.Start()
+	}
+	if err != nil {
+		t.Fatalf("starting an instance: %v", err)
+	}
+	lines := bufio.NewScanner(output)
+	var line struct{ Listen string }
+	for line.Listen == "" && lines.Scan() {
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
+			t.Fatalf("log line %q: %v", lines.Text(), err)
+		}
+	}
+	go func() {
+		for lines.Scan() {
+			fmt.Fprintln(os.Stderr, lines.Text())
+		}
+	}()
+	return line.Listen
+}
+
+func waitReady(t *testing.T, address string) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		response, err := http.Get("http://" + address + "/readyz")
+		if err != nil {
+			continue
+		}
+		response.Body.Close()
+		if response.StatusCode == http.StatusNoContent {
+			return
+		}
+	}
+	t.Fatal("the instance did not become ready")
+}
+
+// Guards against a break anywhere on the path between real processes: log, instance, runner and caller.
+func TestJobAcrossProcesses(t *testing.T) {
+	is := is.New(t)
+	folder := binaries(t)
+	log := standin(t, folder, "log")
+	runner := standin(t, folder, "runner")
+	_, err := appender.New(log).Append(context.Background(), "bundles", fmt.Appendf(nil, testBundle, runner))
+	is.NoErr(err) // publish the bundle
+	listen := instance(t, folder, "--failure-domain", "local", "--instance", "entry-1", "--log", log)
+	waitReady(t, listen)
+
+	submit := exec.Command(filepath.Join(folder, "hyssoplift"), "submit",
+		"--address", listen, "--kind", "loop-check", "--team", "demo", "--tasks", "5", "--payload", `{"run-ms": 20}`)
+	answer, err := submit.Output()
+	is.NoErr(err)                                                     // submit the job
+	is.True(strings.Contains(string(answer), `"outcome":"complete"`)) // the answer is complete
+	is.Equal(strings.Count(string(answer), `"name"`), 5)              // it carries every result
+}
--- /dev/null
+++ b/commander/commander.go
@@ -0,0 +1,46 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// Version is the version of this build.
+const Version = "0.1.0"
+
+// Run executes the subcommand in args and returns its error as one line.
+func Run(ctx context.Context, args []string, _ io.Reader, stdout, stderr io.Writer) error {
+	// The settings of serve have their own parser, which checks them against the table of settings.
+	if len(args) > 0 && args[0] == "serve" {
+		return serve(ctx, args[1:], stderr)
+	}
+	root := &ffcli.Command{
+		ShortUsage: "hyssoplift <subcommand> [flags]",
+		FlagSet:    flag.NewFlagSet("hyssoplift", flag.ContinueOnError),
+		Subcommands: []*ffcli.Command{
+			newServe(),
+			newSubmit(stdout, stderr),
+			newQuickstart(stdout),
+			{
+				Name:      "version",
+				ShortHelp: "print the version",
+				Exec: func(context.Context, []string) error {
+					_, err := fmt.Fprintln(stdout, "hyssoplift", Version)
+					return err
+				},
+			},
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	root.FlagSet.SetOutput(stderr)
+	err := root.ParseAndRun(ctx, args)
+	if errors.Is(err, flag.ErrHelp) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/commander/doc.go
@@ -0,0 +1,2 @@
+// Package commander implements the subcommands of the hyssoplift command.
+package commander
--- /dev/null
+++ b/commander/serve.go
@@ -0,0 +1,52 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"io"
+	"net"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"github.com/hyssoplift/hyssoplift/configurer"
+	"github.com/hyssoplift/hyssoplift/server"
+)
+
+func newLogger(writer io.Writer) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Name: "hyssoplift", JSONFormat: true, Output: writer, Level: hclog.Info})
+}
+
+// newServe describes the subcommand in the usage; Run calls serve itself.
+func newServe() *ffcli.Command {
+	return &ffcli.Command{Name: "serve", ShortHelp: "run an entry instance (serve --help lists the settings)"}
+}
+
+func serve(ctx context.Context, args []string, stderr io.Writer) error {
+	settings, err := configurer.Read(args, stderr)
+	if errors.Is(err, flag.ErrHelp) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", settings.Text("listen"))
+	if err != nil {
+		return eris.Wrapf(err, "listening on %s", settings.Text("listen"))
+	}
+	logger := newLogger(stderr)
+	server := server.New(settings, listener, logger)
+	logger.Info("instance started", "listen", listener.Addr().String())
+	<-ctx.Done()
+	logger.Info("instance stopping")
+	stopCtx, cancel := context.WithDeadline(context.Background(), settings.Deadline("stop-timeout", time.Now()))
+	defer cancel()
+	if err := server.Shutdown(stopCtx); err != nil {
+		return err
+	}
+	logger.Info("instance stopped")
+	return nil
+}
--- /dev/null
+++ b/configurer/table.go
@@ -0,0 +1,53 @@
+package configurer
+
+import "time"
+
+// Unit says how the value of a setting is read.
+type Unit string
+
+// Units of settings.
+const (
+	// UnitText is any text.
+	UnitText Unit = "text"
+	// UnitAddress is an IP number and a port.
+	UnitAddress Unit = "ip:port"
+	// UnitCount is a whole number.
+	UnitCount Unit = "count"
+	// UnitMilliseconds is a whole number of milliseconds.
+	UnitMilliseconds Unit = "ms"
+)
+
+// Setting is one row of the table of settings.
+type Setting struct {
+	name     string
+	unit     Unit
+	fallback string
+	low      int64
+	high     int64
+	required bool
+	text     string
+}
+
+// Name returns the setting's name in the INI file and on the command line.
+func (setting Setting) Name() string { return setting.name }
+
+// Unit returns how the value is read.
+func (setting Setting) Unit() Unit { return setting.unit }
+
+// Default returns the value used when none is given.
+func (setting Setting) Default() string { return setting.fallback }
+
+// Text returns a sentence that explains the setting.
+func (setting Setting) Text() string { return setting.text }
+
+// Table returns all settings of an entry instance.
+func Table() []Setting {
+	return []Setting{
+		{name: "failure-domain", unit: UnitText, required: true, text: "Failure domain that this instance is in."},
+		{name: "instance", unit: UnitText, required: true, text: "Name of this instance, unique in its failure domain."},
+		{name: "listen", unit: UnitAddress, fallback: "127.0.0.1:8480", text: "Address to serve callers, operators and peers on."},
+		{name: "log", unit: UnitAddress, required: true, text: "Address of the platform's log service."},
+		{name: "stop-timeout", unit: UnitMilliseconds, fallback: "30000", low: 100, high: (10 * time.Minute).Milliseconds(), text: "Time that a planned stop may take."},
+		{name: "max-body-bytes", unit: UnitCount, fallback: "4194304", low: 1024, high: 64 << 20, text: "Largest request body, in bytes."},
+	}
+}
--- /dev/null
+++ b/emulator/log.go
@@ -0,0 +1,200 @@
+package emulator
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hyssoplift/hyssoplift/appender"
+)
+
+// LogFault is a fault that the log stand-in shows on request.
+type LogFault string
+
+// Faults of the log stand-in.
+const (
+	// LogHealthy is the absence of a fault.
+	LogHealthy LogFault = "healthy"
+	// LogDown answers every request with 503.
+	LogDown LogFault = "down"
+	// LogSlow delays every request by two seconds.
+	LogSlow LogFault = "slow"
+	// LogLosesAnswers closes the connection after an append took effect.
+	LogLosesAnswers LogFault = "loses-answers"
+)
+
+const slowLogDelay = 2 * time.Second
+
+// maxPageRecords bounds one page of a read.
+const maxPageRecords = 1000
+
+type logStream struct {
+	earliest int64
+	records  []appender.Record
+	changed  chan struct{}
+}
+
+func (stream *logStream) next() int64 { return stream.earliest + int64(len(stream.records)) }
+
+// Log is a stand-in of the platform's append-only log, held in memory.
+type Log struct {
+	mux *http.ServeMux
+
+	mu      sync.Mutex
+	streams map[string]*logStream
+	fault   LogFault
+}
+
+// NewLog returns an empty, healthy log.
+func NewLog() *Log {
+	log := &Log{mux: http.NewServeMux(), streams: make(map[string]*logStream), fault: LogHealthy}
+	log.mux.HandleFunc("POST /streams/{stream}/records", log.handleAppend)
+	log.mux.HandleFunc("GET /streams/{stream}/records", log.handleRead)
+	log.mux.HandleFunc("PUT /fault/{fault}", log.handleFault)
+	log.mux.HandleFunc("PUT /streams/{stream}/earliest/{offset}", log.handleTrim)
+	return log
+}
+
+// ServeHTTP answers appends, reads and requests for faults.
+func (log *Log) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	log.mux.ServeHTTP(writer, request)
+}
+
+// SetFault switches the fault that the log shows.
+func (log *Log) SetFault(fault LogFault) {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	log.fault = fault
+}
+
+// Append adds data to stream and returns its offset, whatever the fault.
+func (log *Log) Append(stream string, data []byte) int64 {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	to := log.stream(stream)
+	offset := to.next()
+	to.records = append(to.records, appender.Record{Offset: offset, Data: data})
+	close(to.changed)
+	to.changed = make(chan struct{})
+	return offset
+}
+
+// Trim drops the records of stream below offset.
+func (log *Log) Trim(stream string, offset int64) {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	from := log.stream(stream)
+	drop := min(max(offset-from.earliest, 0), int64(len(from.records)))
+	from.records = from.records[drop:]
+	from.earliest += drop
+}
+
+// stream returns the named stream; the caller holds log.mu.
+func (log *Log) stream(name string) *logStream {
+	stream := log.streams[name]
+	if stream == nil {
+		stream = &logStream{changed: make(chan struct{})}
+		log.streams[name] = stream
+	}
+	return stream
+}
+
+func (log *Log) handleAppend(writer http.ResponseWriter, request *http.Request) {
+	fault, ok := log.applyFault(writer, request)
+	if !ok {
+		return
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, appender.MaxResponseBytes))
+	if err != nil {
+		http.Error(writer, "body is too large or was cut", http.StatusBadRequest)
+		return
+	}
+	offset := log.Append(request.PathValue("stream"), data)
+	if fault == LogLosesAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	writer.WriteHeader(http.StatusCreated)
+	_ = json.NewEncoder(writer).Encode(appender.Appended{Offset: offset})
+}
+
+func (log *Log) handleRead(writer http.ResponseWriter, request *http.Request) {
+	if _, ok := log.applyFault(writer, request); !ok {
+		return
+	}
+	from, err := strconv.ParseInt(request.FormValue("from"), 10, 64)
+	if err != nil || from < 0 {
+		http.Error(writer, "from is not an offset", http.StatusBadRequest)
+		return
+	}
+	waitMS, _ := strconv.ParseInt(request.FormValue("wait-ms"), 10, 64)
+	timer := time.NewTimer(time.Duration(waitMS) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		page, changed := log.page(request.PathValue("stream"), from)
+		if len(page.Records) > 0 || waitMS <= 0 {
+			_ = json.NewEncoder(writer).Encode(page)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			waitMS = 0
+		case <-request.Context().Done():
+			return
+		}
+	}
+}
+
+func (log *Log) page(name string, from int64) (appender.Page, <-chan struct{}) {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	stream := log.stream(name)
+	page := appender.Page{Earliest: stream.earliest, Next: stream.next()}
+	if start := max(from-stream.earliest, 0); start < int64(len(stream.records)) {
+		end := min(start+maxPageRecords, int64(len(stream.records)))
+		page.Records = append(page.Records, stream.records[start:end]...)
+	}
+	return page, stream.changed
+}
+
+func (log *Log) handleFault(writer http.ResponseWriter, request *http.Request) {
+	switch fault := LogFault(request.PathValue("fault")); fault {
+	case LogHealthy, LogDown, LogSlow, LogLosesAnswers:
+		log.SetFault(fault)
+		writer.WriteHeader(http.StatusNoContent)
+	default:
+		http.Error(writer, "unknown fault", http.StatusBadRequest)
+	}
+}
+
+func (log *Log) handleTrim(writer http.ResponseWriter, request *http.Request) {
+	offset, err := strconv.ParseInt(request.PathValue("offset"), 10, 64)
+	if err != nil {
+		http.Error(writer, "offset is not a number", http.StatusBadRequest)
+		return
+	}
+	log.Trim(request.PathValue("stream"), offset)
+	writer.WriteHeader(http.StatusNoContent)
+}
+
+// applyFault delays or answers the request as the fault demands and reports whether to go on.
+func (log *Log) applyFault(writer http.ResponseWriter, request *http.Request) (LogFault, bool) {
+	log.mu.Lock()
+	fault := log.fault
+	log.mu.Unlock()
+	switch fault {
+	case LogDown:
+		http.Error(writer, "the log is down", http.StatusServiceUnavailable)
+		return fault, false
+	case LogSlow:
+		select {
+		case <-time.After(slowLogDelay):
+		case <-request.Context().Done():
+			return fault, false
+		}
+	}
+	return fault, true
+}
--- /dev/null
+++ b/encoder/answer.go
@@ -0,0 +1,167 @@
+package encoder
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+)
+
+// Content types of answers.
+const (
+	// ContentTypeJSON marks a complete answer.
+	ContentTypeJSON = "application/json"
+	// ContentTypeProblem marks a problem document (RFC 9457).
+	ContentTypeProblem = "application/problem+json"
+)
+
+const problemTypePrefix = "urn:hyssoplift:problem:"
+
+// Answer is the JSON body of an answer: a complete answer, or a problem document.
+type Answer struct {
+	Type    string                  `json:"type,omitempty"`
+	Title   string                  `json:"title,omitempty"`
+	Status  int                     `json:"status,omitempty"`
+	Detail  string                  `json:"detail,omitempty"`
+	Key     string                  `json:"key,omitempty"`
+	Outcome string                  `json:"outcome"`
+	NotRun  bool                    `json:"not-run"`
+	Field   string                  `json:"field,omitempty"`
+	Results []dispatcher.TaskResult `json:"results,omitempty"`
+	Fates   []dispatcher.TaskFate   `json:"fates,omitempty"`
+}
+
+// Response is an encoded answer: status, headers and body.
+type Response struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// Status returns the HTTP status code.
+func (response Response) Status() int { return response.status }
+
+// Header returns the headers to set.
+func (response Response) Header() http.Header { return response.header }
+
+// Body returns the JSON body.
+func (response Response) Body() []byte { return response.body }
+
+// Write sends the response.
+func (response Response) Write(writer http.ResponseWriter) {
+	for name, values := range response.header {
+		writer.Header()[name] = values
+	}
+	writer.WriteHeader(response.status)
+	// A failed write means that the caller has gone; the answer stays available under its key.
+	_, _ = writer.Write(response.body)
+}
+
+// EncodeOutcome returns the HTTP response that carries outcome for the job with the given key.
+func EncodeOutcome(key string, outcome dispatcher.Outcome, now time.Time) Response {
+	header := http.Header{}
+	answer := Answer{Key: key}
+	status := http.StatusOK
+	switch outcome := outcome.(type) {
+	case dispatcher.Complete:
+		answer.Outcome = "complete"
+		answer.Results = outcome.Results()
+	case dispatcher.Failed:
+		status = http.StatusBadGateway
+		answer.Outcome = "failed"
+		answer.Title = "The job started and did not finish"
+		answer.Detail = outcome.Detail()
+		answer.Fates = outcome.Fates()
+	case dispatcher.Refused:
+		status = refusalStatus(outcome.Reason())
+		answer.Outcome = "refused"
+		answer.NotRun = true
+		answer.Type = problemTypePrefix + string(outcome.Reason())
+		answer.Title = "The job was not run"
+		answer.Detail = outcome.Detail()
+		answer.Field = outcome.Field()
+		if retryAt := outcome.RetryAt(); !retryAt.IsZero() {
+			seconds := max(math.Ceil(retryAt.Sub(now).Seconds()), 1)
+			header.Set("Retry-After", strconv.Itoa(int(seconds)))
+		}
+	case dispatcher.Unknown:
+		status = http.StatusGatewayTimeout
+		answer.Outcome = "unknown"
+		answer.Title = "It is not known whether the job ran"
+		answer.Detail = outcome.Detail()
+	}
+	contentType := ContentTypeJSON
+	if status != http.StatusOK {
+		contentType = ContentTypeProblem
+		answer.Status = status
+		if answer.Type == "" {
+			answer.Type = problemTypePrefix + answer.Outcome
+		}
+	}
+	header.Set("Content-Type", contentType)
+	body, err := json.Marshal(answer)
+	if err != nil {
+		// Every result was checked to be valid JSON when it was read from the target.
+		panic(eris.Wrap(err, "encoding an answer"))
+	}
+	return Response{status: status, header: header, body: append(body, '\n')}
+}
+
+func refusalStatus(reason dispatcher.Reason) int {
+	switch reason {
+	case dispatcher.ReasonInvalid:
+		return http.StatusBadRequest
+	case dispatcher.ReasonUnknownKind:
+		return http.StatusNotFound
+	case dispatcher.ReasonKeyConflict, dispatcher.ReasonCancelled:
+		return http.StatusConflict
+	case dispatcher.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case dispatcher.ReasonImpossible:
+		return http.StatusUnprocessableEntity
+	case dispatcher.ReasonOverload:
+		return http.StatusTooManyRequests
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// DecodeOutcome returns the outcome and key that an answer body carries.
+func DecodeOutcome(body []byte, retryAfter string, now time.Time) (dispatcher.Outcome, string, error) {
+	var answer Answer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return nil, "", eris.Wrap(err, "decoding an answer")
+	}
+	switch answer.Outcome {
+	case "complete":
+		return dispatcher.NewComplete(answer.Results), answer.Key, nil
+	case "failed":
+		return dispatcher.NewFailed(answer.Detail, answer.Fates), answer.Key, nil
+	case "unknown":
+		return dispatcher.NewUnknown(answer.Detail), answer.Key, nil
+	case "refused":
+		if !answer.NotRun {
+			return nil, "", eris.New("answer is refused but does not say not-run")
+		}
+		return decodeRefused(answer, retryAfter, now), answer.Key, nil
+	default:
+		return nil, "", eris.Errorf("answer has the unknown outcome %q", answer.Outcome)
+	}
+}
+
+func decodeRefused(answer Answer, retryAfter string, now time.Time) dispatcher.Refused {
+	var retryAt time.Time
+	if seconds, err := strconv.Atoi(retryAfter); err == nil && seconds >= 0 {
+		retryAt = now.Add(time.Duration(seconds) * time.Second)
+	}
+	reason := dispatcher.ReasonUnavailable
+	if len(answer.Type) > len(problemTypePrefix) {
+		reason = dispatcher.Reason(answer.Type[len(problemTypePrefix):])
+	}
+	return dispatcher.NewRefused(reason, answer.Detail, answer.Field, retryAt)
+}
--- /dev/null
+++ b/encoder/job.go
@@ -0,0 +1,159 @@
+package encoder
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+)
+
+// DefaultTimeout applies to a job that states no timeout.
+const DefaultTimeout = 10 * time.Second
+
+// MaxTimeout is the longest timeout that a caller may ask for.
+const MaxTimeout = 10 * time.Minute
+
+// JobRequest is the JSON body of POST /v1/jobs.
+type JobRequest struct {
+	Kind string `json:"kind"`
+	Team string `json:"team"`
+	// TimeoutMS is relative, in milliseconds, because callers' clocks are not trusted.
+	TimeoutMS *int64        `json:"timeout-ms,omitempty"`
+	Tasks     []TaskRequest `json:"tasks"`
+}
+
+// TaskRequest is one task of a JobRequest.
+type TaskRequest struct {
+	Name    string          `json:"name"`
+	Payload json.RawMessage `json:"payload"`
+}
+
+// FieldError is a fault in one field of a request.
+type FieldError struct {
+	field  string
+	detail string
+}
+
+// Field returns the path of the field at fault, such as tasks[3].name.
+func (fieldError *FieldError) Field() string { return fieldError.field }
+
+// Error returns the field and what is allowed there.
+func (fieldError *FieldError) Error() string { return fieldError.field + ": " + fieldError.detail }
+
+func fault(field, format string, args ...any) *FieldError {
+	return &FieldError{field: field, detail: fmt.Sprintf(format, args...)}
+}
+
+// DecodeJob returns the job in body with the given idempotency key and a deadline counted from now,
+// or the first fault found.
+func DecodeJob(body []byte, key string, maxTasks int, now time.Time) (dispatcher.Job, *FieldError) {
+	var request JobRequest
+	if fieldError := decodeStrict(body, &request); fieldError != nil {
+		return dispatcher.Job{}, fieldError
+	}
+	if fieldError := checkText("Idempotency-Key", key, true); fieldError != nil {
+		return dispatcher.Job{}, fieldError
+	}
+	if fieldError := checkText("kind", request.Kind, false); fieldError != nil {
+		return dispatcher.Job{}, fieldError
+	}
+	if fieldError := checkText("team", request.Team, false); fieldError != nil {
+		return dispatcher.Job{}, fieldError
+	}
+	timeout := DefaultTimeout
+	if request.TimeoutMS != nil {
+		if *request.TimeoutMS < 1 || *request.TimeoutMS > MaxTimeout.Milliseconds() {
+			return dispatcher.Job{}, fault("timeout-ms", "got %d, allowed are 1 to %d", *request.TimeoutMS, MaxTimeout.Milliseconds())
+		}
+		timeout = time.Duration(*request.TimeoutMS) * time.Millisecond
+	}
+	tasks, fieldError := decodeTasks(request.Tasks, maxTasks)
+	if fieldError != nil {
+		return dispatcher.Job{}, fieldError
+	}
+	return dispatcher.NewJob(key, request.Kind, request.Team, now.Add(timeout), tasks), nil
+}
+
+func decodeTasks(requests []TaskRequest, maxTasks int) ([]dispatcher.Task, *FieldError) {
+	if len(requests) < 1 || len(requests) > maxTasks {
+		return nil, fault("tasks", "got %d tasks, allowed are 1 to %d", len(requests), maxTasks)
+	}
+	seen := make(map[string]bool, len(requests))
+	tasks := make([]dispatcher.Task, len(requests))
+	for i, request := range requests {
+		field := fmt.Sprintf("tasks[%d].name", i)
+		if fieldError := checkText(field, request.Name, false); fieldError != nil {
+			return nil, fieldError
+		}
+		if seen[request.Name] {
+			return nil, fault(field, "name %q is used twice", request.Name)
+		}
+		seen[request.Name] = true
+		payload := request.Payload
+		if len(payload) == 0 {
+			payload = json.RawMessage("null")
+		}
+		tasks[i] = dispatcher.NewTask(request.Name, payload)
+	}
+	return tasks, nil
+}
+
+// EncodeJob returns the body of POST /v1/jobs for job; now is subtracted from its deadline.
+func EncodeJob(job dispatcher.Job, now time.Time) ([]byte, error) {
+	timeoutMS := max(job.Deadline().Sub(now).Milliseconds(), 1)
+	request := JobRequest{Kind: job.Kind(), Team: job.Team(), TimeoutMS: &timeoutMS}
+	for _, task := range job.Tasks() {
+		request.Tasks = append(request.Tasks, TaskRequest{Name: task.Name(), Payload: task.Payload()})
+	}
+	return json.Marshal(request)
+}
+
+func decodeStrict(body []byte, into any) *FieldError {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return jsonFault(err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return fault("body", "has data after the JSON value")
+	}
+	return nil
+}
+
+func jsonFault(err error) *FieldError {
+	switch err := err.(type) {
+	case *json.UnmarshalTypeError:
+		field := err.Field
+		if field == "" {
+			field = "body"
+		}
+		return fault(field, "got a JSON %s, expected %s", err.Value, err.Type)
+	case *json.SyntaxError:
+		return fault("body", "is not valid JSON at byte %d", err.Offset)
+	default:
+		if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+			return fault(strings.Trim(name, `"`), "is not a known field")
+		}
+		return fault("body", "%v", err)
+	}
+}
+
+// checkText accepts printable ASCII without spaces, which is safe in URLs, headers and log lines.
+func checkText(field, text string, mayBeEmpty bool) *FieldError {
+	if text == "" && !mayBeEmpty {
+		return fault(field, "is missing")
+	}
+	if len(text) > dispatcher.MaxNameBytes {
+		return fault(field, "has %d bytes, allowed are at most %d", len(text), dispatcher.MaxNameBytes)
+	}
+	for i := range len(text) {
+		if text[i] <= ' ' || text[i] > '~' {
+			return fault(field, "has a byte at position %d that is not printable ASCII", i)
+		}
+	}
+	return nil
+}
