Estimate capacity at the target scale from measured slopes

Cause: the design page names a target scale, and nothing showed whether the mechanisms reach it.

Change: package estimator fits a line per benchmark family, with residuals weighted by the value, and sums the lines through a table in code (one row per function); hyssoplift-capacity writes docs/CAPACITY.md. Each figure is marked as calculated, extrapolated, beyond the measured sizes or not fitted.

Ruled out: least squares with equal weights. The noise at 130 tasks decided the intercept, and a start of one task came out at half its measured cost.

Rows of packages that are not here yet are marked "not measured yet".

--- /dev/null
+++ b/cmd/hyssoplift-capacity/main.go
@@ -0,0 +1,46 @@
+// Command hyssoplift-capacity turns benchmark output into the capacity page.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hyssoplift/hyssoplift/estimator"
+)
+
+func main() {
+	if err := run(os.Args[1:], os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "hyssoplift-capacity:", eris.ToString(err, false))
+		os.Exit(1)
+	}
+}
+
+// run reads benchmark output from the file that args names, or else from stdin, and writes the page to stdout.
+func run(args []string, stdin io.Reader, stdout io.Writer) error {
+	set := flag.NewFlagSet("hyssoplift-capacity", flag.ContinueOnError)
+	if err := set.Parse(args); err != nil {
+		return err
+	}
+	source := stdin
+	switch set.NArg() {
+	case 0:
+	case 1:
+		file, err := os.Open(set.Arg(0))
+		if err != nil {
+			return eris.Wrap(err, "opening the benchmark output")
+		}
+		defer file.Close()
+		source = file
+	default:
+		return eris.New("usage: hyssoplift-capacity [benchmark output file]")
+	}
+	measurements, err := estimator.Parse(source)
+	if err != nil {
+		return err
+	}
+	return estimator.New(measurements, estimator.TargetScale()).WritePage(stdout)
+}
--- /dev/null
+++ b/estimator/estimator_test.go
@@ -0,0 +1,127 @@
+package estimator
+
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const testOutput = `goos: linux
+pkg: example.org/mod/alpha
+cpu: test processor
+BenchmarkBeta/items=1-2         	 100	 2.0 ns/op	 50 wire-B/op	 3 B/op
+BenchmarkBeta/items=2-2         	 100	 4.0 ns/op	 60 wire-B/op	 3 B/op
+BenchmarkBeta/items=4-2         	 100	 4.0 ns/op	 80 wire-B/op	 3 B/op
+BenchmarkGamma/ini/rows=8/cols=3-2	 100	 7 ns/op
+BenchmarkDelta-2 	 100	 9 ns/op
+PASS
+ok  	example.org/mod/alpha	1.0s
+`
+
+func near(a, b float64) bool { return math.Abs(a-b) < 1e-9*max(1, math.Abs(b)) }
+
+// Guards against a wrong fit; the expected line was computed by hand from the weights 1/4, 1/16 and 1/16.
+func TestFitAgainstHandComputedLine(t *testing.T) {
+	is := is.New(t)
+	measurements, err := Parse(strings.NewReader(testOutput))
+	is.NoErr(err)
+	fit, ok := measurements.fit(series{"alpha.Beta", "items", "ns/op"})
+	is.True(ok && fit.Fitted())
+	is.True(near(fit.Slope(), 8.0/11))
+	is.True(near(fit.Intercept(), 16.0/11))
+	is.True(near(fit.Spread(), math.Sqrt(1.0/11)))
+	is.True(fit.Covers(4) && !fit.Covers(5))
+
+	fit, ok = measurements.fit(series{"alpha.Gamma/ini/cols=3", "rows", "ns/op"})
+	is.True(ok && !fit.Fitted() && near(fit.At(1000), 7)) // one size is never extended to a slope
+	fit, ok = measurements.fit(series{"alpha.Delta", "", "ns/op"})
+	is.True(ok && !fit.Fitted() && near(fit.At(0), 9)) // a benchmark without a size
+}
+
+// Guards against wrong sums and marks, and against a missing benchmark that counts as zero cost without a mark.
+func TestSumAgainstHandComputedRow(t *testing.T) {
+	measurements, err := Parse(strings.NewReader(testOutput))
+	if err != nil {
+		t.Fatal(err)
+	}
+	wire := func(size, times float64) term { return line("alpha.Beta", "items", "wire-B/op", size, times) }
+	tests := []struct {
+		name  string
+		terms []term
+		want  string
+	}{
+		{"nothing", nil, "0"},
+		{"flat", []term{flat(2), flat(3)}, "5 *c*"},
+		{"within the sizes: 3*70+1", []term{wire(3, 3), flat(1)}, "211 *x*"},
+		{"beyond the sizes: 2*(40+10*100)", []term{wire(100, 2)}, "2080 *xx*"},
+		{"not fitted: 2*9", []term{line("alpha.Delta", "", "ns/op", 0, 2)}, "18 *nf*"},
+		{"partly missing", []term{wire(1, 1), line("alpha.Absent", "items", "ns/op", 1, 1)}, "50 *x* + ?"},
+		{"missing", []term{line("alpha.Absent", "items", "ns/op", 1, 1)}, "not measured yet"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(measurements.sum(test.terms).String(), test.want)
+		})
+	}
+}
+
+// Guards against a wrong row for bundles: with a bundle of 100 bytes per target, 8,640 bundles a day are 0.1/s,
+// so 22,000 targets cost 22,000*100*0.1*4/3 bytes/s and the budget of 28,000 bytes/s ends at 2,100 targets.
+func TestBundleRowAgainstHandComputedCase(t *testing.T) {
+	is := is.New(t)
+	measurements, err := Parse(strings.NewReader(`pkg: m/bundler
+BenchmarkParse/targets=50 1 5000 ns/op 5000 wire-B/op
+BenchmarkParse/targets=500 1 50000 ns/op 50000 wire-B/op
+BenchmarkParse/targets=22000 1 2200000 ns/op 2200000 wire-B/op
+`))
+	is.NoErr(err)
+	scale := TargetScale()
+	scale.changes = 8_640
+	estimate := New(measurements, scale)
+	for i, entry := range estimate.entries {
+		if entry.role != roleConfig {
+			continue
+		}
+		is.True(near(entry.wire.Value(), 22_000*100*0.1*4/3))
+		is.True(near(entry.cpu.Value(), 0.1*2.2e6*1e-9))
+		is.Equal(entry.cpu.Missing(), []string{"appender.Read"})
+		is.True(estimate.points[i].Short())
+		is.Equal(estimate.points[i].resource, "bytes/s")
+		is.True(math.Abs(estimate.points[i].size-2_100) < 21) // the search stops within 1%
+	}
+}
+
+// Guards against a table from incomplete or misread output, which would look complete.
+func TestParseRejects(t *testing.T) {
+	for _, text := range []string{
+		"pkg: m/a\nBenchmarkX-2 100 1 ns/op\nFAIL\tm/a\t1s\n",
+		"--- FAIL: BenchmarkX\n",
+		"BenchmarkX-2 100 fast ns/op\n",
+		"BenchmarkX-2 100 1\n",
+	} {
+		is := is.New(t)
+		_, err := Parse(strings.NewReader(text))
+		is.True(err != nil)
+	}
+}
+
+// Guards against a row whose figures shrink as its driver grows: the search for the break would then mislead.
+func TestRowsGrowWithTheirDrivers(t *testing.T) {
+	measurements, err := Parse(strings.NewReader(testOutput))
+	if err != nil {
+		t.Fatal(err)
+	}
+	scale := TargetScale()
+	for i, row := range model(scale) {
+		is := is.New(t)
+		larger := scale
+		*larger.field(row.driver) *= 2
+		before, after := measurements.evaluate(row), measurements.evaluate(model(larger)[i])
+		is.True(after.wire.Value() >= before.wire.Value())     // bytes/s
+		is.True(after.memory.Value() >= before.memory.Value()) // memory
+		is.True(row.breaks != "" && row.next != "" && row.mechanism != "")
+	}
+}
--- /dev/null
+++ b/estimator/model.go
@@ -0,0 +1,223 @@
+package estimator
+
+// Roles of the table.
+const (
+	roleEntry      = "entry instance"
+	roleConfig     = "configuration"
+	roleMembership = "membership"
+	roleBurn       = "burn accounting"
+	roleCaller     = "caller library"
+	rolePlatform   = "platform"
+)
+
+// model returns the rows of the table at scale: which line, times which count, makes which figure.
+// Figures of entry instances are per instance, those of the platform are for the whole deployment.
+func model(scale Scale) []row {
+	return append(requestRows(scale), append(controlRows(scale), platformRows(scale)...)...)
+}
+
+func requestRows(scale Scale) []row {
+	jobs, tasks := scale.jobs(), scale.tasksPerJob
+	starts := jobs * tasks
+	inFlight := starts * scale.taskSeconds
+	// A record lives one to two retention periods, at its owner and at one witness.
+	records := jobs * 2 * scale.retentionSeconds * 2
+	instance := limits{cpu: scale.cores * scale.usable, memory: scale.memoryBytes, wire: scale.networkBytes}
+	return []row{
+		{
+			role: roleEntry, function: "requests: read, decode, digest", driver: byStarts, limits: instance,
+			state:    []term{line("encoder.DecodeJob", "tasks", "B/op", tasks, jobs*scale.taskSeconds)},
+			messages: []term{flat(2 * jobs)},
+			wire:     []term{line("encoder.DecodeJob", "tasks", "wire-B/op", tasks, jobs)},
+			cpu: []term{
+				work("encoder.DecodeJob", "tasks", tasks, jobs),
+				work("dispatcher.Digest", "tasks", tasks, jobs),
+				socketWork("server.Job", "tasks", tasks, jobs),
+			},
+			mechanism: "HTTP/1.1 and strict JSON, one goroutine per request",
+			breaks:    "JSON decoding fills the cores", next: "CBOR bodies for callers that ask for them",
+		},
+		{
+			role: roleEntry, function: "answers: encode, hold for resubmission", driver: byResults, limits: instance,
+			state:     []term{flat(2 * scale.retentionSeconds * starts * (scale.resultBytes + 30))},
+			wire:      []term{line("encoder.EncodeOutcome", "tasks", "wire-B/op", tasks, jobs)},
+			cpu:       []term{work("encoder.EncodeOutcome", "tasks", tasks, jobs)},
+			mechanism: "the owner keeps each whole answer in memory for one to two retention periods",
+			breaks:    "memory for held answers", next: "a byte bound on held answers, oldest dropped first and then answered \"answer lost\"; a shorter retention per kind",
+		},
+		{
+			role: roleEntry, function: "routing: pick a target per task", driver: byTargets, limits: instance,
+			state:     []term{line("router.Pick", "targets", "held-B", scale.targets/scale.domains, 1)},
+			cpu:       []term{work("router.Pick", "targets", scale.targets/scale.domains, starts)},
+			mechanism: "expected completion time over the targets of the own failure domain",
+			breaks:    "a scan of all targets per pick", next: "power of two choices over the same estimates",
+		},
+		{
+			role: roleEntry, function: "task starts", driver: byStarts, limits: instance,
+			memory:    []term{flat(inFlight * connectionBytes)},
+			messages:  []term{flat(2 * starts)},
+			wire:      []term{line("starter.Start", "tasks", "wire-B/op", tasks, jobs)},
+			cpu:       []term{socketWork("starter.Start", "tasks", tasks, jobs)},
+			mechanism: "HTTP/1.1, one connection per task in flight",
+			breaks:    "net/http client work per start fills the cores", next: "HTTP/2 to targets that offer it; more instances",
+		},
+		{
+			role: roleEntry, function: "start records: owner and witness", driver: byStarts, limits: instance,
+			state:    []term{flat(records * scale.recordBytes)},
+			messages: []term{flat(4 * jobs)}, // record and acknowledgement, once as owner and once as witness
+			wire:     []term{flat(4 * jobs * scale.messageBytes)},
+			cpu: []term{
+				work("keeper.Start", "records", records, jobs),
+				work("keeper.Witness", "records", records, jobs),
+			},
+			mechanism: "one record per job in the memory of two instances, one round trip",
+			breaks:    "memory for records of small jobs", next: "drop settled records to key and digest; a shorter retention",
+		},
+		{
+			role: roleEntry, function: "queueing and quotas", driver: byStarts, limits: instance,
+			cpu:       []term{work("limiter.Admit", "queued", jobs*scale.taskSeconds, jobs)},
+			mechanism: "one queue per instance, ordered by deadline",
+			breaks:    "one lock per queue", next: "a queue per kind",
+		},
+		{
+			role: roleEntry, function: "peers: links and codec", driver: byStarts, limits: instance,
+			cpu:       []term{work("linker.Codec", "records", 1, 4*jobs)},
+			mechanism: "WebSocket frames, CBOR; full mesh inside a failure domain",
+			breaks:    "one frame and one system call per message", next: "records of several jobs in one frame",
+		},
+		{
+			role: roleCaller, function: "submit and decode, one process per team", driver: byStarts, limits: instance,
+			messages: []term{flat(2 * scale.callerJobs())},
+			wire: []term{
+				line("encoder.DecodeJob", "tasks", "wire-B/op", tasks, scale.callerJobs()),
+				line("encoder.EncodeOutcome", "tasks", "wire-B/op", tasks, scale.callerJobs()),
+			},
+			cpu: []term{
+				work("encoder.EncodeJob", "tasks", tasks, scale.callerJobs()),
+				work("encoder.DecodeOutcome", "tasks", tasks, scale.callerJobs()),
+				socketWork("submitter.Submit", "tasks", tasks, scale.callerJobs()),
+			},
+			mechanism: "HTTP/1.1 to the balancer",
+			breaks:    "JSON encoding and decoding", next: "more caller processes",
+		},
+	}
+}
+
+func controlRows(scale Scale) []row {
+	peers := scale.instancesPerDomain - 1
+	budget := limits{cpu: budgetCPU, memory: budgetMemory, wire: budgetWire}
+	bundles := scale.changeRate()
+	views := scale.viewRate()
+	return []row{
+		{
+			role: roleConfig, function: "bundles: read, check, parse", control: true, driver: byTargets, limits: budget,
+			state: []term{line("bundler.Parse", "targets", "held-B", scale.targets, 2), line("bundler.Parse", "targets", "wire-B/op", scale.targets, 1)},
+			memory: []term{
+				line("bundler.Parse", "targets", "B/op", scale.targets, 1),
+				line("appender.Read", "bytes", "B/op", scale.targets*bundleBytesPerTarget, 1),
+			},
+			messages: []term{flat(2 * bundles)},
+			wire:     []term{line("bundler.Parse", "targets", "wire-B/op", scale.targets, bundles*base64Growth)},
+			cpu: []term{
+				work("bundler.Parse", "targets", scale.targets, bundles),
+				socketWork("appender.Read", "bytes", scale.targets*bundleBytesPerTarget, bundles),
+			},
+			// Signature checks hash the text twice; their cost is part of the row once it is measured.
+			mechanism: "each change publishes the whole bundle; each instance reads and parses all of it",
+			breaks:    "every instance reads the whole configuration for each change",
+			next:      "a record per change that holds only the changed sections and the digest of the whole; targets by failure domain in streams of their own",
+		},
+		{
+			role: roleMembership, function: "heartbeats and suspicion", control: true, driver: byInstances, limits: budget,
+			state:     []term{flat(64 * scale.instancesPerDomain * scale.viewBytes)},
+			messages:  []term{flat(2 * peers)},
+			wire:      []term{flat(2 * peers * scale.heartbeatBytes)},
+			cpu:       []term{work("watcher.Heartbeat", "members", scale.instancesPerDomain, peers)},
+			mechanism: "full mesh inside the failure domain, one heartbeat a second to each member",
+			breaks:    "heartbeats grow with the members of a failure domain", next: "heartbeats to a few rendezvous neighbours; larger instances",
+		},
+		{
+			role: roleMembership, function: "views: read, adopt, sync", control: true, driver: byInstances, limits: budget,
+			messages:  []term{flat(views * (1 + 2*peers))},
+			wire:      []term{flat(views * scale.instancesPerDomain * scale.viewBytes * base64Growth)},
+			cpu:       []term{work("keeper.ViewChange", "records", scale.jobs()*4*scale.retentionSeconds, views)},
+			mechanism: "stream views-<domain>; moved slices are synced from every member",
+			breaks:    "sync of moved slices after each change", next: "send only records that the new owner lacks, by slice digest",
+		},
+		{
+			role: roleMembership, function: "instance list polls", control: true, driver: byTargets, limits: budget,
+			state:     []term{flat(scale.targets * scale.listEntryBytes)},
+			messages:  []term{flat(2 / scale.pollSeconds)},
+			wire:      []term{flat(scale.targets * scale.listEntryBytes / scale.pollSeconds)},
+			cpu:       []term{socketWork("lister.Read", "targets", scale.targets, 1/scale.pollSeconds)},
+			mechanism: "the whole list at each poll; assumed to name every target",
+			breaks:    "the whole list is read for a few changed entries", next: "poll the own failure domain only, conditionally (ETag)",
+		},
+		{
+			role: roleBurn, function: "count answers, append minute records", control: true, driver: bySeries, limits: budget,
+			state:    []term{line("reporter.Record", "series", "held-B", scale.seriesPerInstance, 1)},
+			messages: []term{flat(2.0 / 60)},
+			wire:     []term{line("reporter.Batch", "series", "wire-B/op", scale.seriesPerInstance, 1.0/60)},
+			cpu: []term{
+				work("reporter.Record", "series", scale.seriesPerInstance, scale.jobs()),
+				work("reporter.Batch", "series", scale.seriesPerInstance, 1.0/60),
+			},
+			mechanism: "bucketed counters per series; one record a minute and instance to stream burn",
+			breaks:    "size of the minute records", next: "fewer series per instance: callers of one team on few instances",
+		},
+		{
+			role: roleBurn, function: "a report of three days, read from the log in a minute", driver: bySeries, limits: limits{wire: scale.networkBytes},
+			cpu:       []term{work("reporter.Report", "series", scale.seriesPerInstance, 1.0/60)},
+			wire:      []term{flat(base64Growth * scale.burnRate() * scale.seriesPerInstance * scale.burnSeriesBytes * 3 * secondsPerDay / 60)},
+			mechanism: "the reader of a report reads every minute record of three days",
+			breaks:    "reading three days of minute records for each report", next: "hourly sums appended by the instance that rendezvous hashing selects; a reader that follows the stream",
+		},
+	}
+}
+
+func platformRows(scale Scale) []row {
+	bundles, instances := scale.changeRate(), scale.instances()
+	log := limits{messages: scale.logAppends, wire: scale.networkBytes}
+	views := scale.viewRate() * scale.domains
+	viewBytes := scale.instancesPerDomain * scale.viewBytes
+	return []row{
+		{
+			role: rolePlatform, function: "log: appends", driver: byInstances, limits: log,
+			messages: []term{flat(views), flat(bundles), flat(scale.burnRate())},
+			wire: []term{
+				flat(views * viewBytes),
+				line("bundler.Parse", "targets", "wire-B/op", scale.targets, bundles),
+				line("reporter.Batch", "series", "wire-B/op", scale.seriesPerInstance, scale.burnRate()),
+			},
+			mechanism: "one HTTP append per record", breaks: "appends per second, spent on burn records",
+			next: "one burn record a minute per failure domain, collected over the links",
+		},
+		{
+			role: rolePlatform, function: "log: reads by instances", driver: byTargets, limits: limits{wire: scale.networkBytes},
+			// Two long polls of five seconds per instance, and one answer per new record.
+			messages: []term{flat(instances * (2.0/5 + bundles + scale.viewRate()))},
+			wire: []term{
+				line("bundler.Parse", "targets", "wire-B/op", scale.targets, bundles*instances*base64Growth),
+				flat(views * viewBytes * scale.instancesPerDomain * base64Growth),
+			},
+			mechanism: "every instance reads every bundle from the log", breaks: "the log's bandwidth",
+			next: "bundles from a peer of the failure domain after one member has read them",
+		},
+		{
+			role: rolePlatform, function: "instance list: polls", driver: byTargets, limits: limits{wire: scale.networkBytes},
+			messages:  []term{flat(instances / scale.pollSeconds)},
+			wire:      []term{flat(instances * scale.targets * scale.listEntryBytes / scale.pollSeconds)},
+			mechanism: "the whole list to each instance", breaks: "the list's bandwidth",
+			next: "one poll per failure domain, handed on in heartbeats",
+		},
+	}
+}
+
+// bundleBytesPerTarget is the slope of the bundle text that bundler.Parse reports.
+const bundleBytesPerTarget = 107
+
+// connectionBytes is the memory of one connection in use: two buffers of 4 KiB and the stacks of two goroutines.
+const connectionBytes = 20_000
+
+// callerJobs returns the jobs per second of one caller process, one per team.
+func (scale Scale) callerJobs() float64 { return scale.starts / scale.tasksPerJob / scale.teams }
--- /dev/null
+++ b/estimator/row.go
@@ -0,0 +1,189 @@
+package estimator
+
+import (
+	"math"
+	"slices"
+)
+
+// term is one summand of a figure: a fitted line at a size, times a count; without a family it is the count alone.
+type term struct {
+	series
+	size  float64
+	times float64
+}
+
+// line returns the term for one unit of a benchmark family at a size, times a count.
+func line(family, dimension, unit string, size, times float64) term {
+	return term{series: series{family: family, dimension: dimension, unit: unit}, size: size, times: times}
+}
+
+// work returns the CPU share of an operation that runs rate times a second.
+func work(family, dimension string, size, rate float64) term {
+	return line(family, dimension, "ns/op", size, rate*1e-9)
+}
+
+// socketWork is work for benchmarks over sockets, which report CPU time beside wall time.
+func socketWork(family, dimension string, size, rate float64) term {
+	return line(family, dimension, "cpu-ns/op", size, rate*1e-9)
+}
+
+// flat returns a term that rests on no measurement.
+func flat(value float64) term { return term{times: value} }
+
+// Grade says what a figure rests on.
+type Grade int
+
+// Grades of figures, from best to worst; a sum has the worst grade of its terms.
+const (
+	// Calculated means counted from the protocol and the scale, without a measurement.
+	Calculated Grade = iota
+	// Extrapolated means a measured cost within the measured sizes, times a rate that was never run.
+	Extrapolated
+	// BeyondSizes means that the line is read outside the measured sizes.
+	BeyondSizes
+	// NotFitted means that fewer than three sizes were measured.
+	NotFitted
+)
+
+// Figure is one number of the table.
+type Figure struct {
+	value   float64
+	grade   Grade
+	missing []string
+}
+
+// Value returns the number, without the terms that are not measured yet.
+func (figure Figure) Value() float64 { return figure.value }
+
+// Missing returns the benchmark families that the figure lacks.
+func (figure Figure) Missing() []string { return figure.missing }
+
+func (figure Figure) plus(other Figure) Figure {
+	missing := append(append([]string(nil), figure.missing...), other.missing...)
+	slices.Sort(missing)
+	return Figure{
+		value:   figure.value + other.value,
+		grade:   max(figure.grade, other.grade),
+		missing: slices.Compact(missing),
+	}
+}
+
+// sum adds up terms.
+func (measurements *Measurements) sum(terms []term) Figure {
+	var total Figure
+	for _, term := range terms {
+		total = total.plus(measurements.figure(term))
+	}
+	return total
+}
+
+func (measurements *Measurements) figure(term term) Figure {
+	if term.family == "" {
+		return Figure{value: term.times}
+	}
+	fit, ok := measurements.fit(term.series)
+	switch {
+	case !ok:
+		return Figure{missing: []string{term.family}}
+	case !fit.Fitted():
+		return Figure{value: fit.At(term.size) * term.times, grade: NotFitted}
+	case !fit.Covers(term.size):
+		return Figure{value: fit.At(term.size) * term.times, grade: BeyondSizes}
+	}
+	return Figure{value: fit.At(term.size) * term.times, grade: Extrapolated}
+}
+
+// limits are the values at which a row breaks; zero means no limit.
+type limits struct{ cpu, memory, wire, messages float64 }
+
+// row is one function of one role: its costs as terms, and what carries it.
+type row struct {
+	role     string
+	function string
+	control  bool
+	driver   driver
+	limits   limits
+
+	state    []term // bytes that are held
+	memory   []term // bytes beyond state: buffers and garbage
+	messages []term // per second
+	wire     []term // bytes per second, both directions
+	cpu      []term // share of a core
+
+	mechanism string
+	breaks    string
+	next      string
+}
+
+// Entry is an evaluated row of the table.
+type Entry struct {
+	row
+	state, memory, messages, wire, cpu Figure
+}
+
+func (measurements *Measurements) evaluate(row row) Entry {
+	state := measurements.sum(row.state)
+	return Entry{
+		row: row, state: state, memory: state.plus(measurements.sum(row.memory)),
+		messages: measurements.sum(row.messages), wire: measurements.sum(row.wire), cpu: measurements.sum(row.cpu),
+	}
+}
+
+// exceeded returns the first resource that passes its limit, or an empty name.
+func (entry Entry) exceeded() (string, Grade) {
+	for _, check := range []struct {
+		name   string
+		figure Figure
+		limit  float64
+	}{
+		{"CPU", entry.cpu, entry.limits.cpu},
+		{"memory", entry.memory, entry.limits.memory},
+		{"bytes/s", entry.wire, entry.limits.wire},
+		{"messages/s", entry.messages, entry.limits.messages},
+	} {
+		if check.limit > 0 && check.figure.value > check.limit {
+			return check.name, check.figure.grade
+		}
+	}
+	return "", Calculated
+}
+
+// Break is the size at which a row first passes a limit.
+type Break struct {
+	size     float64
+	target   float64
+	resource string
+	grade    Grade
+}
+
+// Short reports whether the row breaks before the target scale.
+func (point Break) Short() bool { return point.resource != "" && point.size < point.target }
+
+// maxFactor bounds the search for a break; a row that holds at this multiple of the target is reported as such.
+const maxFactor = 1024
+
+// breakPoint searches for the smallest size of the row's driver at which a limit is passed, between 1/1024 of
+// the target and 1024 times the target; every figure must grow with its driver.
+func (measurements *Measurements) breakPoint(scale Scale, index int) Break {
+	driver := model(scale)[index].driver
+	target := *scale.field(driver)
+	at := func(factor float64) (string, Grade) {
+		varied := scale
+		*varied.field(driver) = target * factor
+		return measurements.evaluate(model(varied)[index]).exceeded()
+	}
+	if resource, _ := at(maxFactor); resource == "" {
+		return Break{size: target * maxFactor, target: target}
+	}
+	low, high := 1.0/maxFactor, float64(maxFactor)
+	for high/low > 1.005 {
+		middle := math.Sqrt(low * high)
+		if resource, _ := at(middle); resource == "" {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	resource, grade := at(high)
+	return Break{size: target * high, target: target, resource: resource, grade: grade}
+}
--- /dev/null
+++ b/estimator/scale.go
@@ -0,0 +1,107 @@
+package estimator
+
+// Scale is the size of a deployment; the first group is given by section 1 of docs/design.md, the second
+// group is assumed and printed with the table.
+type Scale struct {
+	targets          float64
+	starts           float64 // task starts per second at the peak
+	teams            float64
+	regions          float64
+	domains          float64
+	changes          float64 // bundles per day
+	failures         float64 // instances per day
+	replacements     float64 // instances per day
+	logAppends       float64 // appends per second that the log sustains
+	retentionSeconds float64
+
+	tasksPerJob        float64
+	taskSeconds        float64
+	resultBytes        float64
+	kinds              float64
+	seriesPerInstance  float64
+	instancesPerDomain float64
+	cores              float64 // per instance
+	usable             float64 // share of the cores that the peak may use
+	memoryBytes        float64 // per instance
+	networkBytes       float64 // per second and instance
+	recordBytes        float64 // one start record in memory
+	messageBytes       float64 // one message between instances
+	heartbeatBytes     float64
+	pollSeconds        float64 // between two reads of the instance list
+	listEntryBytes     float64
+	viewBytes          float64 // per member
+	burnSeriesBytes    float64 // one series in one burn record
+}
+
+// Budget of control work per node (docs/design.md, section 1).
+const (
+	budgetCPU    = 0.013
+	budgetMemory = 64e6
+	budgetWire   = 28e3
+)
+
+const (
+	secondsPerDay = 86_400
+	// base64Growth is the growth of a record in a JSON page of the log.
+	base64Growth = 4.0 / 3
+)
+
+// TargetScale returns the target scale of the design page.
+func TargetScale() Scale {
+	return Scale{
+		targets: 22_000, starts: 700_000, teams: 120, regions: 8, domains: 27, changes: 9_500,
+		failures: 140, replacements: 1_500, logAppends: 300, retentionSeconds: 600,
+
+		tasksPerJob: 20, taskSeconds: 0.5, resultBytes: 100, kinds: 40, seriesPerInstance: 1_200,
+		instancesPerDomain: 6, cores: 8, usable: 0.6, memoryBytes: 8e9, networkBytes: 600e6,
+		recordBytes: 300, messageBytes: 150, heartbeatBytes: 200, pollSeconds: 5, listEntryBytes: 100,
+		viewBytes: 100, burnSeriesBytes: 60,
+	}
+}
+
+func (scale Scale) instances() float64 { return scale.domains * scale.instancesPerDomain }
+
+// jobs returns the jobs per second of one instance.
+func (scale Scale) jobs() float64 { return scale.starts / scale.tasksPerJob / scale.instances() }
+
+// changeRate returns the bundles per second.
+func (scale Scale) changeRate() float64 { return scale.changes / secondsPerDay }
+
+// viewRate returns the view records per second of one failure domain: renewals, and two views per replaced
+// or failed instance (one without it, one with its successor).
+func (scale Scale) viewRate() float64 {
+	return 1/scale.retentionSeconds + 2*(scale.failures+scale.replacements)/secondsPerDay/scale.domains
+}
+
+// burnRate returns the burn records per second of all instances.
+func (scale Scale) burnRate() float64 { return scale.instances() / 60 }
+
+// driver is a dimension of the scale that a row grows with.
+type driver string
+
+const (
+	byStarts    driver = "task starts/s"
+	byTargets   driver = "targets"
+	byInstances driver = "instances per failure domain"
+	bySeries    driver = "burn series per instance"
+	byChanges   driver = "bundles/day"
+	byResults   driver = "bytes per result"
+)
+
+// field returns the value that driver stands for.
+func (scale *Scale) field(driver driver) *float64 {
+	switch driver {
+	case byTargets:
+		return &scale.targets
+	case byInstances:
+		return &scale.instancesPerDomain
+	case bySeries:
+		return &scale.seriesPerInstance
+	case byChanges:
+		return &scale.changes
+	case byResults:
+		return &scale.resultBytes
+	default:
+		return &scale.starts
+	}
+}
--- /dev/null
+++ b/estimator/sections.go
@@ -0,0 +1,80 @@
+package estimator
+
+import "math"
+
+// instanceSizes are the sizes of entry instances for which the number needed is shown.
+var instanceSizes = []struct{ cores, memory float64 }{{2, 4e9}, {4, 8e9}, {8, 16e9}, {16, 32e9}}
+
+func (estimate *Estimate) writeSizing(page *page) {
+	scale := estimate.scale
+	page.line("\n## Entry instances for the peak\n")
+	page.line("Sum of the request rows at %s task starts/s (extrapolated). A failure domain has at least %d instances: a", number(scale.starts), minPerDomain)
+	page.line("witness and a spare. The last column keeps the peak served while one other failure domain of a region of")
+	page.line("three is lost and its work stays in the region.\n")
+	page.line("| tasks per job | busy cores in all | memory in all | instance size | instances per failure domain | in all | with the loss covered |")
+	page.line("|---|---|---|---|---|---|---|")
+	const growthInRegionOfThree = 1.5
+	for _, tasksPerJob := range []float64{1, scale.tasksPerJob, 130} {
+		sizing := estimate.sizeFor(tasksPerJob)
+		for _, size := range instanceSizes {
+			plain := estimate.perDomain(sizing, size.cores, size.memory, 1)
+			covered := estimate.perDomain(sizing, size.cores, size.memory, growthInRegionOfThree)
+			page.line("| %s | %s | %s | %s cores, %sB | %s | %s | %s |", number(tasksPerJob), sizing.cores, sizing.memory,
+				number(size.cores), number(size.memory), number(plain), number(plain*scale.domains), number(covered*scale.domains))
+		}
+	}
+}
+
+func (estimate *Estimate) writeLosses(page *page) {
+	scale := estimate.scale
+	page.line("\n## Loss of a failure domain or a region\n")
+	page.line("All calculated; the load is assumed even over the failure domains.\n")
+	page.line("| lost | starts/s that move | load of each taker | usable share needed before the loss |\n|---|---|---|---|")
+	for _, loss := range estimate.losses() {
+		page.line("| %s | %s | %+.1f%% | %.0f%% |", loss.name, number(scale.starts*loss.lost/scale.domains),
+			100*(loss.growth()-1), math.Floor(100/loss.growth()))
+	}
+	page.line(`
+- New jobs: the platform's balancer sends callers to instances of other failure domains, which issue prefixes of
+  their own; the work runs on targets there. The lost targets' slots are gone too, so the takers need free slots
+  in the same proportion.
+- Jobs in flight in the lost failure domain: callers see a cut connection; their issued keys are answered unknown
+  until the failure domain is back, since no other failure domain may decide its slices.
+- Plain keys: 1/%s of them hash to the lost failure domain and are answered unknown until a bundle without it
+  is in force; resubmissions across that change are outside the promise of design section 4.
+- Spill-over inside a region comes before spill-over between regions; both need links to the other failure domain,
+  opened on demand. A partition between regions stops only the spill-over and the forwards between them.
+- The loss of a rack or switch: at most 8 of %s targets; ejection and leaving handle it without a move of load.`,
+		number(scale.domains), number(scale.targets))
+}
+
+func (estimate *Estimate) writeLog(page *page) {
+	scale := estimate.scale
+	page.line("\n## What the log's appends are spent on\n")
+	page.line("| use | appends/s | bytes per append | bytes/s |\n|---|---|---|---|")
+	var rate, bytes float64
+	for _, use := range estimate.appendUses() {
+		page.line("| %s | %.3f | %s | %s |", use.name, use.rate, number(use.bytes), number(use.rate*use.bytes))
+		rate += use.rate
+		bytes += use.rate * use.bytes
+	}
+	page.line("| **sum** | %.3f | | %s |", rate, number(bytes))
+	page.line("| **left of %s** | %.1f | | |", number(scale.logAppends), scale.logAppends-rate)
+	page.line(`
+Racing proposers multiply the first row by at most the members of a failure domain (%s). After an outage of the
+log each instance appends one burn record for all the minutes that it kept, so the backlog is one append per
+instance. The minute records of all instances arrive in the first seconds of a minute unless instances spread
+them; %s appends in one second would exceed half the log's rate, so each instance appends at its own offset in
+the minute.`, number(scale.instancesPerDomain), number(scale.instances()))
+}
+
+const notMeasurable = `
+## What cannot be measured on one machine
+
+- Round trips between failure domains and regions, loss and reordering: loopback has none of them.
+- The rate of 700,000 starts/s and the reaction of 22,000 targets; only costs per operation are measured.
+- Behaviour of the real log under several hundred appends/s, its trimming and its outages.
+- Lag of the real instance list, and the platform balancer's reaction to the loss of a failure domain.
+- Contention on memory bandwidth and network interrupts of instances with many cores.
+- Garbage collection pauses with heaps of several gigabytes of held answers and records.
+- Simultaneous reconnection of all callers and peers after the loss of a region.`
