Add links between instances over WebSocket and CBOR

Cause: instances need to exchange heartbeats, start records and forwarded jobs; there was no transport between them.

Change: package linker. Hello with version on both sides, a different version is closed with code 4001 and a reason. A frame is a sequence of CBOR pairs (name, body), so messages that are queued together share a frame; a message above 1 MiB is cut into parts, at most 16 MiB. The decoder bounds frames, arrays, maps, nesting and text, and refuses unknown and repeated fields. One sender per link with a bounded queue; pings only when the peer is silent; reconnection with jitter. Links stay to members of the own failure domain and are opened on demand, bounded and closed when idle, to others. A response must match its request in number, sender and subject.

--- /dev/null
+++ b/linker/codec.go
@@ -0,0 +1,289 @@
+package linker
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+)
+
+// Bounds of frames and messages.
+const (
+	// MaxFrameBytes is the largest frame.
+	MaxFrameBytes = 1 << 20
+	// MaxMessageBytes is the largest message, sent as parts if it exceeds a frame.
+	MaxMessageBytes = 16 << 20
+	// MaxElements is the largest number of elements in an array.
+	MaxElements = 4096
+
+	// partBytes is the payload of one part; the rest of the frame is left to its envelope.
+	partBytes = 512 << 10
+	// maxPairs is above the number of fields of every message, and the smallest value that the library allows is 16.
+	maxPairs = 16
+	// maxNesting is above the depth of a sync response, the deepest message.
+	maxNesting = 8
+	// maxTextBytes bounds names, keys and other short text.
+	maxTextBytes = 256
+	// maxDetailBytes bounds sentences that explain an outcome.
+	maxDetailBytes = 4096
+	// pairHeader is the CBOR header of an array of two elements.
+	pairHeader = 0x82
+)
+
+var (
+	encoding = newEncoding()
+	decoding = newDecoding()
+)
+
+func newEncoding() cbor.EncMode {
+	mode, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		panic(eris.Wrap(err, "preparing the CBOR encoder"))
+	}
+	return mode
+}
+
+func newDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
+		MaxNestedLevels:   maxNesting,
+		MaxArrayElements:  MaxElements,
+		MaxMapPairs:       maxPairs,
+	}.DecMode()
+	if err != nil {
+		panic(eris.Wrap(err, "preparing the CBOR decoder"))
+	}
+	return mode
+}
+
+// encode returns message as a CBOR pair of its name and its body.
+func encode(message Message) ([]byte, error) {
+	body, err := encoding.Marshal(message)
+	if err != nil {
+		return nil, eris.Wrap(err, "encoding a message")
+	}
+	if len(body) > MaxMessageBytes {
+		return nil, eris.Errorf("message has %d bytes, allowed are %d", len(body), MaxMessageBytes)
+	}
+	name, err := encoding.Marshal(messageName(message))
+	if err != nil {
+		return nil, eris.Wrap(err, "encoding a message name")
+	}
+	encoded := make([]byte, 0, 1+len(name)+len(body))
+	encoded = append(encoded, pairHeader)
+	encoded = append(encoded, name...)
+	return append(encoded, body...), nil
+}
+
+// decode returns the first message in data and the data after it.
+func decode(data []byte) (Message, []byte, error) {
+	if len(data) == 0 || data[0] != pairHeader {
+		return nil, nil, eris.New("message is not a pair of name and body")
+	}
+	var name string
+	rest, err := decoding.UnmarshalFirst(data[1:], &name)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "decoding a message name")
+	}
+	message, rest, err := decodeBody(name, rest)
+	if err != nil {
+		return nil, nil, eris.Wrapf(err, "decoding message %.40q", name)
+	}
+	return message, rest, nil
+}
+
+func decodeAs[M Message](data []byte) (Message, []byte, error) {
+	var message M
+	rest, err := decoding.UnmarshalFirst(data, &message)
+	if err != nil {
+		return nil, nil, err
+	}
+	return message, rest, check(message)
+}
+
+func decodeBody(name string, data []byte) (Message, []byte, error) {
+	switch name {
+	case "hello":
+		return decodeAs[Hello](data)
+	case "heartbeat":
+		return decodeAs[Heartbeat](data)
+	case "record":
+		return decodeAs[Record](data)
+	case "record-ack":
+		return decodeAs[RecordAck](data)
+	case "record-refused":
+		return decodeAs[RecordRefused](data)
+	case "withdraw":
+		return decodeAs[Withdraw](data)
+	case "confirm":
+		return decodeAs[Confirm](data)
+	case "confirm-ack":
+		return decodeAs[ConfirmAck](data)
+	case "confirm-refused":
+		return decodeAs[ConfirmRefused](data)
+	case "sync-request":
+		return decodeAs[SyncRequest](data)
+	case "sync-response":
+		return decodeAs[SyncResponse](data)
+	case "outcome":
+		return decodeAs[Settlements](data)
+	case "forward":
+		return decodeAs[Forward](data)
+	case "forward-answer":
+		return decodeAs[ForwardAnswer](data)
+	case "lookup":
+		return decodeAs[Lookup](data)
+	case "lookup-answer":
+		return decodeAs[LookupAnswer](data)
+	case "cancel":
+		return decodeAs[Cancel](data)
+	case "cancel-answer":
+		return decodeAs[CancelAnswer](data)
+	case "bundle-request":
+		return decodeAs[BundleRequest](data)
+	case "bundle-response":
+		return decodeAs[BundleResponse](data)
+	case "part":
+		return decodeAs[part](data)
+	default:
+		return nil, nil, eris.New("name is not known")
+	}
+}
+
+func messageName(message Message) string {
+	switch message.(type) {
+	case Hello:
+		return "hello"
+	case Heartbeat:
+		return "heartbeat"
+	case Record:
+		return "record"
+	case RecordAck:
+		return "record-ack"
+	case RecordRefused:
+		return "record-refused"
+	case Withdraw:
+		return "withdraw"
+	case Confirm:
+		return "confirm"
+	case ConfirmAck:
+		return "confirm-ack"
+	case ConfirmRefused:
+		return "confirm-refused"
+	case SyncRequest:
+		return "sync-request"
+	case SyncResponse:
+		return "sync-response"
+	case Settlements:
+		return "outcome"
+	case Forward:
+		return "forward"
+	case ForwardAnswer:
+		return "forward-answer"
+	case Lookup:
+		return "lookup"
+	case LookupAnswer:
+		return "lookup-answer"
+	case Cancel:
+		return "cancel"
+	case CancelAnswer:
+		return "cancel-answer"
+	case BundleRequest:
+		return "bundle-request"
+	case BundleResponse:
+		return "bundle-response"
+	case part:
+		return "part"
+	default:
+		panic(eris.Errorf("message type %T has no name", message))
+	}
+}
+
+// decodeHello reads the first frame; it ignores unknown fields, so that the version of a newer instance can be told.
+func decodeHello(frame []byte) (Hello, error) {
+	if len(frame) == 0 || frame[0] != pairHeader {
+		return Hello{}, eris.New("first frame is not a message")
+	}
+	var name string
+	rest, err := decoding.UnmarshalFirst(frame[1:], &name)
+	if err != nil || name != "hello" {
+		return Hello{}, eris.New("first frame is not a hello")
+	}
+	var hello Hello
+	if err := cbor.Unmarshal(rest, &hello); err != nil {
+		return Hello{}, eris.Wrap(err, "decoding a hello")
+	}
+	return hello, check(hello)
+}
+
+// check returns an error if a length exceeds what the protocol allows; the decoder bounds arrays and frames.
+func check(message Message) error {
+	switch message := message.(type) {
+	case Hello:
+		return checkTexts(message.Domain, message.Name, message.Incarnation)
+	case Heartbeat:
+		return checkTexts(message.Suspects...)
+	case Record:
+		return checkTexts(message.Key, message.State)
+	case SyncResponse:
+		for _, record := range message.Records {
+			if err := checkTexts(record.Key, record.State); err != nil {
+				return err
+			}
+		}
+	case Settlements:
+		for _, settled := range message.Settled {
+			if err := checkTexts(settled.Key, settled.State); err != nil {
+				return err
+			}
+		}
+	case Forward:
+		if len(message.Tasks) > dispatcher.MaxTasks {
+			return eris.Errorf("forward has %d tasks", len(message.Tasks))
+		}
+		return checkTexts(message.Key, message.Kind, message.Team, message.TraceParent)
+	case ForwardAnswer:
+		return checkOutcome(message.Key, &message.Outcome)
+	case LookupAnswer:
+		return checkOutcome(message.Key, message.Outcome)
+	case RecordAck:
+		return checkTexts(message.Key)
+	case RecordRefused:
+		return checkTexts(message.Key)
+	case Withdraw:
+		return checkTexts(message.Key)
+	case Lookup:
+		return checkTexts(message.Key)
+	case Cancel:
+		return checkTexts(message.Key)
+	case CancelAnswer:
+		return checkTexts(message.Key, message.Result)
+	}
+	return nil
+}
+
+func checkOutcome(key string, outcome *Outcome) error {
+	if outcome == nil {
+		return checkTexts(key)
+	}
+	if len(outcome.Results) > dispatcher.MaxTasks || len(outcome.Fates) > dispatcher.MaxTasks {
+		return eris.New("outcome has too many tasks")
+	}
+	if len(outcome.Detail) > maxDetailBytes {
+		return eris.Errorf("outcome detail has %d bytes", len(outcome.Detail))
+	}
+	return checkTexts(key, outcome.Class, outcome.Reason, outcome.Field)
+}
+
+func checkTexts(texts ...string) error {
+	for _, text := range texts {
+		if len(text) > maxTextBytes {
+			return eris.Errorf("text has %d bytes, allowed are %d", len(text), maxTextBytes)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/linker/linker_test.go
@@ -0,0 +1,313 @@
+package linker
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+)
+
+// node is a linker behind a loopback HTTP server.
+type node struct {
+	*Linker
+	server   *httptest.Server
+	messages chan Message
+}
+
+func (node *node) address() string { return node.server.Listener.Addr().String() }
+
+func (node *node) peer() Peer {
+	return Peer{Name: node.self.Name, Incarnation: node.self.Incarnation, Address: node.address()}
+}
+
+func testLimits() Limits {
+	limits := DefaultLimits()
+	limits.PingInterval = 20 * time.Millisecond
+	return limits
+}
+
+func startNode(tb testing.TB, domain, name string, limits Limits) *node {
+	tb.Helper()
+	node := &node{messages: make(chan Message, 4096)}
+	node.Linker = New(Hello{Domain: domain, Name: name, Incarnation: name + "-1"}, limits, hclog.NewNullLogger(),
+		func(_ Hello, message Message) { node.messages <- message })
+	node.server = httptest.NewServer(node.Linker)
+	tb.Cleanup(func() {
+		node.Close()
+		node.server.Close()
+	})
+	return node
+}
+
+func waitFor(tb testing.TB, what string, done func() bool) {
+	tb.Helper()
+	for deadline := time.Now().Add(20 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			tb.Fatalf("timed out waiting until %s", what)
+		}
+	}
+}
+
+func join(tb testing.TB, nodes ...*node) {
+	tb.Helper()
+	var peers []Peer
+	for _, node := range nodes {
+		peers = append(peers, node.peer())
+	}
+	for _, node := range nodes {
+		node.SetMembers(peers)
+	}
+	for _, node := range nodes {
+		for _, peer := range peers {
+			if peer.Incarnation != node.self.Incarnation {
+				waitFor(tb, "the mesh is up", func() bool { return node.Connected(peer.Incarnation) })
+			}
+		}
+	}
+}
+
+// sampleMessages holds one message of every type with its fields filled.
+func sampleMessages() []Message {
+	outcome := EncodeOutcome(dispatcher.NewFailed("cut", []dispatcher.TaskFate{{Name: "t", Fate: dispatcher.Finished, Detail: "d"}}), time.Time{})
+	return []Message{
+		Hello{Version: 1, Domain: "d", Name: "n", Incarnation: "i"},
+		Heartbeat{View: 7, Suspects: []string{"a"}, BundleVersion: 3, Load: 5, Synced: 64},
+		Record{Key: "k", Digest: dispatcher.Digest{1, 2}, View: 7, State: "pending"},
+		RecordAck{Key: "k", View: 7},
+		RecordRefused{Key: "k", View: 7, CurrentView: 8},
+		Withdraw{Key: "k", View: 7},
+		Confirm{View: 7, Sequence: 2},
+		ConfirmAck{View: 7, Sequence: 2},
+		ConfirmRefused{CurrentView: 8, Sequence: 2},
+		SyncRequest{View: 7, Slices: []int{1, 63}},
+		SyncResponse{View: 7, Slices: []int{1}, Records: []Record{{Key: "k"}}, Synced: []SyncedView{{View: 6, Slice: 1}}, More: true},
+		Settlements{Settled: []Settled{{Key: "k", State: "finished", Deadline: 9}}},
+		Forward{ID: 1, Key: "k", Kind: "x", Team: "t", RemainingMS: 10, TraceParent: "p", Tasks: []Task{{Name: "t", Payload: []byte("1")}}},
+		ForwardAnswer{ID: 1, Key: "k", Outcome: outcome},
+		Lookup{ID: 1, Key: "k"},
+		LookupAnswer{ID: 1, Key: "k", State: "running", Outcome: &outcome},
+		Cancel{ID: 1, Key: "k"},
+		CancelAnswer{ID: 1, Key: "k", Result: "too-late"},
+		BundleRequest{ID: 1, Version: 4, Digest: []byte{1}},
+		BundleResponse{ID: 1, Offset: 4, Text: []byte("b")},
+		part{Last: true, Data: []byte{1}},
+	}
+}
+
+// Guards against a message type that the decoder does not know, or that loses a field on the way.
+func TestEveryMessageSurvivesTheWire(t *testing.T) {
+	is := is.New(t)
+	for _, message := range sampleMessages() {
+		encoded, err := encode(message)
+		is.NoErr(err)
+		decoded, rest, err := decode(encoded)
+		is.NoErr(err)
+		is.Equal(decoded, message)
+		is.Equal(len(rest), 0)
+	}
+}
+
+// Guards against memory or state that a malformed or oversized frame could claim.
+func TestDecoderBounds(t *testing.T) {
+	tests := []struct {
+		name  string
+		frame []byte
+	}{
+		{"empty", nil},
+		{"not a pair", []byte{0x01}},
+		{"name is not known", []byte{0x82, 0x61, 'x', 0xa0}},
+		{"unknown field", append([]byte{0x82, 0x68}, "withdraw\xa1\x61x\x01"...)},
+		{"field given twice", append([]byte{0x82, 0x68}, "withdraw\xa2\x64view\x01\x64view\x02"...)},
+		{"array claims 2^32 elements", append([]byte{0x82, 0x6c}, "sync-request\xa1\x66slices\x9a\xff\xff\xff\xff"...)},
+		{"array of unknown length", append([]byte{0x82, 0x6c}, "sync-request\xa1\x66slices\x9f\x01\xff"...)},
+		{"nesting", append(append([]byte{0x82, 0x6c}, "sync-request\xa1\x66slices"...), bytes.Repeat([]byte{0x81}, 100)...)},
+		{"tag", append([]byte{0x82, 0x68}, "withdraw\xa1\x64view\xc1\x01"...)},
+		{"text is cut", append([]byte{0x82, 0x68}, "withdraw\xa1\x63key\x7a\x00\x10\x00\x00ab"...)},
+		{"text is too long", mustEncode(Withdraw{Key: strings.Repeat("k", maxTextBytes+1)})},
+		{"too many elements", mustEncode(SyncRequest{Slices: make([]int, MaxElements+1)})},
+		{"too many tasks", mustEncode(Forward{Tasks: make([]Task, dispatcher.MaxTasks+1)})},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if message, _, err := decode(test.frame); err == nil {
+				t.Fatalf("decoded %#v, expected an error", message)
+			}
+		})
+	}
+}
+
+func mustEncode(message Message) []byte {
+	encoded, err := encode(message)
+	if err != nil {
+		panic(err)
+	}
+	return encoded
+}
+
+// Guards against a mixed deployment that fails without saying why.
+func TestOtherVersionIsRefusedWithReason(t *testing.T) {
+	is := is.New(t)
+	node := startNode(t, "local", "a", testLimits())
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	conn, _, err := websocket.Dial(ctx, "ws://"+node.address()+Path, &websocket.DialOptions{Subprotocols: []string{Subprotocol}})
+	is.NoErr(err)
+	// The unknown field stands for what a newer version may add.
+	hello := "\x82\x65hello\xa2\x67version\x02\x63new\x01"
+	is.NoErr(conn.Write(ctx, websocket.MessageBinary, []byte(hello)))
+	_, _, err = conn.Read(ctx) // the node's own hello
+	is.NoErr(err)
+	_, _, err = conn.Read(ctx)
+	is.Equal(websocket.CloseStatus(err), statusOtherVersion)
+	is.True(strings.Contains(err.Error(), "version 2 is refused, this instance speaks version 1"))
+}
+
+// Guards against an answer that reaches a caller other than its own: late, crossed, or a second time.
+func TestAnswersReachOnlyTheirCaller(t *testing.T) {
+	is := is.New(t)
+	a, b, c := startNode(t, "local", "a", testLimits()), startNode(t, "local", "b", testLimits()), startNode(t, "local", "c", testLimits())
+	join(t, a, b, c)
+	type answer struct {
+		response Response
+		err      error
+	}
+	call := func(ctx context.Context, key string) chan answer {
+		answers := make(chan answer, 2)
+		go func() {
+			response, err := a.Call(ctx, "b-1", Forward{Key: key})
+			answers <- answer{response, err}
+		}()
+		return answers
+	}
+	impatient, giveUp := context.WithCancel(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	late := call(impatient, "late")
+	lateID := (<-b.messages).(Forward).ID
+	first := call(ctx, "first")
+	firstID := (<-b.messages).(Forward).ID
+	second := call(ctx, "second")
+	secondID := (<-b.messages).(Forward).ID
+	giveUp()
+	is.Equal((<-late).err, context.Canceled)
+
+	is.NoErr(c.Send("a-1", ForwardAnswer{ID: firstID, Key: "first", Outcome: Outcome{Detail: "other sender"}}))
+	waitFor(t, "the answer of the other sender is dropped", func() bool { return a.Traffic().StrayAnswers() == 1 })
+	for _, stray := range []ForwardAnswer{
+		{ID: lateID, Key: "late"},
+		{ID: secondID, Key: "first"},
+		{ID: firstID, Key: "second"},
+		{ID: secondID, Key: "second", Outcome: Outcome{Detail: "right"}},
+		{ID: secondID, Key: "second", Outcome: Outcome{Detail: "again"}},
+		{ID: firstID, Key: "first", Outcome: Outcome{Detail: "right"}},
+	} {
+		is.NoErr(b.Send("a-1", stray))
+	}
+	is.Equal((<-first).response, ForwardAnswer{ID: firstID, Key: "first", Outcome: Outcome{Detail: "right"}})
+	is.Equal((<-second).response, ForwardAnswer{ID: secondID, Key: "second", Outcome: Outcome{Detail: "right"}})
+	is.Equal(a.Traffic().StrayAnswers(), int64(5))
+}
+
+// Guards against a request that hangs when the peer's connection stays open and goes silent.
+func TestSilentLinkIsClosed(t *testing.T) {
+	is := is.New(t)
+	limits := testLimits()
+	limits.SilenceLimit = 200 * time.Millisecond
+	silent := make(chan struct{})
+	defer close(silent)
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		conn, err := websocket.Accept(writer, request, &websocket.AcceptOptions{Subprotocols: []string{Subprotocol}})
+		if err == nil {
+			_ = conn.Write(request.Context(), websocket.MessageBinary,
+				mustEncode(Hello{Version: Version, Domain: "local", Name: "b", Incarnation: "b-1"}))
+		}
+		// Without a reader, pings get no answer.
+		<-silent
+	}))
+	a := startNode(t, "local", "a", limits)
+	a.SetMembers([]Peer{{Name: "b", Incarnation: "b-1", Address: server.Listener.Addr().String()}})
+	waitFor(t, "the link is up", func() bool { return a.Connected("b-1") })
+	_, err := a.Call(context.Background(), "b-1", Forward{Key: "k"})
+	is.Equal(err, ErrLinkClosed)
+}
+
+// Guards against one system call per message under load, and against a message that does not fit into a frame.
+func TestQueuedMessagesShareFramesAndLargeOnesAreCut(t *testing.T) {
+	is := is.New(t)
+	a, b := startNode(t, "local", "a", testLimits()), startNode(t, "local", "b", testLimits())
+	join(t, a, b)
+	link := a.link("b-1")
+	before := a.Traffic().FramesSent()
+	var queued [][]byte
+	for view := range int64(100) {
+		queued = append(queued, mustEncode(Withdraw{Key: "k", View: view}))
+	}
+	is.NoErr(link.enqueue(queued...))
+	for view := range int64(100) {
+		is.Equal((<-b.messages).(Withdraw).View, view)
+	}
+	is.Equal(a.Traffic().FramesSent()-before, int64(1))
+
+	large := Forward{Key: "k", Tasks: []Task{{Name: "t", Payload: bytes.Repeat([]byte("x"), 3*MaxFrameBytes)}}}
+	is.NoErr(a.Send("b-1", large))
+	is.Equal((<-b.messages).(Forward), large)
+	large.Tasks[0].Payload = make([]byte, MaxMessageBytes)
+	is.True(a.Send("b-1", large) != nil) // above the bound nothing is sent
+}
+
+// Guards against links to other failure domains that pile up, and against one that stays open for nothing.
+func TestRemoteLinksAreBoundedAndCloseWhenIdle(t *testing.T) {
+	is := is.New(t)
+	limits := testLimits()
+	limits.RemoteLinks, limits.IdleLimit = 1, 100*time.Millisecond
+	a, b, c := startNode(t, "here", "a", limits), startNode(t, "there", "b", limits), startNode(t, "there", "c", limits)
+	for _, node := range []*node{b, c} {
+		go func() {
+			for message := range node.messages {
+				lookup := message.(Lookup)
+				_ = node.Send("a-1", LookupAnswer{ID: lookup.ID, Key: lookup.Key, State: node.self.Name})
+			}
+		}()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	response, err := a.CallRemote(ctx, b.address(), Lookup{Key: "k"})
+	is.NoErr(err)
+	is.Equal(response.(LookupAnswer).State, "b")
+	if a.Connected("b-1") {
+		_, err = a.CallRemote(ctx, c.address(), Lookup{Key: "k"})
+		is.True(err == ErrTooManyLinks || !a.Connected("b-1"))
+	}
+	waitFor(t, "the idle link is closed", func() bool { return !a.Connected("b-1") })
+	waitFor(t, "another link may be opened", func() bool {
+		response, err = a.CallRemote(ctx, c.address(), Lookup{Key: "k"})
+		return err == nil
+	})
+	is.Equal(response.(LookupAnswer).State, "c")
+	close(b.messages)
+	close(c.messages)
+}
+
+// Guards against a lost link that is not restored, and against a link to an instance that left.
+func TestMemberLinkIsRestoredAndDropped(t *testing.T) {
+	is := is.New(t)
+	a, b := startNode(t, "local", "a", testLimits()), startNode(t, "local", "b", testLimits())
+	join(t, a, b)
+	lost := a.link("b-1")
+	_ = lost.conn.CloseNow()
+	<-lost.done
+	waitFor(t, "the link is restored", func() bool { return a.Send("b-1", Withdraw{Key: "k"}) == nil })
+	is.Equal((<-b.messages).(Withdraw).Key, "k")
+	a.SetMembers(nil)
+	b.SetMembers(nil)
+	waitFor(t, "the link is dropped", func() bool { return !a.Connected("b-1") && !b.Connected("a-1") })
+}
--- /dev/null
+++ b/linker/message.go
@@ -0,0 +1,282 @@
+package linker
+
+import "github.com/hyssoplift/hyssoplift/dispatcher"
+
+// Version is the version of the protocol between instances.
+const Version = 1
+
+// Hello identifies an instance; it is the first frame in each direction.
+type Hello struct {
+	Version     int    `cbor:"version"`
+	Domain      string `cbor:"domain"`
+	Name        string `cbor:"name"`
+	Incarnation string `cbor:"incarnation"`
+}
+
+// Message is one message between instances.
+type Message interface{ isMessage() }
+
+// Request is a message that is answered by one Response.
+type Request interface {
+	Message
+	withID(id uint64) Request
+	// answeredBy reports whether response has the type and the subject that belong to the request.
+	answeredBy(response Response) bool
+}
+
+// Response is the answer to a Request.
+type Response interface {
+	Message
+	requestID() uint64
+}
+
+// Heartbeat is sent to every member of the failure domain each second.
+type Heartbeat struct {
+	View          int64    `cbor:"view"`
+	Suspects      []string `cbor:"suspects,omitempty"`
+	BundleVersion int64    `cbor:"bundle-version"`
+	BundleOffset  int64    `cbor:"bundle-offset"`
+	// Load is the number of tasks queued or in flight.
+	Load int64 `cbor:"load"`
+	// Synced is the number of own slices that are synced in View.
+	Synced int64 `cbor:"synced"`
+}
+
+// Record is a start record that an owner asks a witness to keep.
+type Record struct {
+	Key    string            `cbor:"key"`
+	Digest dispatcher.Digest `cbor:"digest"`
+	View   int64             `cbor:"view"`
+	State  string            `cbor:"state"`
+	// Deadline is when the record may be dropped, in milliseconds since 1970; 0 means not yet.
+	Deadline int64 `cbor:"deadline,omitempty"`
+}
+
+// RecordAck confirms that the witness keeps the record.
+type RecordAck struct {
+	Key  string `cbor:"key"`
+	View int64  `cbor:"view"`
+}
+
+// RecordRefused says that the witness does not keep the record.
+type RecordRefused struct {
+	Key         string `cbor:"key"`
+	View        int64  `cbor:"view"`
+	CurrentView int64  `cbor:"current-view"`
+}
+
+// Withdraw asks a witness to drop a record whose owner chose another witness.
+type Withdraw struct {
+	Key  string `cbor:"key"`
+	View int64  `cbor:"view"`
+}
+
+// Confirm asks a member whether the sender's view is still the member's view.
+type Confirm struct {
+	View     int64  `cbor:"view"`
+	Sequence uint64 `cbor:"sequence"`
+}
+
+// ConfirmAck says that the member is in the view.
+type ConfirmAck struct {
+	View     int64  `cbor:"view"`
+	Sequence uint64 `cbor:"sequence"`
+}
+
+// ConfirmRefused says that the member is in another view.
+type ConfirmRefused struct {
+	CurrentView int64  `cbor:"current-view"`
+	Sequence    uint64 `cbor:"sequence"`
+}
+
+// SyncRequest asks a member for its records of slices that the sender owns in View.
+type SyncRequest struct {
+	View   int64 `cbor:"view"`
+	Slices []int `cbor:"slices"`
+}
+
+// SyncedView says that the sender had completed sync as owner of Slice in View.
+type SyncedView struct {
+	View  int64 `cbor:"view"`
+	Slice int   `cbor:"slice"`
+	Floor int64 `cbor:"floor"`
+}
+
+// SyncResponse carries records and synced views; a long answer takes several responses.
+type SyncResponse struct {
+	View    int64        `cbor:"view"`
+	Slices  []int        `cbor:"slices"`
+	Records []Record     `cbor:"records,omitempty"`
+	Synced  []SyncedView `cbor:"synced,omitempty"`
+	// More is true on every response of an answer except the last.
+	More bool `cbor:"more,omitempty"`
+}
+
+// Settled is the end of one job, without results.
+type Settled struct {
+	Key   string `cbor:"key"`
+	State string `cbor:"state"`
+	// Deadline is when the record may be dropped, in milliseconds since 1970.
+	Deadline int64 `cbor:"deadline"`
+}
+
+// Settlements is a batch of ends of jobs (message "outcome").
+type Settlements struct {
+	Settled []Settled `cbor:"settled"`
+}
+
+// Task is one task of a forwarded job.
+type Task struct {
+	Name    string `cbor:"name"`
+	Payload []byte `cbor:"payload"`
+}
+
+// Forward asks the key's owner to decide and run a job.
+type Forward struct {
+	ID   uint64 `cbor:"id"`
+	Key  string `cbor:"key"`
+	Kind string `cbor:"kind"`
+	Team string `cbor:"team"`
+	// RemainingMS is the time until the deadline in milliseconds; clocks of instances may differ.
+	RemainingMS int64  `cbor:"remaining-ms"`
+	TraceParent string `cbor:"traceparent,omitempty"`
+	Tasks       []Task `cbor:"tasks"`
+}
+
+// ForwardAnswer carries the outcome of a forwarded job.
+type ForwardAnswer struct {
+	ID      uint64  `cbor:"id"`
+	Key     string  `cbor:"key"`
+	Outcome Outcome `cbor:"outcome"`
+}
+
+// Outcome is the wire form of a dispatcher.Outcome.
+type Outcome struct {
+	Class   string                `cbor:"class"`
+	Reason  string                `cbor:"reason,omitempty"`
+	Detail  string                `cbor:"detail,omitempty"`
+	Field   string                `cbor:"field,omitempty"`
+	RetryMS int64                 `cbor:"retry-ms,omitempty"`
+	Results []TaskResult          `cbor:"results,omitempty"`
+	Fates   []dispatcher.TaskFate `cbor:"fates,omitempty"`
+}
+
+// TaskResult is the result of one task.
+type TaskResult struct {
+	Name   string `cbor:"name"`
+	Result []byte `cbor:"result"`
+}
+
+// Lookup asks the key's owner for the answer or the state of a job.
+type Lookup struct {
+	ID  uint64 `cbor:"id"`
+	Key string `cbor:"key"`
+}
+
+// LookupAnswer carries the state of a job and, once it has one, its outcome.
+type LookupAnswer struct {
+	ID      uint64   `cbor:"id"`
+	Key     string   `cbor:"key"`
+	State   string   `cbor:"state"`
+	Outcome *Outcome `cbor:"outcome,omitempty"`
+}
+
+// Cancel asks the key's owner to cancel a job that has not started.
+type Cancel struct {
+	ID  uint64 `cbor:"id"`
+	Key string `cbor:"key"`
+}
+
+// CancelAnswer says whether the job is cancelled, too late or undecided.
+type CancelAnswer struct {
+	ID     uint64 `cbor:"id"`
+	Key    string `cbor:"key"`
+	Result string `cbor:"result"`
+}
+
+// BundleRequest asks for a signed bundle by version and digest.
+type BundleRequest struct {
+	ID      uint64 `cbor:"id"`
+	Version int64  `cbor:"version"`
+	Digest  []byte `cbor:"digest,omitempty"`
+}
+
+// BundleResponse carries a signed bundle and its offset in the log; Text is empty if the sender has none.
+type BundleResponse struct {
+	ID     uint64 `cbor:"id"`
+	Offset int64  `cbor:"offset"`
+	Text   []byte `cbor:"text,omitempty"`
+}
+
+// part is a piece of a message that is too large for one frame.
+type part struct {
+	Last bool   `cbor:"last"`
+	Data []byte `cbor:"data"`
+}
+
+func (Hello) isMessage()          {}
+func (Heartbeat) isMessage()      {}
+func (Record) isMessage()         {}
+func (RecordAck) isMessage()      {}
+func (RecordRefused) isMessage()  {}
+func (Withdraw) isMessage()       {}
+func (Confirm) isMessage()        {}
+func (ConfirmAck) isMessage()     {}
+func (ConfirmRefused) isMessage() {}
+func (SyncRequest) isMessage()    {}
+func (SyncResponse) isMessage()   {}
+func (Settlements) isMessage()    {}
+func (Forward) isMessage()        {}
+func (ForwardAnswer) isMessage()  {}
+func (Lookup) isMessage()         {}
+func (LookupAnswer) isMessage()   {}
+func (Cancel) isMessage()         {}
+func (CancelAnswer) isMessage()   {}
+func (BundleRequest) isMessage()  {}
+func (BundleResponse) isMessage() {}
+func (part) isMessage()           {}
+
+func (answer ForwardAnswer) requestID() uint64    { return answer.ID }
+func (answer LookupAnswer) requestID() uint64     { return answer.ID }
+func (answer CancelAnswer) requestID() uint64     { return answer.ID }
+func (response BundleResponse) requestID() uint64 { return response.ID }
+
+func (forward Forward) withID(id uint64) Request {
+	forward.ID = id
+	return forward
+}
+
+func (forward Forward) answeredBy(response Response) bool {
+	answer, ok := response.(ForwardAnswer)
+	return ok && answer.Key == forward.Key
+}
+
+func (lookup Lookup) withID(id uint64) Request {
+	lookup.ID = id
+	return lookup
+}
+
+func (lookup Lookup) answeredBy(response Response) bool {
+	answer, ok := response.(LookupAnswer)
+	return ok && answer.Key == lookup.Key
+}
+
+func (cancel Cancel) withID(id uint64) Request {
+	cancel.ID = id
+	return cancel
+}
+
+func (cancel Cancel) answeredBy(response Response) bool {
+	answer, ok := response.(CancelAnswer)
+	return ok && answer.Key == cancel.Key
+}
+
+func (request BundleRequest) withID(id uint64) Request {
+	request.ID = id
+	return request
+}
+
+func (request BundleRequest) answeredBy(response Response) bool {
+	_, ok := response.(BundleResponse)
+	return ok
+}
--- /dev/null
+++ b/linker/outcome.go
@@ -0,0 +1,67 @@
+package linker
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+)
+
+// Classes of outcomes on the wire.
+const (
+	classComplete = "complete"
+	classFailed   = "failed"
+	classRefused  = "refused"
+	classUnknown  = "unknown"
+)
+
+// EncodeOutcome returns the wire form of outcome; a retry time is sent relative to now.
+func EncodeOutcome(outcome dispatcher.Outcome, now time.Time) Outcome {
+	switch outcome := outcome.(type) {
+	case dispatcher.Complete:
+		results := make([]TaskResult, len(outcome.Results()))
+		for i, result := range outcome.Results() {
+			results[i] = TaskResult{Name: result.Name, Result: result.Result}
+		}
+		return Outcome{Class: classComplete, Results: results}
+	case dispatcher.Failed:
+		return Outcome{Class: classFailed, Detail: cutText(outcome.Detail()), Fates: outcome.Fates()}
+	case dispatcher.Refused:
+		wire := Outcome{Class: classRefused, Reason: string(outcome.Reason()), Detail: cutText(outcome.Detail()), Field: outcome.Field()}
+		if !outcome.RetryAt().IsZero() {
+			wire.RetryMS = max(outcome.RetryAt().Sub(now).Milliseconds(), 1)
+		}
+		return wire
+	case dispatcher.Unknown:
+		return Outcome{Class: classUnknown, Detail: cutText(outcome.Detail())}
+	default:
+		panic(eris.Errorf("outcome type %T has no wire form", outcome))
+	}
+}
+
+// DecodeOutcome returns the outcome that wire carries.
+func DecodeOutcome(wire Outcome, now time.Time) (dispatcher.Outcome, error) {
+	switch wire.Class {
+	case classComplete:
+		results := make([]dispatcher.TaskResult, len(wire.Results))
+		for i, result := range wire.Results {
+			results[i] = dispatcher.TaskResult{Name: result.Name, Result: result.Result}
+		}
+		return dispatcher.NewComplete(results), nil
+	case classFailed:
+		return dispatcher.NewFailed(wire.Detail, wire.Fates), nil
+	case classRefused:
+		var retryAt time.Time
+		if wire.RetryMS > 0 {
+			retryAt = now.Add(time.Duration(wire.RetryMS) * time.Millisecond)
+		}
+		return dispatcher.NewRefused(dispatcher.Reason(wire.Reason), wire.Detail, wire.Field, retryAt), nil
+	case classUnknown:
+		return dispatcher.NewUnknown(wire.Detail), nil
+	default:
+		return nil, eris.Errorf("outcome class %.40q is not known", wire.Class)
+	}
+}
+
+func cutText(text string) string { return text[:min(len(text), maxDetailBytes)] }
