Serve requests through a filter chain and stop without cutting any

Cause: requests passed through one handler; errors outside a job were plain text, an unknown team was accepted, a kind's max-tasks was ignored, and a stop closed the listener before the balancer could see it.

SIGTERM makes the instance not ready, serves on for balancer-wait, finishes what is in flight and exits 0; a second signal or stop-timeout names what was left and exits 1. The starter counts writes per connection and seals it after an error: without the seal net/http may still write after a deadline ended the request, so "no byte written" would prove nothing.

Ruled out: SetKeepAlivesEnabled(false) while waiting for the balancer, which closes idle connections at once and can cut a request on its way; each answer says Connection: close instead.

--- a/cmd/hyssoplift/main_test.go
+++ b/cmd/hyssoplift/main_test.go
@@ -77,6 +77,13 @@
 
 // instance starts an entry instance on a free port and returns the address in its first log line.
 func instance(t *testing.T, folder string, settings ...string) string {
+	t.Helper()
+	address, _ := instanceProcess(t, folder, settings...)
+	return address
+}
+
+// instanceProcess is instance that also returns the process.
+func instanceProcess(t *testing.T, folder string, settings ...string) (string, *exec.Cmd) {
 	t.Helper()
 	command := launch(t, filepath.Join(folder, "hyssoplift"), append([]string{"serve", "--listen", "127.0.0.1:0"}, settings...)...)
 	command.Stderr = nil
@@ -99,7 +106,7 @@
 			fmt.Fprintln(os.Stderr, lines.Text())
 		}
 	}()
-	return line.Listen
+	return line.Listen, command
 }
 
 func waitReady(t *testing.T, address string) {
--- /dev/null
+++ b/cmd/hyssoplift/restart_test.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssoplift/hyssoplift/appender"
+)
+
+// balancer sends requests only to instances that were ready when it last looked, as the platform's does.
+type balancer struct {
+	client *http.Client
+
+	mu    sync.Mutex
+	all   []string
+	ready []string
+	turn  int
+}
+
+func (balancer *balancer) add(address string) {
+	balancer.mu.Lock()
+	defer balancer.mu.Unlock()
+	balancer.all = append(balancer.all, address)
+}
+
+func (balancer *balancer) watch(ctx context.Context) {
+	for ; ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
+		balancer.mu.Lock()
+		all := balancer.all
+		balancer.mu.Unlock()
+		var ready []string
+		for _, address := range all {
+			response, err := balancer.client.Get("http://" + address + "/readyz")
+			if err != nil {
+				continue
+			}
+			response.Body.Close()
+			if response.StatusCode == http.StatusNoContent {
+				ready = append(ready, address)
+			}
+		}
+		balancer.mu.Lock()
+		balancer.ready = ready
+		balancer.mu.Unlock()
+	}
+}
+
+func (balancer *balancer) pick() string {
+	balancer.mu.Lock()
+	defer balancer.mu.Unlock()
+	if len(balancer.ready) == 0 {
+		return ""
+	}
+	balancer.turn++
+	return balancer.ready[balancer.turn%len(balancer.ready)]
+}
+
+// post submits one job and returns an error unless it is complete.
+func (balancer *balancer) post(body string) error {
+	address := balancer.pick()
+	for ; address == ""; address = balancer.pick() {
+		time.Sleep(time.Millisecond)
+	}
+	response, err := balancer.client.Post("http://"+address+"/v1/jobs", "application/json", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", response.Status, answer)
+	}
+	return err
+}
+
+// Guards against a planned stop that cuts a request: every instance restarts in turn under load.
+func TestRollingRestartCutsNothing(t *testing.T) {
+	is := is.New(t)
+	folder := binaries(t)
+	log, runner := standin(t, folder, "log"), standin(t, folder, "runner", "--slots", "64")
+	_, err := appender.New(log).Append(context.Background(), "bundles", fmt.Appendf(nil, testBundle, runner))
+	is.NoErr(err) // publish the bundle
+	balancer := &balancer{client: &http.Client{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	start := func(name string) *exec.Cmd {
+		address, command := instanceProcess(t, folder, "--failure-domain", "local", "--instance", name, "--log", log, "--balancer-wait", "300")
+		waitReady(t, address)
+		balancer.add(address)
+		return command
+	}
+	var instances []*exec.Cmd
+	for i := range 3 {
+		instances = append(instances, start(fmt.Sprintf("entry-%d", i+1)))
+	}
+	var group sync.WaitGroup
+	group.Go(func() { balancer.watch(ctx) })
+	var answered atomic.Int64
+	for range 8 {
+		group.Go(func() {
+			for ctx.Err() == nil {
+				if err := balancer.post(`{"kind":"loop-check","team":"demo","tasks":[{"name":"a","payload":{"run-ms":20}},{"name":"b","payload":{"run-ms":5}}]}`); err != nil {
+					t.Errorf("request cut: %v", err)
+					return
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	for i, old := range instances {
+		before := answered.Load()
+		is.NoErr(old.Process.Signal(syscall.SIGTERM))
+		is.NoErr(old.Wait()) // exit status 0
+		start(fmt.Sprintf("entry-%d", i+1))
+		is.True(answered.Load() > before) // the others served meanwhile
+	}
+	cancel()
+	group.Wait()
+	t.Logf("%d requests answered during the rolling restart, 0 cut", answered.Load())
+}
+
+// Guards against a stop that hangs, or that gives up silently, when a task does not end.
+func TestSecondSignalSaysWhatWasLeft(t *testing.T) {
+	is := is.New(t)
+	folder := binaries(t)
+	log, runner := standin(t, folder, "log"), standin(t, folder, "runner")
+	_, err := appender.New(log).Append(context.Background(), "bundles", fmt.Appendf(nil, testBundle, runner))
+	is.NoErr(err) // publish the bundle
+	command := exec.Command(folder+"/hyssoplift", "serve", "--listen", "127.0.0.1:0",
+		"--failure-domain", "local", "--instance", "entry-1", "--log", log, "--balancer-wait", "0")
+	lines := &lineBuffer{}
+	command.Stderr = lines
+	is.NoErr(command.Start())
+	t.Cleanup(func() { _ = command.Process.Kill() })
+	address := lines.wait(t, `"listen":"`)
+	waitReady(t, address)
+	go func() {
+		request, _ := http.NewRequest(http.MethodPost, "http://"+address+"/v1/jobs",
+			strings.NewReader(`{"kind":"loop-check","team":"demo","timeout-ms":60000,"tasks":[{"name":"a","payload":{"run-ms":60000}}]}`))
+		request.Header.Set("Idempotency-Key", "order-1")
+		if response, err := http.DefaultClient.Do(request); err == nil {
+			response.Body.Close()
+		}
+	}()
+	for starts := 0; starts == 0; time.Sleep(time.Millisecond) {
+		response, err := http.Get("http://" + runner + "/starts")
+		is.NoErr(err)
+		text, _ := io.ReadAll(response.Body)
+		response.Body.Close()
+		starts = strings.Count(string(text), "kind")
+	}
+	is.NoErr(command.Process.Signal(syscall.SIGTERM))
+	lines.wait(t, `"@message":"instance stopping`)
+	is.NoErr(command.Process.Signal(syscall.SIGTERM))
+	is.True(command.Wait() != nil) // not a clean stop
+	is.True(strings.Contains(lines.String(), "order-1"))
+}
+
+// lineBuffer keeps the log lines of a process.
+type lineBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (buffer *lineBuffer) Write(data []byte) (int, error) {
+	buffer.mu.Lock()
+	defer buffer.mu.Unlock()
+	return buffer.text.Write(data)
+}
+
+func (buffer *lineBuffer) String() string {
+	buffer.mu.Lock()
+	defer buffer.mu.Unlock()
+	return buffer.text.String()
+}
+
+// wait returns the text between mark and the next quotation mark once it has been logged.
+func (buffer *lineBuffer) wait(t *testing.T, mark string) string {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		_, after, found := strings.Cut(buffer.String(), mark)
+		if text, _, ended := strings.Cut(after, `"`); found && ended {
+			return text
+		}
+	}
+	t.Fatalf("no log line with %s", mark)
+	return ""
+}
--- a/commander/quickstart.go
+++ b/commander/quickstart.go
@@ -87,7 +87,7 @@
 	if err := submitDemo(ctx, listener.Addr().String(), stdout); err != nil {
 		return err
 	}
-	return instance.Shutdown(ctx)
+	return instance.Shutdown(ctx, time.Now())
 }
 
 func submitDemo(ctx context.Context, address string, stdout io.Writer) error {
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -6,6 +6,9 @@
 	"flag"
 	"io"
 	"net"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -41,10 +44,14 @@
 	server := server.New(settings, listener, logger)
 	logger.Info("instance started", "listen", listener.Addr().String())
 	<-ctx.Done()
+	now := time.Now()
 	logger.Info("instance stopping")
-	stopCtx, cancel := context.WithDeadline(context.Background(), settings.Deadline("stop-timeout", time.Now()))
+	stopCtx, cancel := context.WithDeadline(context.Background(), settings.Deadline("stop-timeout", now))
 	defer cancel()
-	if err := server.Shutdown(stopCtx); err != nil {
+	// A second signal ends the wait for what is in flight.
+	stopCtx, release := signal.NotifyContext(stopCtx, os.Interrupt, syscall.SIGTERM)
+	defer release()
+	if err := server.Shutdown(stopCtx, settings.Deadline("balancer-wait", now)); err != nil {
 		return err
 	}
 	logger.Info("instance stopped")
--- a/configurer/table.go
+++ b/configurer/table.go
@@ -48,6 +48,7 @@
 		{name: "listen", unit: UnitAddress, fallback: "127.0.0.1:8480", text: "Address to serve callers, operators and peers on."},
 		{name: "log", unit: UnitAddress, required: true, text: "Address of the platform's log service."},
 		{name: "stop-timeout", unit: UnitMilliseconds, fallback: "30000", low: 100, high: (10 * time.Minute).Milliseconds(), text: "Time that a planned stop may take."},
+		{name: "balancer-wait", unit: UnitMilliseconds, fallback: "5000", low: 0, high: (5 * time.Minute).Milliseconds(), text: "Time that a stopping instance serves on while it is not ready, so that the balancer sees it."},
 		{name: "max-body-bytes", unit: UnitCount, fallback: "4194304", low: 1024, high: 64 << 20, text: "Largest request body, in bytes."},
 	}
 }
--- /dev/null
+++ b/server/filter.go
@@ -0,0 +1,253 @@
+package server
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hyssoplift/hyssoplift/bundler"
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+	"github.com/hyssoplift/hyssoplift/encoder"
+)
+
+const (
+	keyHeader         = "Idempotency-Key"
+	traceParentHeader = "Traceparent"
+)
+
+// exchange is one request on its way through the filters, and the place where its answer is written.
+type exchange struct {
+	http.ResponseWriter
+	request  *http.Request
+	received time.Time
+	status   int
+	// body and the fields below are set by the filters in the order of the chain.
+	body        []byte
+	key         string
+	traceParent string
+	job         dispatcher.Job
+	bundle      *bundler.Bundle
+	kind        bundler.Kind
+	outcome     string
+}
+
+// WriteHeader notes the status and sends it.
+func (exchange *exchange) WriteHeader(status int) {
+	if exchange.status == 0 {
+		exchange.status = status
+	}
+	exchange.ResponseWriter.WriteHeader(status)
+}
+
+// Write sends the body, with status 200 if none was written.
+func (exchange *exchange) Write(data []byte) (int, error) {
+	if exchange.status == 0 {
+		exchange.status = http.StatusOK
+	}
+	return exchange.ResponseWriter.Write(data)
+}
+
+// answer writes outcome for the exchange's key.
+func (exchange *exchange) answer(outcome dispatcher.Outcome) {
+	exchange.outcome = outcomeName(outcome)
+	encoder.EncodeOutcome(exchange.key, outcome, time.Now()).Write(exchange)
+}
+
+// refuse answers that the job was not run because of field; no bundle could accept the request.
+func (exchange *exchange) refuse(reason dispatcher.Reason, field, detail string) {
+	exchange.answer(dispatcher.NewRefused(reason, detail, field, time.Time{}))
+}
+
+// handler answers an exchange.
+type handler func(exchange *exchange)
+
+// filter wraps a handler; it answers the exchange itself or passes it on.
+type filter func(next handler) handler
+
+// chain returns last behind the filters, the first of which sees the exchange first.
+func chain(last handler, filters ...filter) handler {
+	for i := len(filters) - 1; i >= 0; i-- {
+		last = filters[i](last)
+	}
+	return last
+}
+
+// methods serves one path; the key is the HTTP method.
+type methods map[string]handler
+
+// ServeHTTP answers with the method's handler, or with a problem that names the methods allowed.
+func (methods methods) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	exchange := &exchange{ResponseWriter: writer, request: request, received: time.Now()}
+	if handle, ok := methods[request.Method]; ok {
+		handle(exchange)
+		return
+	}
+	methods.anyHandler()(exchange)
+}
+
+// anyHandler returns the answer to a method that the path does not have.
+func (methods methods) anyHandler() handler {
+	return func(exchange *exchange) {
+		for method := range methods {
+			exchange.Header().Add("Allow", method)
+		}
+		writeProblem(exchange, problem{status: http.StatusMethodNotAllowed, kind: "method", title: "The path does not have this method", field: "method", notRun: true})
+	}
+}
+
+// recoverPanics answers a request whose handler panicked; what the handler had started is not known.
+func (server *Server) recoverPanics(next handler) handler {
+	return func(exchange *exchange) {
+		defer func() {
+			cause := recover()
+			if cause == nil {
+				return
+			}
+			if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+				panic(cause)
+			}
+			server.meter.panics.Inc()
+			server.logger.Error("handler panicked", "job", exchange.key, "path", exchange.request.URL.Path,
+				"cause", eris.Errorf("%v", cause).Error(), "stack", string(debug.Stack()))
+			if exchange.status == 0 {
+				writeProblem(exchange, problem{status: http.StatusInternalServerError, kind: "internal", title: "The instance failed while it served the request"})
+			}
+		}()
+		next(exchange)
+	}
+}
+
+// logRequests counts and logs each answer; complete answers are logged at debug level because there are thousands a second.
+func (server *Server) logRequests(next handler) handler {
+	return func(exchange *exchange) {
+		next(exchange)
+		took := time.Since(exchange.received)
+		server.meter.request(exchange.outcome, took)
+		if exchange.status < http.StatusBadRequest && !server.logger.IsDebug() {
+			return
+		}
+		log := server.logger.Info
+		if exchange.status < http.StatusBadRequest {
+			log = server.logger.Debug
+		}
+		log("request answered", "job", exchange.key, "method", exchange.request.Method, "path", exchange.request.URL.Path,
+			"kind", exchange.job.Kind(), "team", exchange.job.Team(), "status", exchange.status, "outcome", exchange.outcome,
+			"took-us", took.Microseconds(), "traceparent", exchange.traceParent)
+	}
+}
+
+// setHeaders adds the headers that every response carries.
+func (server *Server) setHeaders(next handler) handler {
+	return func(exchange *exchange) {
+		if server.drain.started() {
+			// Callers that keep connections open move to another instance while this one still answers.
+			exchange.Header().Set("Connection", "close")
+		}
+		next(exchange)
+	}
+}
+
+// takeTrace keeps a well-formed traceparent; others are ignored, as W3C Trace Context demands.
+func (server *Server) takeTrace(next handler) handler {
+	return func(exchange *exchange) {
+		if text := exchange.request.Header.Get(traceParentHeader); validTraceParent(text) {
+			exchange.traceParent = text
+		}
+		next(exchange)
+	}
+}
+
+// limitBody reads the whole body, up to the settings' bound.
+func (server *Server) limitBody(next handler) handler {
+	limit := server.settings.Count("max-body-bytes")
+	return func(exchange *exchange) {
+		if exchange.request.ContentLength > limit {
+			exchange.refuse(dispatcher.ReasonTooLarge, "body", "the body has more than "+strconv.FormatInt(limit, 10)+" bytes")
+			return
+		}
+		buffer := bodies.Get().(*bytes.Buffer)
+		defer recycle(buffer)
+		if _, err := io.Copy(buffer, http.MaxBytesReader(exchange.ResponseWriter, exchange.request.Body, limit)); err != nil {
+			reason := dispatcher.ReasonInvalid
+			if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+				reason = dispatcher.ReasonTooLarge
+			}
+			exchange.refuse(reason, "body", err.Error())
+			return
+		}
+		exchange.body = buffer.Bytes()
+		next(exchange)
+	}
+}
+
+// keptBodyBytes is the largest body buffer that is kept for another request.
+const keptBodyBytes = 64 << 10
+
+var bodies = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+func recycle(buffer *bytes.Buffer) {
+	if buffer.Cap() <= keptBodyBytes {
+		buffer.Reset()
+		bodies.Put(buffer)
+	}
+}
+
+// decodeJob decodes and validates the body as a job.
+func (server *Server) decodeJob(next handler) handler {
+	return func(exchange *exchange) {
+		if keys := exchange.request.Header.Values(keyHeader); len(keys) > 1 {
+			exchange.refuse(dispatcher.ReasonInvalid, keyHeader, keyHeader+": is given more than once")
+			return
+		}
+		job, fault := encoder.DecodeJob(exchange.body, exchange.request.Header.Get(keyHeader), dispatcher.MaxTasks, exchange.received)
+		if fault != nil {
+			exchange.refuse(dispatcher.ReasonInvalid, fault.Field(), fault.Error())
+			return
+		}
+		// The decoder has copied what the job keeps, so the buffer may be used again.
+		exchange.body = nil
+		exchange.job, exchange.key = job, job.Key()
+		next(exchange)
+	}
+}
+
+// snapshotBundle gives the request the bundle in force, which stays the same until it is answered.
+func (server *Server) snapshotBundle(next handler) handler {
+	return func(exchange *exchange) {
+		exchange.bundle = server.bundle.Load()
+		next(exchange)
+	}
+}
+
+// validTraceParent reports whether text is a traceparent of version 00 with ids that are not zero.
+func validTraceParent(text string) bool {
+	if len(text) != 55 || text[:3] != "00-" || text[35] != '-' || text[52] != '-' {
+		return false
+	}
+	return validID(text[3:35]) && validID(text[36:52]) && isHex(text[53:55])
+}
+
+func validID(text string) bool {
+	for i := range len(text) {
+		if text[i] != '0' {
+			return isHex(text)
+		}
+	}
+	return false
+}
+
+func isHex(text string) bool {
+	for i := range len(text) {
+		if char := text[i]; (char < '0' || char > '9') && (char < 'a' || char > 'f') {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/server/meter.go
@@ -0,0 +1,71 @@
+package server
+
+import (
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+)
+
+// meter holds the metrics of one instance.
+type meter struct {
+	set      *metrics.Set
+	panics   *metrics.Counter
+	requests map[string]*metrics.Counter
+	fates    map[dispatcher.Fate]*metrics.Counter
+	retries  *metrics.Counter
+	took     *metrics.Histogram
+}
+
+// outcomeNames are the values of the label outcome; requests that carry no job's outcome count as other.
+var outcomeNames = []string{"complete", "failed", "refused", "unknown", "other"}
+
+func newMeter(inFlight func() float64) *meter {
+	set := metrics.NewSet()
+	meter := &meter{
+		set:      set,
+		panics:   set.NewCounter("hyssoplift_panics_total"),
+		requests: make(map[string]*metrics.Counter),
+		fates:    make(map[dispatcher.Fate]*metrics.Counter),
+		retries:  set.NewCounter("hyssoplift_task_retries_total"),
+		took:     set.NewHistogram("hyssoplift_request_seconds"),
+	}
+	for _, name := range outcomeNames {
+		meter.requests[name] = set.NewCounter(`hyssoplift_requests_total{outcome="` + name + `"}`)
+	}
+	for _, fate := range []dispatcher.Fate{dispatcher.NotStarted, dispatcher.OutcomeUnknown, dispatcher.Finished, dispatcher.TaskFailed} {
+		meter.fates[fate] = set.NewCounter(`hyssoplift_tasks_total{fate="` + string(fate) + `"}`)
+	}
+	set.NewGauge("hyssoplift_jobs_in_flight", inFlight)
+	return meter
+}
+
+func (meter *meter) request(outcome string, took time.Duration) {
+	counter := meter.requests[outcome]
+	if counter == nil {
+		meter.requests["other"].Inc()
+		return
+	}
+	counter.Inc()
+	meter.took.Update(took.Seconds())
+}
+
+func (meter *meter) write(writer io.Writer) {
+	meter.set.WritePrometheus(writer)
+	metrics.WriteProcessMetrics(writer)
+}
+
+func outcomeName(outcome dispatcher.Outcome) string {
+	switch outcome.(type) {
+	case dispatcher.Complete:
+		return "complete"
+	case dispatcher.Failed:
+		return "failed"
+	case dispatcher.Refused:
+		return "refused"
+	default:
+		return "unknown"
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
@@ -17,33 +18,40 @@
 	"github.com/hyssoplift/hyssoplift/starter"
 )
 
-const readHeaderTimeout = 5 * time.Second
+const (
+	readHeaderTimeout = 5 * time.Second
+	// idleTimeout is longer than that of common balancers, so that the balancer closes idle connections first.
+	idleTimeout = 2 * time.Minute
+)
 
 // Server is one entry instance.
 type Server struct {
-	settings configurer.Settings
-	logger   hclog.Logger
-	log      *appender.Appender
-	starter  *starter.Starter
-	metrics  *metrics.Set
-	http     *http.Server
-	bundle   atomic.Pointer[bundler.Bundle]
-	stopping atomic.Bool
-	stop     context.CancelFunc
+	settings    configurer.Settings
+	incarnation string
+	logger      hclog.Logger
+	log         *appender.Appender
+	starter     *starter.Starter
+	meter       *meter
+	drain       *drain
+	http        *http.Server
+	bundle      atomic.Pointer[bundler.Bundle]
+	stop        context.CancelFunc
 }
 
 // New returns a server that listens on listener and follows the bundles of the log.
 func New(settings configurer.Settings, listener net.Listener, logger hclog.Logger) *Server {
 	ctx, stop := context.WithCancel(context.Background())
 	server := &Server{
-		settings: settings,
-		logger:   logger,
-		log:      appender.New(settings.Text("log")),
-		starter:  starter.New(),
-		metrics:  metrics.NewSet(),
-		stop:     stop,
+		settings:    settings,
+		incarnation: strconv.FormatUint(rand.Uint64(), 36),
+		logger:      logger,
+		log:         appender.New(settings.Text("log")),
+		starter:     starter.New(),
+		drain:       newDrain(),
+		stop:        stop,
 	}
-	server.http = &http.Server{Handler: server.handler(), ReadHeaderTimeout: readHeaderTimeout}
+	server.meter = newMeter(func() float64 { return float64(server.drain.inFlight()) })
+	server.http = &http.Server{Handler: server.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	go func() { server.followBundles(ctx) }()
 	go func() {
 		if err := server.http.Serve(listener); err != http.ErrServerClosed {
@@ -53,31 +61,22 @@
 	return server
 }
 
-// Shutdown stops accepting requests, waits for those in flight until ctx is done, and returns an error if any were left.
-func (server *Server) Shutdown(ctx context.Context) error {
-	server.stopping.Store(true)
-	defer server.stop()
-	return eris.Wrap(server.http.Shutdown(ctx), "waiting for requests in flight")
-}
-
 func (server *Server) handler() http.Handler {
+	outer := func(last handler, filters ...filter) handler {
+		common := []filter{server.recoverPanics, server.logRequests, server.setHeaders, server.takeTrace}
+		return chain(last, append(common, filters...)...)
+	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/jobs", server.handleJob)
-	mux.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) {
-		writer.WriteHeader(http.StatusNoContent)
+	mux.Handle("/v1/jobs", methods{
+		http.MethodPost: outer(server.dispatch, server.limitBody, server.decodeJob, server.snapshotBundle, server.trackJobs),
 	})
-	mux.HandleFunc("GET /readyz", server.handleReady)
-	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) {
-		server.metrics.WritePrometheus(writer)
-		metrics.WriteProcessMetrics(writer)
+	mux.Handle("/v1/status", methods{http.MethodGet: outer(server.handleStatus)})
+	mux.Handle("/healthz", methods{http.MethodGet: outer(func(exchange *exchange) { exchange.WriteHeader(http.StatusNoContent) })})
+	mux.Handle("/readyz", methods{http.MethodGet: outer(server.handleReady)})
+	mux.Handle("/metrics", methods{http.MethodGet: outer(func(exchange *exchange) { server.meter.write(exchange) })})
+	notFound := outer(server.handleNotFound)
+	mux.HandleFunc("/", func(writer http.ResponseWriter, request *http.Request) {
+		notFound(&exchange{ResponseWriter: writer, request: request, received: time.Now()})
 	})
 	return mux
 }
-
-func (server *Server) handleReady(writer http.ResponseWriter, _ *http.Request) {
-	if server.stopping.Load() || server.bundle.Load() == nil {
-		http.Error(writer, "not ready", http.StatusServiceUnavailable)
-		return
-	}
-	writer.WriteHeader(http.StatusNoContent)
-}
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -1,6 +1,7 @@
 package starter
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -8,8 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"strings"
-	"sync/atomic"
+	"net/url"
 	"time"
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
@@ -71,7 +71,13 @@
 func New() *Starter {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &guardedConn{Conn: conn}, nil
+		},
 		IdleConnTimeout:     idleLimit,
 		MaxIdleConnsPerHost: maxConnections,
 		MaxConnsPerHost:     maxConnections,
@@ -83,25 +89,19 @@
 func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // Start runs task on the runner at address and returns what became of it; it starts the task at most once.
-func (starter *Starter) Start(ctx context.Context, address, kind string, task dispatcher.Task) Result {
-	var written atomic.Bool
+// A non-empty traceParent is passed on.
+func (starter *Starter) Start(ctx context.Context, address, kind, traceParent string, task dispatcher.Task) Result {
+	var attempt attempt
 	trace := &httptrace.ClientTrace{
-		// From here on bytes may reach the target, so any failure leaves the outcome unknown.
-		GotConn: func(httptrace.GotConnInfo) { written.Store(true) },
+		// A connection carries one request at a time, so later writes on it belong to this one.
+		GotConn: func(info httptrace.GotConnInfo) {
+			attempt.take(info.Conn.(*guardedConn))
+		},
 	}
-	// A bare reader gives the request no GetBody, and no Idempotency-Key header is sent: with
-	// either, net/http may send the request again on a stale connection.
-	body := io.NopCloser(strings.NewReader(string(task.Payload())))
-	url := fmt.Sprintf("http://%s/run/%s", address, kind)
-	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, body)
-	if err != nil {
-		return NotStarted{detail: err.Error()}
-	}
-	request.ContentLength = int64(len(task.Payload()))
-	request.Header.Set("Content-Type", "application/json")
+	request := newRequest(httptrace.WithClientTrace(ctx, trace), address, kind, traceParent, task.Payload())
 	response, err := starter.client.Do(request)
 	if err != nil {
-		if !written.Load() {
+		if attempt.neverWrites() {
 			return NotStarted{detail: err.Error()}
 		}
 		return Lost{detail: err.Error()}
@@ -110,6 +110,30 @@
 	return classify(response)
 }
 
+// newRequest returns a request that net/http sends at most once: it has no GetBody and no Idempotency-Key
+// header, with either of which net/http may send it again on a stale connection, and its body is not empty.
+func newRequest(ctx context.Context, address, kind, traceParent string, payload []byte) *http.Request {
+	if len(payload) == 0 {
+		payload = []byte("null")
+	}
+	target := &url.URL{Scheme: "http", Host: address, Path: "/run/" + kind, RawPath: "/run/" + url.PathEscape(kind)}
+	request := &http.Request{
+		Method:        http.MethodPost,
+		URL:           target,
+		Host:          address,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        http.Header{"Content-Type": {"application/json"}},
+		Body:          io.NopCloser(bytes.NewReader(payload)),
+		ContentLength: int64(len(payload)),
+	}
+	if traceParent != "" {
+		request.Header["Traceparent"] = []string{traceParent}
+	}
+	return request.WithContext(ctx)
+}
+
 func classify(response *http.Response) Result {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResultBytes+1))
 	switch {
