--- a/cmd/hyssoplift-standin/main.go
+++ b/cmd/hyssoplift-standin/main.go
@@ -23,11 +23,12 @@
 
 func run(args []string) error {
 	if len(args) == 0 {
-		return eris.New("usage: hyssoplift-standin log|runner [flags]")
+		return eris.New("usage: hyssoplift-standin log|list|runner [flags]")
 	}
 	set := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	listen := set.String("listen", "127.0.0.1:0", "address to serve on")
 	slots := set.Int("slots", 8, "tasks that a runner runs at once")
+	lag := set.Duration("lag", 2*time.Second, "time after which the list shows a change")
 	speed := set.Float64("speed", 1, "speed factor of a runner")
 	if err := set.Parse(args[1:]); err != nil {
 		return err
@@ -36,6 +37,8 @@
 	switch args[0] {
 	case "log":
 		handler = emulator.NewLog()
+	case "list":
+		handler = emulator.NewList(*lag)
 	case "runner":
 		handler = emulator.NewRunner(*slots, *speed)
 	default:
--- /dev/null
+++ b/emulator/list.go
@@ -0,0 +1,154 @@
+package emulator
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hyssoplift/hyssoplift/lister"
+)
+
+// maxInstanceBytes bounds the body of one change.
+const maxInstanceBytes = 64 << 10
+
+// listChange is one change of the list; a nil instance means that it is removed.
+type listChange struct {
+	at       time.Time
+	name     string
+	instance *lister.Instance
+}
+
+// List is a stand-in of the platform's instance list; it shows each change after a lag.
+type List struct {
+	mux *http.ServeMux
+
+	mu      sync.Mutex
+	lag     time.Duration
+	down    bool
+	shown   map[string]lister.Instance
+	pending []listChange
+}
+
+// NewList returns an empty list that shows changes after lag.
+func NewList(lag time.Duration) *List {
+	list := &List{mux: http.NewServeMux(), lag: lag, shown: make(map[string]lister.Instance)}
+	list.mux.HandleFunc("GET /instances", list.handleRead)
+	list.mux.HandleFunc("PUT /instances/{name}", list.handlePut)
+	list.mux.HandleFunc("DELETE /instances/{name}", func(writer http.ResponseWriter, request *http.Request) {
+		list.Remove(request.PathValue("name"))
+		writer.WriteHeader(http.StatusNoContent)
+	})
+	list.mux.HandleFunc("PUT /lag-ms/{lag}", list.handleLag)
+	list.mux.HandleFunc("PUT /fault/{fault}", list.handleFault)
+	return list
+}
+
+// ServeHTTP answers reads and requests for changes, lag and faults.
+func (list *List) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	list.mux.ServeHTTP(writer, request)
+}
+
+// Put adds or replaces an instance, visible after the lag.
+func (list *List) Put(instance lister.Instance) { list.change(instance.Name, &instance) }
+
+// Remove drops an instance, visible after the lag.
+func (list *List) Remove(name string) { list.change(name, nil) }
+
+func (list *List) change(name string, instance *lister.Instance) {
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	list.pending = append(list.pending, listChange{at: time.Now().Add(list.lag), name: name, instance: instance})
+}
+
+// SetLag changes the lag of later changes.
+func (list *List) SetLag(lag time.Duration) {
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	list.lag = lag
+}
+
+// SetDown makes the list answer every read with 503, or ends that.
+func (list *List) SetDown(down bool) {
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	list.down = down
+}
+
+// read returns what the list shows of failureDomain now, sorted by name, and whether it is up.
+func (list *List) read(failureDomain string) ([]lister.Instance, bool) {
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	now := time.Now()
+	list.pending = slices.DeleteFunc(list.pending, func(change listChange) bool {
+		if change.at.After(now) {
+			return false
+		}
+		if change.instance == nil {
+			delete(list.shown, change.name)
+		} else {
+			list.shown[change.name] = *change.instance
+		}
+		return true
+	})
+	instances := []lister.Instance{}
+	for _, instance := range list.shown {
+		if instance.FailureDomain == failureDomain {
+			instances = append(instances, instance)
+		}
+	}
+	slices.SortFunc(instances, func(a, b lister.Instance) int { return strings.Compare(a.Name, b.Name) })
+	return instances, !list.down
+}
+
+func (list *List) handleRead(writer http.ResponseWriter, request *http.Request) {
+	instances, up := list.read(request.FormValue("failure-domain"))
+	if !up {
+		http.Error(writer, "the list is down", http.StatusServiceUnavailable)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(lister.Page{Instances: instances})
+}
+
+func (list *List) handlePut(writer http.ResponseWriter, request *http.Request) {
+	var instance lister.Instance
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxInstanceBytes))
+	if err != nil || json.Unmarshal(body, &instance) != nil {
+		http.Error(writer, "body is not an instance", http.StatusBadRequest)
+		return
+	}
+	instance.Name = request.PathValue("name")
+	if instance.State == "" {
+		instance.State = lister.Live
+	}
+	list.Put(instance)
+	writer.WriteHeader(http.StatusNoContent)
+}
+
+func (list *List) handleLag(writer http.ResponseWriter, request *http.Request) {
+	lag, err := strconv.ParseInt(request.PathValue("lag"), 10, 32)
+	if err != nil || lag < 0 {
+		http.Error(writer, "lag is not a number of milliseconds", http.StatusBadRequest)
+		return
+	}
+	list.SetLag(time.Duration(lag) * time.Millisecond)
+	writer.WriteHeader(http.StatusNoContent)
+}
+
+func (list *List) handleFault(writer http.ResponseWriter, request *http.Request) {
+	switch request.PathValue("fault") {
+	case "healthy":
+		list.SetDown(false)
+	case "down":
+		list.SetDown(true)
+	default:
+		http.Error(writer, "unknown fault", http.StatusBadRequest)
+		return
+	}
+	writer.WriteHeader(http.StatusNoContent)
+}
