--- a/commander/commander.go
+++ b/commander/commander.go
@@ -14,7 +14,7 @@
 const Version = "0.1.0"
 
 // Run executes the subcommand in args and returns its error as one line.
-func Run(ctx context.Context, args []string, _ io.Reader, stdout, stderr io.Writer) error {
+func Run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) error {
 	// The settings of serve have their own parser, which checks them against the table of settings.
 	if len(args) > 0 && args[0] == "serve" {
 		return serve(ctx, args[1:], stderr)
@@ -24,7 +24,7 @@
 		FlagSet:    flag.NewFlagSet("hyssoplift", flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{
 			newServe(),
-			newSubmit(stdout, stderr),
+			newSubmit(stdin, stdout, stderr),
 			newQuickstart(stdout),
 			{
 				Name:      "version",
--- a/commander/submit.go
+++ b/commander/submit.go
@@ -16,7 +16,7 @@
 	"github.com/hyssoplift/hyssoplift/submitter"
 )
 
-func newSubmit(stdout, stderr io.Writer) *ffcli.Command {
+func newSubmit(stdin io.Reader, stdout, stderr io.Writer) *ffcli.Command {
 	set := flag.NewFlagSet("submit", flag.ContinueOnError)
 	set.SetOutput(stderr)
 	address := set.String("address", "127.0.0.1:8480", "balancer or instance, host:port")
@@ -26,12 +26,18 @@
 	tasks := set.Int("tasks", 1, "number of tasks")
 	payload := set.String("payload", "null", "JSON payload of each task")
 	timeout := set.Duration("timeout", encoder.DefaultTimeout, "time within which the answer is due")
+	file := set.String("file", "", "file of jobs, one JSON object a line; - means standard input")
+	parallel := set.Int("parallel", 16, "jobs of the file that are submitted at a time, 1 to 1024")
+	asJSON := set.Bool("json", false, "print each answer to a job of the file as one JSON line")
 	return &ffcli.Command{
 		Name:       "submit",
-		ShortUsage: "hyssoplift submit --kind KIND --team TEAM [flags]",
-		ShortHelp:  "submit a job and print its answer",
+		ShortUsage: "hyssoplift submit (--kind KIND --team TEAM | --file FILE) [flags]",
+		ShortHelp:  "submit jobs and print their answers",
 		FlagSet:    set,
 		Exec: func(ctx context.Context, _ []string) error {
+			if *file != "" {
+				return submitFile(ctx, batch{address: *address, file: *file, parallel: *parallel, asJSON: *asJSON}, stdin, stdout, stderr)
+			}
 			if !json.Valid([]byte(*payload)) {
 				return eris.New("--payload is not valid JSON")
 			}
--- a/encoder/answer.go
+++ b/encoder/answer.go
@@ -62,54 +62,58 @@
 	_, _ = writer.Write(response.body)
 }
 
-// EncodeOutcome returns the HTTP response that carries outcome for the job with the given key.
-func EncodeOutcome(key string, outcome dispatcher.Outcome, now time.Time) Response {
-	header := http.Header{}
+// NewAnswer returns the JSON body of the answer with outcome to the job with the given key.
+func NewAnswer(key string, outcome dispatcher.Outcome) Answer {
 	answer := Answer{Key: key}
-	status := http.StatusOK
 	switch outcome := outcome.(type) {
 	case dispatcher.Complete:
 		answer.Outcome = "complete"
 		answer.Results = outcome.Results()
 	case dispatcher.Failed:
-		status = http.StatusBadGateway
+		answer.Status = http.StatusBadGateway
 		answer.Outcome = "failed"
 		answer.Title = "The job started and did not finish"
 		answer.Detail = outcome.Detail()
 		answer.Fates = outcome.Fates()
 	case dispatcher.Refused:
-		status = refusalStatus(outcome.Reason())
+		answer.Status = refusalStatus(outcome.Reason())
 		answer.Outcome = "refused"
 		answer.NotRun = true
 		answer.Type = problemTypePrefix + string(outcome.Reason())
 		answer.Title = "The job was not run"
 		answer.Detail = outcome.Detail()
 		answer.Field = outcome.Field()
-		if retryAt := outcome.RetryAt(); !retryAt.IsZero() {
-			seconds := max(math.Ceil(retryAt.Sub(now).Seconds()), 1)
-			header.Set("Retry-After", strconv.Itoa(int(seconds)))
-		}
 	case dispatcher.Unknown:
-		status = http.StatusGatewayTimeout
+		answer.Status = http.StatusGatewayTimeout
 		answer.Outcome = "unknown"
 		answer.Title = "It is not known whether the job ran"
 		answer.Detail = outcome.Detail()
 	}
-	contentType := ContentTypeJSON
-	if status != http.StatusOK {
-		contentType = ContentTypeProblem
-		answer.Status = status
-		if answer.Type == "" {
-			answer.Type = problemTypePrefix + answer.Outcome
-		}
+	if answer.Status != 0 && answer.Type == "" {
+		answer.Type = problemTypePrefix + answer.Outcome
+	}
+	return answer
+}
+
+// EncodeOutcome returns the HTTP response that carries outcome for the job with the given key.
+func EncodeOutcome(key string, outcome dispatcher.Outcome, now time.Time) Response {
+	answer := NewAnswer(key, outcome)
+	response := Response{status: http.StatusOK, header: http.Header{"Content-Type": {ContentTypeJSON}}}
+	if answer.Status != 0 {
+		response.status = answer.Status
+		response.header.Set("Content-Type", ContentTypeProblem)
+	}
+	if refused, ok := outcome.(dispatcher.Refused); ok && !refused.RetryAt().IsZero() {
+		seconds := max(math.Ceil(refused.RetryAt().Sub(now).Seconds()), 1)
+		response.header.Set("Retry-After", strconv.Itoa(int(seconds)))
 	}
-	header.Set("Content-Type", contentType)
 	body, err := json.Marshal(answer)
 	if err != nil {
 		// Every result was checked to be valid JSON when it was read from the target.
 		panic(eris.Wrap(err, "encoding an answer"))
 	}
-	return Response{status: status, header: header, body: append(body, '\n')}
+	response.body = append(body, '\n')
+	return response
 }
 
 func refusalStatus(reason dispatcher.Reason) int {
--- a/encoder/job.go
+++ b/encoder/job.go
@@ -32,6 +32,12 @@
 	Payload json.RawMessage `json:"payload"`
 }
 
+// JobLine is one line of a file of jobs: a JobRequest with an optional idempotency key.
+type JobLine struct {
+	Key string `json:"key,omitempty"`
+	JobRequest
+}
+
 // FieldError is a fault in one field of a request.
 type FieldError struct {
 	field  string
@@ -58,6 +64,22 @@
 	if fieldError := checkText("Idempotency-Key", key, true); fieldError != nil {
 		return dispatcher.Job{}, fieldError
 	}
+	return request.job(key, maxTasks, now)
+}
+
+// DecodeJobLine returns the job in one line of a file, with a deadline counted from now.
+func DecodeJobLine(text []byte, now time.Time) (dispatcher.Job, *FieldError) {
+	var line JobLine
+	if fieldError := decodeStrict(text, &line); fieldError != nil {
+		return dispatcher.Job{}, fieldError
+	}
+	if fieldError := checkText("key", line.Key, true); fieldError != nil {
+		return dispatcher.Job{}, fieldError
+	}
+	return line.job(line.Key, dispatcher.MaxTasks, now)
+}
+
+func (request JobRequest) job(key string, maxTasks int, now time.Time) (dispatcher.Job, *FieldError) {
 	if fieldError := checkText("kind", request.Kind, false); fieldError != nil {
 		return dispatcher.Job{}, fieldError
 	}
