Accept only signed bundles on a proved chain

Any parsable record on the stream came into force, so a half-written, unsigned or losing record would have been served.

Ruled out: trusting the newest record, which lets a loser that outlives the winner in a trimmed log come into force; and a renewal without the offset that its appender had read to, from which a reader cannot tell whether a trimmed record replaced it.

The server, the quickstart and the process test use signed records.

--- a/bundler/bundle.go
+++ b/bundler/bundle.go
@@ -4,6 +4,41 @@
 	"time"
 )
 
+// Protocol is how the targets of a service are called.
+type Protocol string
+
+// Protocols of a service.
+const (
+	// ProtocolRunner is a task per HTTP request.
+	ProtocolRunner Protocol = "runner"
+	// ProtocolWorker is a task under a lease.
+	ProtocolWorker Protocol = "worker"
+)
+
+// FailureDomain is a part of the platform that fails on its own.
+type FailureDomain struct {
+	name    string
+	leaving bool
+}
+
+// Name returns the failure domain's name.
+func (domain FailureDomain) Name() string { return domain.name }
+
+// Leaving reports whether the next bundle may remove the failure domain; no new keys are homed there.
+func (domain FailureDomain) Leaving() bool { return domain.leaving }
+
+// Service is a group of targets that run the same kinds.
+type Service struct {
+	name     string
+	protocol Protocol
+}
+
+// Name returns the service's name.
+func (service Service) Name() string { return service.name }
+
+// Protocol returns how the service's targets are called.
+func (service Service) Protocol() Protocol { return service.protocol }
+
 // Target is a runner or worker that runs tasks of one service.
 type Target struct {
 	name          string
@@ -68,13 +103,58 @@
 // MaxInFlight returns how many tasks of the team may run at once per instance.
 func (team Team) MaxInFlight() int { return team.maxInFlight }
 
+// Policy weighs the two metrics against each other.
+type Policy struct {
+	responseTimeWeight  int
+	wastedMessageWeight int
+}
+
+// ResponseTimeWeight returns the weight of response time against the ideal, 0 to 100.
+func (policy Policy) ResponseTimeWeight() int { return policy.responseTimeWeight }
+
+// WastedMessageWeight returns the weight of wasted messages, 0 to 100.
+func (policy Policy) WastedMessageWeight() int { return policy.wastedMessageWeight }
+
+// Objective is the service level that a kind is measured against.
+type Objective struct {
+	kind          string
+	within        time.Duration
+	targetPercent float64
+}
+
+// Kind returns the name of the kind.
+func (objective Objective) Kind() string { return objective.kind }
+
+// Within returns the time in which an answer counts as good.
+func (objective Objective) Within() time.Duration { return objective.within }
+
+// TargetPercent returns the share of answers that must be good, in percent.
+func (objective Objective) TargetPercent() float64 { return objective.targetPercent }
+
+// Retention holds the periods for which state is kept.
+type Retention struct {
+	answers time.Duration
+	log     time.Duration
+}
+
+// Answers returns how long start records and answers are kept after a job's end.
+func (retention Retention) Answers() time.Duration { return retention.answers }
+
+// Log returns how long the platform's log retains a record; renewals are spaced by it.
+func (retention Retention) Log() time.Duration { return retention.log }
+
 // Bundle is one immutable version of the configuration.
 type Bundle struct {
 	version        int64
 	failureDomains []string
+	domains        map[string]FailureDomain
+	services       map[string]Service
 	targets        []Target
 	kinds          map[string]Kind
 	teams          map[string]Team
+	objectives     map[string]Objective
+	policy         Policy
+	retention      Retention
 }
 
 // Version returns the bundle's version number; it rises with each accepted bundle.
@@ -83,6 +163,18 @@
 // FailureDomains returns the names of the failure domains, sorted; callers must not change them.
 func (bundle *Bundle) FailureDomains() []string { return bundle.failureDomains }
 
+// FailureDomain returns the failure domain named name.
+func (bundle *Bundle) FailureDomain(name string) (FailureDomain, bool) {
+	domain, ok := bundle.domains[name]
+	return domain, ok
+}
+
+// Service returns the service named name; one without a section of its own uses ProtocolRunner.
+func (bundle *Bundle) Service(name string) (Service, bool) {
+	service, ok := bundle.services[name]
+	return service, ok
+}
+
 // Targets returns all targets, sorted by name; callers must not change them.
 func (bundle *Bundle) Targets() []Target { return bundle.targets }
 
@@ -97,3 +189,15 @@
 	team, ok := bundle.teams[name]
 	return team, ok
 }
+
+// Objective returns the objective of the kind named kind.
+func (bundle *Bundle) Objective(kind string) (Objective, bool) {
+	objective, ok := bundle.objectives[kind]
+	return objective, ok
+}
+
+// Policy returns the weights of the two metrics.
+func (bundle *Bundle) Policy() Policy { return bundle.policy }
+
+// Retention returns the periods for which state is kept.
+func (bundle *Bundle) Retention() Retention { return bundle.retention }
--- /dev/null
+++ b/bundler/diff.go
@@ -0,0 +1,135 @@
+package bundler
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// field is one value of a section, as an operator reads it.
+type field struct{ name, value string }
+
+// Diff returns the changes from before to after, one line each, ordered by section; before may be nil.
+func Diff(before, after *Bundle) []string {
+	if before == nil {
+		before = newParser().bundle
+	}
+	var lines []string
+	if before.version != after.version {
+		lines = append(lines, fmt.Sprintf("version: from %d to %d", before.version, after.version))
+	}
+	lines = append(lines, changes("policy", before.policy.fields(), after.policy.fields())...)
+	lines = append(lines, changes("retention", before.retention.fields(), after.retention.fields())...)
+	lines = append(lines, diffMaps("failure domain", before.domains, after.domains)...)
+	lines = append(lines, diffMaps("service", before.services, after.services)...)
+	lines = append(lines, diffMaps("kind", before.kinds, after.kinds)...)
+	lines = append(lines, diffMaps("objective", before.objectives, after.objectives)...)
+	lines = append(lines, diffMaps("team", before.teams, after.teams)...)
+	return append(lines, diffTargets(before.targets, after.targets)...)
+}
+
+type described interface {
+	comparable
+	fields() []field
+}
+
+func diffMaps[V described](class string, before, after map[string]V) []string {
+	var lines []string
+	names := maps.Clone(after)
+	maps.Copy(names, before)
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		old, hadOld := before[name]
+		current, hasNew := after[name]
+		switch {
+		case !hadOld:
+			lines = append(lines, added(class, name, current.fields()))
+		case !hasNew:
+			lines = append(lines, class+" "+name+" removed")
+		case old != current:
+			lines = append(lines, changes(class+" "+name, old.fields(), current.fields())...)
+		}
+	}
+	return lines
+}
+
+// diffTargets merges two sorted lists, so that unchanged targets cost no allocation.
+func diffTargets(before, after []Target) []string {
+	var lines []string
+	for len(before) > 0 || len(after) > 0 {
+		switch {
+		case len(after) == 0 || len(before) > 0 && before[0].name < after[0].name:
+			lines = append(lines, "target "+before[0].name+" removed from "+before[0].failureDomain)
+			before = before[1:]
+		case len(before) == 0 || after[0].name < before[0].name:
+			lines = append(lines, added("target", after[0].name, after[0].fields()))
+			after = after[1:]
+		default:
+			if before[0] != after[0] {
+				lines = append(lines, changes("target "+after[0].name, before[0].fields(), after[0].fields())...)
+			}
+			before, after = before[1:], after[1:]
+		}
+	}
+	return lines
+}
+
+func added(class, name string, fields []field) string {
+	parts := make([]string, len(fields))
+	for i, field := range fields {
+		parts[i] = field.name + " " + field.value
+	}
+	return class + " " + name + " added (" + strings.Join(parts, ", ") + ")"
+}
+
+func changes(title string, before, after []field) []string {
+	var lines []string
+	for i, field := range after {
+		if before[i] != field {
+			lines = append(lines, fmt.Sprintf("%s: %s from %s to %s", title, field.name, before[i].value, field.value))
+		}
+	}
+	return lines
+}
+
+func number(name string, value int) field { return field{name, fmt.Sprint(value)} }
+
+func (policy Policy) fields() []field {
+	return []field{number("response-time-weight", policy.responseTimeWeight), number("wasted-message-weight", policy.wastedMessageWeight)}
+}
+
+func (retention Retention) fields() []field {
+	return []field{number("answers-seconds", int(retention.answers.Seconds())), number("log-seconds", int(retention.log.Seconds()))}
+}
+
+func (domain FailureDomain) fields() []field { return []field{{"leaving", fmt.Sprint(domain.leaving)}} }
+
+func (service Service) fields() []field { return []field{{"protocol", string(service.protocol)}} }
+
+func (team Team) fields() []field { return []field{number("max-in-flight", team.maxInFlight)} }
+
+func (objective Objective) fields() []field {
+	return []field{
+		number("within-ms", int(objective.within.Milliseconds())),
+		{"target-percent", fmt.Sprint(objective.targetPercent)},
+	}
+}
+
+func (kind Kind) fields() []field {
+	return []field{
+		{"service", kind.service},
+		{"repeatable", fmt.Sprint(kind.repeatable)},
+		number("max-tasks", kind.maxTasks),
+		number("max-in-flight", kind.maxInFlight),
+		number("run-ms", int(kind.runTime.Milliseconds())),
+	}
+}
+
+func (target Target) fields() []field {
+	return []field{
+		{"failure-domain", target.failureDomain},
+		{"service", target.service},
+		{"address", target.address},
+		number("slots", target.slots),
+	}
+}
--- a/bundler/parse.go
+++ b/bundler/parse.go
@@ -9,49 +9,71 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"gopkg.in/ini.v1"
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 )
 
-// Bounds of bundle values.
+// Bounds of bundle values. Lint applies narrower ones where a value parses but cannot be served.
 const (
-	maxSlots    = 4096
-	maxInFlight = 1_000_000
-	maxRunMS    = 600_000
+	maxSlots            = 4096
+	maxInFlight         = 1_000_000
+	maxRunMS            = 600_000
+	maxWeight           = 1_000_000
+	minRetentionSeconds = 60
+	maxRetentionSeconds = 30 * 24 * 3600
+	maxVersion          = 1 << 53
 )
 
-// reader collects the first fault of one section.
+// Values of settings that a bundle leaves out.
+const (
+	defaultRunMS          = 200
+	defaultWeight         = 50
+	defaultAnswersSeconds = 600
+	defaultLogSeconds     = 7 * 24 * 3600
+)
+
+// required as a fallback makes a number mandatory.
+const required = -1
+
+// reader reads the keys of one section and keeps the first fault.
 type reader struct {
-	section *ini.Section
-	used    map[string]bool
+	section *section
+	used    int
 	err     error
 }
 
 func (reader *reader) fail(key, format string, args ...any) {
 	if reader.err == nil {
-		reader.err = eris.Errorf("[%s] %s: %s", reader.section.Name(), key, fmt.Sprintf(format, args...))
+		reader.err = eris.Errorf("line %d: %s %s: %s",
+			reader.section.line, reader.section.title(), key, fmt.Sprintf(format, args...))
 	}
 }
 
+func (reader *reader) lookup(key string) (string, bool) {
+	i := slices.Index(reader.section.keys, key)
+	if i < 0 {
+		return "", false
+	}
+	reader.used++
+	return reader.section.values[i], true
+}
+
 func (reader *reader) text(key string) string {
-	reader.used[key] = true
-	if !reader.section.HasKey(key) {
+	value, ok := reader.lookup(key)
+	if !ok || value == "" {
 		reader.fail(key, "is missing")
-		return ""
 	}
-	return strings.TrimSpace(reader.section.Key(key).String())
+	return value
 }
 
 func (reader *reader) number(key string, fallback, low, high int64) int64 {
-	reader.used[key] = true
-	if !reader.section.HasKey(key) {
-		if fallback < low {
+	value, ok := reader.lookup(key)
+	if !ok {
+		if fallback == required {
 			reader.fail(key, "is missing")
 		}
 		return fallback
 	}
-	value := reader.section.Key(key).String()
 	number, err := strconv.ParseInt(value, 10, 64)
 	if err != nil || number < low || number > high {
 		reader.fail(key, "got %q, allowed are %d to %d", value, low, high)
@@ -59,65 +81,146 @@
 	return number
 }
 
-func (reader *reader) boolean(key string) bool {
+func (reader *reader) seconds(key string, fallback int64) time.Duration {
+	return time.Duration(reader.number(key, fallback, minRetentionSeconds, maxRetentionSeconds)) * time.Second
+}
+
+func (reader *reader) percent(key string) float64 {
 	value := reader.text(key)
-	if value != "true" && value != "false" {
-		reader.fail(key, "got %q, allowed are true and false", value)
+	number, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(number >= 0 && number <= 100) {
+		reader.fail(key, "got %q, allowed are 0 to 100", value)
+	}
+	return number
+}
+
+func (reader *reader) choice(key, fallback string, allowed ...string) string {
+	value, ok := reader.lookup(key)
+	if !ok {
+		if fallback == "" {
+			reader.fail(key, "is missing")
+		}
+		return fallback
+	}
+	if !slices.Contains(allowed, value) {
+		reader.fail(key, "got %q, allowed are %s", value, strings.Join(allowed, " and "))
 	}
-	return value == "true"
+	return value
 }
 
-func (reader *reader) close() error {
-	for _, key := range reader.section.KeyStrings() {
-		if !reader.used[key] {
+func (reader *reader) boolean(key, fallback string) bool {
+	return reader.choice(key, fallback, "true", "false") == "true"
+}
+
+func (reader *reader) close(known ...string) error {
+	if reader.err != nil || reader.used == len(reader.section.keys) {
+		return reader.err
+	}
+	for _, key := range reader.section.keys {
+		if !slices.Contains(known, key) {
 			reader.fail(key, "is not a known key")
 		}
 	}
 	return reader.err
 }
 
-// Parse returns the bundle in text, or an error that names the section, key and value at fault.
-func Parse(text []byte) (*Bundle, error) {
-	file, err := ini.LoadSources(ini.LoadOptions{}, text)
-	if err != nil {
+// Parse returns the bundle in text, or an error that names the line, section, key and value at fault.
+func Parse(text []byte) (*Bundle, error) { return parseText(string(text)) }
+
+// parseText returns a bundle whose names and addresses are substrings of text.
+func parseText(text string) (*Bundle, error) {
+	parser := newParser()
+	if err := scan(text, parser.add); err != nil {
 		return nil, eris.Wrap(err, "reading the bundle")
 	}
-	bundle := &Bundle{kinds: make(map[string]Kind), teams: make(map[string]Team)}
-	for _, section := range file.Sections() {
-		if err := bundle.add(section); err != nil {
-			return nil, err
+	return parser.close()
+}
+
+// parser collects the sections of one bundle.
+type parser struct {
+	bundle *Bundle
+	// seen holds the classes of sections that occur once.
+	seen map[string]bool
+}
+
+func newParser() *parser {
+	return &parser{seen: make(map[string]bool), bundle: &Bundle{
+		domains:    make(map[string]FailureDomain),
+		services:   make(map[string]Service),
+		kinds:      make(map[string]Kind),
+		teams:      make(map[string]Team),
+		objectives: make(map[string]Objective),
+		policy:     Policy{responseTimeWeight: defaultWeight, wastedMessageWeight: defaultWeight},
+		retention:  Retention{answers: defaultAnswersSeconds * time.Second, log: defaultLogSeconds * time.Second},
+	}}
+}
+
+func (parser *parser) add(section *section) error {
+	reader := &reader{section: section}
+	switch section.class {
+	case "bundle", "policy", "retention":
+		if section.name != "" || parser.seen[section.class] {
+			return eris.Errorf("line %d: %s: allowed is one section without a name", section.line, section.title())
 		}
+		parser.seen[section.class] = true
+		return parser.addSingle(reader)
 	}
-	slices.Sort(bundle.failureDomains)
-	slices.SortFunc(bundle.targets, func(a, b Target) int { return strings.Compare(a.name, b.name) })
-	if err := bundle.check(); err != nil {
-		return nil, err
+	if section.name == "" {
+		return eris.Errorf("line %d: %s: a name is missing", section.line, section.title())
 	}
-	return bundle, nil
+	return parser.addNamed(reader, section.name)
 }
 
-func (bundle *Bundle) add(section *ini.Section) error {
-	reader := &reader{section: section, used: make(map[string]bool)}
-	class, name, _ := strings.Cut(section.Name(), " ")
-	if class != ini.DefaultSection && class != "bundle" && name == "" {
-		return eris.Errorf("[%s]: a name is missing after %q", section.Name(), class)
-	}
-	switch class {
-	case ini.DefaultSection:
+func (parser *parser) addSingle(reader *reader) error {
+	bundle := parser.bundle
+	switch reader.section.class {
 	case "bundle":
-		bundle.version = reader.number("version", 0, 1, 1<<53)
+		bundle.version = reader.number("version", required, 1, maxVersion)
+		return reader.close("version")
+	case "policy":
+		bundle.policy.responseTimeWeight = int(reader.number("response-time-weight", defaultWeight, 0, maxWeight))
+		bundle.policy.wastedMessageWeight = int(reader.number("wasted-message-weight", defaultWeight, 0, maxWeight))
+		return reader.close("response-time-weight", "wasted-message-weight")
+	default:
+		bundle.retention.answers = reader.seconds("answers-seconds", defaultAnswersSeconds)
+		bundle.retention.log = reader.seconds("log-seconds", defaultLogSeconds)
+		return reader.close("answers-seconds", "log-seconds")
+	}
+}
+
+func (parser *parser) addNamed(reader *reader, name string) error {
+	bundle := parser.bundle
+	switch reader.section.class {
 	case "failure-domain":
 		bundle.failureDomains = append(bundle.failureDomains, name)
+		put(reader, bundle.domains, name, FailureDomain{name: name, leaving: reader.boolean("leaving", "false")})
+		return reader.close("leaving")
+	case "service":
+		protocol := reader.choice("protocol", string(ProtocolRunner), string(ProtocolRunner), string(ProtocolWorker))
+		put(reader, bundle.services, name, Service{name: name, protocol: Protocol(protocol)})
+		return reader.close("protocol")
 	case "target":
 		bundle.targets = append(bundle.targets, readTarget(reader, name))
+		return reader.close("failure-domain", "service", "address", "slots")
 	case "kind":
-		bundle.kinds[name] = readKind(reader, name)
+		put(reader, bundle.kinds, name, readKind(reader, name))
+		return reader.close("service", "repeatable", "max-tasks", "max-in-flight", "run-ms")
 	case "team":
-		bundle.teams[name] = Team{name: name, maxInFlight: int(reader.number("max-in-flight", 0, 1, maxInFlight))}
-	default:
-		return eris.Errorf("[%s]: is not a known section", section.Name())
+		put(reader, bundle.teams, name, Team{name: name, maxInFlight: int(reader.number("max-in-flight", required, 0, maxInFlight))})
+		return reader.close("max-in-flight")
+	case "objective":
+		within := time.Duration(reader.number("within-ms", required, 0, maxRunMS)) * time.Millisecond
+		put(reader, bundle.objectives, name, Objective{kind: name, within: within, targetPercent: reader.percent("target-percent")})
+		return reader.close("within-ms", "target-percent")
+	}
+	return eris.Errorf("line %d: %s: is not a known section", reader.section.line, reader.section.title())
+}
+
+func put[V any](reader *reader, values map[string]V, name string, value V) {
+	if _, ok := values[name]; ok {
+		reader.fail("section", "is given twice")
 	}
-	return reader.close()
+	values[name] = value
 }
 
 func readTarget(reader *reader, name string) Target {
@@ -126,7 +229,7 @@
 		failureDomain: reader.text("failure-domain"),
 		service:       reader.text("service"),
 		address:       reader.text("address"),
-		slots:         int(reader.number("slots", 0, 1, maxSlots)),
+		slots:         int(reader.number("slots", required, 0, maxSlots)),
 	}
 	if _, _, err := net.SplitHostPort(target.address); err != nil {
 		reader.fail("address", "got %q, expected host:port", target.address)
@@ -138,32 +241,33 @@
 	return Kind{
 		name:        name,
 		service:     reader.text("service"),
-		repeatable:  reader.boolean("repeatable"),
-		maxTasks:    int(reader.number("max-tasks", dispatcher.MaxTasks, 1, dispatcher.MaxTasks)),
-		maxInFlight: int(reader.number("max-in-flight", maxInFlight, 1, maxInFlight)),
-		runTime:     time.Duration(reader.number("run-ms", 200, 1, maxRunMS)) * time.Millisecond,
+		repeatable:  reader.boolean("repeatable", ""),
+		maxTasks:    int(reader.number("max-tasks", dispatcher.MaxTasks, 0, dispatcher.MaxTasks)),
+		maxInFlight: int(reader.number("max-in-flight", maxInFlight, 0, maxInFlight)),
+		runTime:     time.Duration(reader.number("run-ms", defaultRunMS, 1, maxRunMS)) * time.Millisecond,
 	}
 }
 
-// check finds bundles that parse but cannot be served.
-func (bundle *Bundle) check() error {
+func (parser *parser) close() (*Bundle, error) {
+	bundle := parser.bundle
 	if bundle.version == 0 {
-		return eris.New("[bundle] version: is missing")
+		return nil, eris.New("[bundle] version: is missing")
 	}
 	if len(bundle.failureDomains) == 0 {
-		return eris.New("the bundle has no [failure-domain ...] section")
+		return nil, eris.New("the bundle has no [failure-domain NAME] section")
 	}
-	services := make(map[string]bool)
-	for _, target := range bundle.targets {
-		if _, ok := slices.BinarySearch(bundle.failureDomains, target.failureDomain); !ok {
-			return eris.Errorf("[target %s] failure-domain: %q has no section", target.name, target.failureDomain)
+	slices.Sort(bundle.failureDomains)
+	slices.SortFunc(bundle.targets, func(a, b Target) int { return strings.Compare(a.name, b.name) })
+	bundle.targets = slices.Clip(bundle.targets)
+	for i := 1; i < len(bundle.targets); i++ {
+		if name := bundle.targets[i].name; name == bundle.targets[i-1].name {
+			return nil, eris.Errorf("[target %s]: is given twice", name)
 		}
-		services[target.service] = true
 	}
-	for name, kind := range bundle.kinds {
-		if !services[kind.service] {
-			return eris.Errorf("[kind %s] service: %q has no target", name, kind.service)
+	for _, target := range bundle.targets {
+		if _, ok := bundle.services[target.service]; !ok {
+			bundle.services[target.service] = Service{name: target.service, protocol: ProtocolRunner}
 		}
 	}
-	return nil
+	return bundle, nil
 }
--- /dev/null
+++ b/bundler/scan.go
@@ -0,0 +1,90 @@
+package bundler
+
+import (
+	"strings"
+	"unicode/utf8"
+
+	"github.com/rotisserie/eris"
+)
+
+// section is one section of the INI text, with its keys in order.
+type section struct {
+	line   int
+	class  string
+	name   string
+	keys   []string
+	values []string
+}
+
+// title returns the section's header for messages.
+func (section *section) title() string {
+	if section.name == "" {
+		return "[" + section.class + "]"
+	}
+	return "[" + section.class + " " + section.name + "]"
+}
+
+// scan calls visit with each section of text in order. The section is reused between calls. Sections and keys may
+// not repeat: of two equal targets, an operator could not see which one counts.
+func scan(text string, visit func(*section) error) error {
+	if !utf8.ValidString(text) {
+		return eris.New("the bundle is not UTF-8")
+	}
+	current := &section{}
+	for line := 1; len(text) > 0; line++ {
+		var content string
+		content, text, _ = strings.Cut(text, "\n")
+		content = strings.TrimSpace(content)
+		switch {
+		case content == "" || content[0] == '#' || content[0] == ';':
+		case content[0] == '[':
+			if err := finish(current, visit); err != nil {
+				return err
+			}
+			if err := current.open(content, line); err != nil {
+				return err
+			}
+		default:
+			if err := current.put(content, line); err != nil {
+				return err
+			}
+		}
+	}
+	return finish(current, visit)
+}
+
+func finish(section *section, visit func(*section) error) error {
+	if section.class == "" {
+		return nil
+	}
+	return visit(section)
+}
+
+func (section *section) open(content string, line int) error {
+	if content[len(content)-1] != ']' {
+		return eris.Errorf("line %d: got %q, expected a section such as [kind NAME]", line, content)
+	}
+	class, name, _ := strings.Cut(strings.TrimSpace(content[1:len(content)-1]), " ")
+	section.line, section.class, section.name = line, class, strings.TrimSpace(name)
+	section.keys, section.values = section.keys[:0], section.values[:0]
+	if class == "" || strings.ContainsAny(section.name, "[] \t") {
+		return eris.Errorf("line %d: got %q, expected a section such as [kind NAME]", line, content)
+	}
+	return nil
+}
+
+func (section *section) put(content string, line int) error {
+	key, value, ok := strings.Cut(content, "=")
+	if !ok || section.class == "" {
+		return eris.Errorf("line %d: got %q, expected key = value inside a section", line, content)
+	}
+	key = strings.TrimSpace(key)
+	for _, earlier := range section.keys {
+		if earlier == key {
+			return eris.Errorf("line %d: %s %s: is given twice", line, section.title(), key)
+		}
+	}
+	section.keys = append(section.keys, key)
+	section.values = append(section.values, strings.TrimSpace(value))
+	return nil
+}
--- a/cmd/hyssoplift/main_test.go
+++ b/cmd/hyssoplift/main_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -14,8 +13,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/hyssoplift/hyssoplift/appender"
 )
 
 const testBundle = `[bundle]
@@ -117,15 +114,42 @@
 	t.Fatal("the instance did not become ready")
 }
 
+// operate runs a subcommand of hyssoplift bundle and returns what it prints.
+func operate(t *testing.T, folder string, args ...string) string {
+	t.Helper()
+	command := exec.Command(filepath.Join(folder, "hyssoplift"), append([]string{"bundle"}, args...)...)
+	command.Stderr = os.Stderr
+	output, err := command.Output()
+	if err != nil {
+		t.Fatalf("bundle %v: %v", args, err)
+	}
+	return strings.TrimSpace(string(output))
+}
+
+// publish signs text with two new keys, publishes it with the commands that operators use, and returns the public keys.
+func publish(t *testing.T, folder, log, text string) string {
+	t.Helper()
+	work := t.TempDir()
+	file, author, approver := filepath.Join(work, "bundle.ini"), filepath.Join(work, "author"), filepath.Join(work, "approver")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatalf("writing the bundle: %v", err)
+	}
+	keys := operate(t, folder, "keygen", "--name", "linh", author) + "," + operate(t, folder, "keygen", "--name", "asha", approver)
+	operate(t, folder, "lint", "--log", log, "--bundle-keys", keys, file)
+	operate(t, folder, "sign", "--name", "linh", "--key", author, file)
+	operate(t, folder, "approve", "--name", "asha", "--key", approver, "--bundle-keys", keys, file)
+	operate(t, folder, "publish", "--log", log, "--bundle-keys", keys, file)
+	return keys
+}
+
 // Guards against a break anywhere on the path between real processes: log, instance, runner and caller.
 func TestJobAcrossProcesses(t *testing.T) {
 	is := is.New(t)
 	folder := binaries(t)
 	log := standin(t, folder, "log")
 	runner := standin(t, folder, "runner")
-	_, err := appender.New(log).Append(context.Background(), "bundles", fmt.Appendf(nil, testBundle, runner))
-	is.NoErr(err) // publish the bundle
-	listen := instance(t, folder, "--failure-domain", "local", "--instance", "entry-1", "--log", log)
+	keys := publish(t, folder, log, fmt.Sprintf(testBundle, runner))
+	listen := instance(t, folder, "--failure-domain", "local", "--instance", "entry-1", "--log", log, "--bundle-keys", keys)
 	waitReady(t, listen)
 
 	submit := exec.Command(filepath.Join(folder, "hyssoplift"), "submit",
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -25,6 +25,7 @@
 		Subcommands: []*ffcli.Command{
 			newServe(),
 			newSubmit(stdout, stderr),
+			newBundle(stdout, stderr),
 			newQuickstart(stdout),
 			{
 				Name:      "version",
--- /dev/null
+++ b/commander/publish.go
@@ -0,0 +1,106 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hyssoplift/hyssoplift/appender"
+	"github.com/hyssoplift/hyssoplift/bundler"
+)
+
+const (
+	// publishWait is how long one read waits for the next record.
+	publishWait = time.Second
+	// publishRetryDelay spaces attempts while the log is down.
+	publishRetryDelay = 200 * time.Millisecond
+	// lateReads is the number of reads, each of publishWait, after which an append without an answer counts as not
+	// taken. If it does arrive later, the second append is ignored, because the first one replaced the bundle.
+	lateReads = 3
+)
+
+func (flags *bundleFlags) publish(ctx context.Context, files []string) error {
+	ctx, cancel := context.WithTimeout(ctx, flags.timeout)
+	defer cancel()
+	record, err := readRecord(files[0])
+	if err != nil {
+		return err
+	}
+	bundles, _, err := flags.readLog(ctx)
+	if err != nil {
+		return err
+	}
+	if snapshot := bundles.Snapshot(); snapshot != nil && snapshot.Text() == record.Text {
+		return flags.printWon(record, snapshot.Offset())
+	}
+	publication, err := bundles.Publish(record)
+	if err != nil {
+		return err
+	}
+	outcome, err := appendAndWait(ctx, appender.New(flags.log), bundles, publication)
+	if err != nil {
+		return err
+	}
+	switch outcome := outcome.(type) {
+	case bundler.Won:
+		return flags.printWon(record, outcome.Offset())
+	case bundler.Beaten:
+		return eris.Errorf("not published: %s; put your change on top of it and raise the version", outcome)
+	}
+	return nil
+}
+
+func (flags *bundleFlags) printWon(record bundler.Record, offset int64) error {
+	_, err := fmt.Fprintf(flags.stdout, "version %d is in force, at offset %d\n", record.Version, offset)
+	return eris.Wrap(err, "writing the outcome")
+}
+
+// appendAndWait appends the publication and reads on until it or another record replaced the bundle in force.
+func appendAndWait(ctx context.Context, log *appender.Appender, bundles *bundler.Bundler, publication *bundler.Publication) (bundler.Outcome, error) {
+	for ctx.Err() == nil {
+		_, appendErr := log.Append(ctx, bundler.Stream, publication.Data())
+		for reads := 0; ctx.Err() == nil && (appendErr == nil || reads < lateReads); {
+			page, err := log.Read(ctx, bundler.Stream, bundles.Next(), publishWait)
+			if err != nil {
+				pause(ctx, publishRetryDelay)
+				continue
+			}
+			if outcome, ok := publication.Observe(fold(bundles, page)); ok {
+				return outcome, nil
+			}
+			reads++
+		}
+	}
+	return nil, eris.New("the log did not show the outcome in time: the bundle may still come into force; run hyssoplift bundle status, then publish again")
+}
+
+func readToEnd(ctx context.Context, log *appender.Appender, bundles *bundler.Bundler) ([]bundler.Event, error) {
+	var events []bundler.Event
+	for {
+		page, err := log.Read(ctx, bundler.Stream, bundles.Next(), 0)
+		if err != nil {
+			return events, err
+		}
+		events = append(events, fold(bundles, page)...)
+		if bundles.Next() >= page.Next {
+			return events, nil
+		}
+	}
+}
+
+func fold(bundles *bundler.Bundler, page appender.Page) []bundler.Event {
+	entries := make([]bundler.Entry, len(page.Records))
+	for i, record := range page.Records {
+		entries[i] = bundler.Entry{Offset: record.Offset, Data: record.Data}
+	}
+	return bundles.Fold(bundler.Page{Earliest: page.Earliest, Next: page.Next, Entries: entries}, time.Now())
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(duration):
+	}
+}
--- a/commander/quickstart.go
+++ b/commander/quickstart.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/ed25519"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rotisserie/eris"
 
+	"github.com/hyssoplift/hyssoplift/bundler"
 	"github.com/hyssoplift/hyssoplift/configurer"
 	"github.com/hyssoplift/hyssoplift/emulator"
 	"github.com/hyssoplift/hyssoplift/server"
@@ -71,12 +73,16 @@
 		defer stop()
 		addresses = append(addresses, address)
 	}
-	log.Append("bundles", fmt.Appendf(nil, quickstartBundle, addresses[1], addresses[2]))
+	record, keys, err := signDemo(fmt.Sprintf(quickstartBundle, addresses[1], addresses[2]))
+	if err != nil {
+		return err
+	}
+	log.Append(bundler.Stream, record)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return eris.Wrap(err, "listening on loopback")
 	}
-	settings, err := configurer.Read([]string{"--failure-domain=local", "--instance=entry-1", "--log=" + addresses[0]}, io.Discard)
+	settings, err := configurer.Read([]string{"--failure-domain=local", "--instance=entry-1", "--log=" + addresses[0], "--bundle-keys=" + keys}, io.Discard)
 	if err != nil {
 		return err
 	}
@@ -90,6 +96,33 @@
 	return instance.Shutdown(ctx)
 }
 
+// signDemo returns the signed record of text and the public keys of two operators made up for the occasion.
+func signDemo(text string) ([]byte, string, error) {
+	authorPublic, authorKey, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return nil, "", eris.Wrap(err, "generating a key")
+	}
+	approverPublic, approverKey, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return nil, "", eris.Wrap(err, "generating a key")
+	}
+	setting := bundler.FormatKey("author", authorPublic) + "," + bundler.FormatKey("approver", approverPublic)
+	keys, err := bundler.ParseKeys(setting)
+	if err != nil {
+		return nil, "", err
+	}
+	record, err := bundler.NewSigner("author", authorKey).SignAsAuthor(text)
+	if err != nil {
+		return nil, "", err
+	}
+	record, err = bundler.NewSigner("approver", approverKey).Approve(record, keys)
+	if err != nil {
+		return nil, "", err
+	}
+	data, err := record.Encode()
+	return data, setting, err
+}
+
 func submitDemo(ctx context.Context, address string, stdout io.Writer) error {
 	start := time.Now()
 	payload := fmt.Appendf(nil, `{"run-ms": %d}`, quickstartRunMS)
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -13,6 +13,8 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/rotisserie/eris"
 	"gopkg.in/ini.v1"
+
+	"github.com/hyssoplift/hyssoplift/bundler"
 )
 
 const envPrefix = "HYSSOPLIFT"
@@ -20,7 +22,7 @@
 // Settings are checked values of the table of settings.
 type Settings struct{ values map[string]string }
 
-// Text returns the value of a text or address setting.
+// Text returns the value of a text, keys or address setting.
 func (settings Settings) Text(name string) string { return settings.value(name) }
 
 // Count returns the value of a count setting.
@@ -67,6 +69,10 @@
 		if text == "" || strings.ContainsAny(text, " \t\r\n") {
 			return eris.Errorf("%s: got %q, allowed is text without spaces", setting.name, text)
 		}
+	case UnitKeys:
+		if _, err := bundler.ParseKeys(text); err != nil {
+			return eris.Wrap(err, setting.name)
+		}
 	case UnitAddress:
 		host, port, err := net.SplitHostPort(text)
 		number, portErr := strconv.ParseUint(port, 10, 16)
--- a/configurer/table.go
+++ b/configurer/table.go
@@ -11,6 +11,8 @@
 	UnitText Unit = "text"
 	// UnitAddress is an IP number and a port.
 	UnitAddress Unit = "ip:port"
+	// UnitKeys is a list of public keys, NAME:BASE64,NAME:BASE64.
+	UnitKeys Unit = "keys"
 	// UnitCount is a whole number.
 	UnitCount Unit = "count"
 	// UnitMilliseconds is a whole number of milliseconds.
@@ -47,6 +49,7 @@
 		{name: "instance", unit: UnitText, required: true, text: "Name of this instance, unique in its failure domain."},
 		{name: "listen", unit: UnitAddress, fallback: "127.0.0.1:8480", text: "Address to serve callers, operators and peers on."},
 		{name: "log", unit: UnitAddress, required: true, text: "Address of the platform's log service."},
+		{name: "bundle-keys", unit: UnitKeys, required: true, text: "Public keys of the operators who may sign bundles, as NAME:KEY,NAME:KEY."},
 		{name: "stop-timeout", unit: UnitMilliseconds, fallback: "30000", low: 100, high: (10 * time.Minute).Milliseconds(), text: "Time that a planned stop may take."},
 		{name: "max-body-bytes", unit: UnitCount, fallback: "4194304", low: 1024, high: 64 << 20, text: "Largest request body, in bytes."},
 	}
--- a/server/bundles.go
+++ b/server/bundles.go
@@ -6,42 +6,63 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/hyssoplift/hyssoplift/appender"
 	"github.com/hyssoplift/hyssoplift/bundler"
 )
 
 const (
-	bundleStream = "bundles"
 	// logWait is how long one read waits at the log for the next record.
 	logWait = 5 * time.Second
 	// logRetryDelay spaces reads while the log is down.
 	logRetryDelay = 500 * time.Millisecond
 )
 
-// followBundles reads the bundle stream until ctx is done.
+// followBundles reads the bundle stream and renews the bundle in force when it is due, until ctx is done.
 func (server *Server) followBundles(ctx context.Context) {
-	var next int64
+	keys, err := bundler.ParseKeys(server.settings.Text("bundle-keys"))
+	if err != nil {
+		panic(eris.Wrap(err, "the setting bundle-keys was checked when it was read"))
+	}
+	bundles := bundler.New(keys)
 	for ctx.Err() == nil {
-		page, err := server.log.Read(ctx, bundleStream, next, logWait)
+		page, err := server.log.Read(ctx, bundler.Stream, bundles.Next(), logWait)
 		if err != nil {
 			server.logger.Warn("reading bundles failed", "error", eris.ToString(err, false))
 			sleep(ctx, logRetryDelay)
 			continue
 		}
-		for _, record := range page.Records {
-			next = record.Offset + 1
-			server.accept(record.Offset, record.Data)
-		}
+		server.fold(bundles, page)
+		server.renew(ctx, bundles)
 	}
 }
 
-func (server *Server) accept(offset int64, data []byte) {
-	bundle, err := bundler.Parse(data)
-	if err != nil {
-		server.logger.Error("bundle record ignored", "offset", offset, "error", eris.ToString(err, false))
+func (server *Server) fold(bundles *bundler.Bundler, page appender.Page) {
+	entries := make([]bundler.Entry, len(page.Records))
+	for i, record := range page.Records {
+		entries[i] = bundler.Entry{Offset: record.Offset, Data: record.Data}
+	}
+	events := bundles.Fold(bundler.Page{Earliest: page.Earliest, Next: page.Next, Entries: entries}, time.Now())
+	for _, event := range events {
+		server.logger.Info("bundle record read", "offset", event.Offset, "bundle-version", event.Record.Version,
+			"verdict", string(event.Verdict), "reason", event.Reason)
+	}
+	if snapshot := bundles.Snapshot(); snapshot != nil && server.bundle.Swap(snapshot.Bundle()) != snapshot.Bundle() {
+		server.logger.Info("bundle in force", "bundle-version", snapshot.Bundle().Version(), "offset", snapshot.Offset())
+	}
+}
+
+func (server *Server) renew(ctx context.Context, bundles *bundler.Bundler) {
+	if !bundles.RenewalDue(time.Now(), server.settings.Text("failure-domain"), server.settings.Text("instance")) {
 		return
 	}
-	server.bundle.Store(bundle)
-	server.logger.Info("bundle in force", "bundle-version", bundle.Version(), "offset", offset)
+	data, err := bundles.Renewal()
+	if err == nil {
+		_, err = server.log.Append(ctx, bundler.Stream, data)
+	}
+	if err != nil {
+		server.logger.Warn("renewing the bundle failed", "error", eris.ToString(err, false))
+		sleep(ctx, logRetryDelay)
+	}
 }
 
 func sleep(ctx context.Context, duration time.Duration) {
