Split large bundles per failure domain

At 22,000 targets a record has 2,348,962 bytes, 3.13 MB in a page of the log.

Ruled out: publishing differences against the version in force. A reader that missed one needs the whole text, lint and signatures would cover a text that no operator saw, and renewals would still carry 2.3 MB to everybody.

A failure domain may be split from the common part: its targets are published on a stream of their own, under the same rules. An instance follows the common part and its own failure domain's part, and changes over when it has both. publish refuses a split before the part is in force.

--- a/bundler/bench_test.go
+++ b/bundler/bench_test.go
@@ -115,6 +115,45 @@
 	})
 }
 
+// BenchmarkParts takes one change of the common part, or of one of 27 parts, of a bundle that is split.
+func BenchmarkParts(b *testing.B) {
+	for _, size := range sizes {
+		var common, part strings.Builder
+		fmt.Fprint(&part, "[bundle]\nversion = 1\npart = domain-00\n")
+		for chunk := range strings.SplitAfterSeq(strings.ReplaceAll(largeText(1, size), "\n[", "\n\x00["), "\x00") {
+			chunk = strings.TrimSuffix(chunk, "\x00")
+			switch {
+			case strings.Contains(chunk, "failure-domain = domain-00"):
+				part.WriteString(chunk)
+			case strings.HasPrefix(chunk, "[failure-domain"):
+				common.WriteString(chunk + "split = true\n")
+			case !strings.HasPrefix(chunk, "[target"):
+				common.WriteString(chunk)
+			}
+		}
+		for _, text := range []struct{ name, text, part string }{{"common", common.String(), ""}, {"part", part.String(), "domain-00"}} {
+			b.Run(fmt.Sprintf("targets=%d/%s", size, text.name), func(b *testing.B) {
+				data := encode(signed(text.text, noOffset))
+				b.ReportAllocs()
+				b.ResetTimer()
+				for b.Loop() {
+					composer := NewComposer(testKeys, "domain-00")
+					bundlers := composer.Bundlers()
+					changed := bundlers[0]
+					if text.part != "" {
+						changed = bundlers[1]
+					}
+					changed.Fold(Page{Next: 1, Entries: []Entry{{Data: data}}}, start)
+					if changed.Snapshot() == nil {
+						b.Fatal("the change is not in force")
+					}
+				}
+				b.ReportMetric(float64(len(data)), "record-B")
+			})
+		}
+	}
+}
+
 // BenchmarkDay folds the 9,500 changes of a day at the target scale's rate, on a bundle of 50 targets.
 func BenchmarkDay(b *testing.B) {
 	const changes = 9_500
--- a/bundler/bundle.go
+++ b/bundler/bundle.go
@@ -19,6 +19,7 @@
 type FailureDomain struct {
 	name    string
 	leaving bool
+	split   bool
 }
 
 // Name returns the failure domain's name.
@@ -27,6 +28,9 @@
 // Leaving reports whether the next bundle may remove the failure domain; no new keys are homed there.
 func (domain FailureDomain) Leaving() bool { return domain.leaving }
 
+// Split reports whether the failure domain's targets are published as a part of their own, on PartStream.
+func (domain FailureDomain) Split() bool { return domain.split }
+
 // Service is a group of targets that run the same kinds.
 type Service struct {
 	name     string
@@ -145,7 +149,11 @@
 
 // Bundle is one immutable version of the configuration.
 type Bundle struct {
-	version        int64
+	version int64
+	// part is the failure domain whose targets the bundle holds, or empty for the common part.
+	part string
+	// partVersion is set in a composed bundle, in which the targets of split failure domains are present.
+	partVersion    int64
 	failureDomains []string
 	domains        map[string]FailureDomain
 	services       map[string]Service
@@ -160,6 +168,12 @@
 // Version returns the bundle's version number; it rises with each accepted bundle.
 func (bundle *Bundle) Version() int64 { return bundle.version }
 
+// Part returns the failure domain whose targets the bundle holds, or an empty string for the common part.
+func (bundle *Bundle) Part() string { return bundle.part }
+
+// PartVersion returns the version of the part that Compose added last, or 0.
+func (bundle *Bundle) PartVersion() int64 { return bundle.partVersion }
+
 // FailureDomains returns the names of the failure domains, sorted; callers must not change them.
 func (bundle *Bundle) FailureDomains() []string { return bundle.failureDomains }
 
--- a/bundler/bundler.go
+++ b/bundler/bundler.go
@@ -66,7 +66,9 @@
 // next-1, and the next entry decides by itself. A chain that is not connected misses trimmed records, one of which
 // may have replaced the bundle: publish records wait until a renewal or a peer connects it.
 type Bundler struct {
-	keys     Keys
+	keys Keys
+	// part is the failure domain whose part is followed, or empty for the common part.
+	part     string
 	snapshot atomic.Pointer[Snapshot]
 
 	mu      sync.Mutex
@@ -85,9 +87,24 @@
 	record Record
 }
 
-// New returns a bundler without a bundle in force that accepts signatures by keys.
-func New(keys Keys) *Bundler {
-	return &Bundler{keys: keys, through: noOffset}
+// New returns a bundler of the common part, without a bundle in force, that accepts signatures by keys.
+func New(keys Keys) *Bundler { return NewPart(keys, "") }
+
+// NewPart returns a bundler of the part of a split failure domain.
+func NewPart(keys Keys, failureDomain string) *Bundler {
+	return &Bundler{keys: keys, part: failureDomain, through: noOffset}
+}
+
+// Stream returns the stream of the log that the bundler must be given.
+func (bundler *Bundler) Stream() string { return PartStream(bundler.part) }
+
+// open returns the proved bundle of record. The signed text names its part, so that it counts on one stream only.
+func (bundler *Bundler) open(record Record) (*Bundle, error) {
+	bundle, err := record.Open(bundler.keys)
+	if err == nil && bundle.part != bundler.part {
+		return nil, eris.Errorf("the record belongs on stream %s", PartStream(bundle.part))
+	}
+	return bundle, err
 }
 
 // Snapshot returns the bundle in force, or nil if none is proved; it never blocks.
@@ -131,7 +148,7 @@
 		return nil, eris.New("the offer's offsets contradict each other")
 	}
 	if bundler.current != nil && offer.Offset < bundler.current.offset {
-		if _, err := offer.Record.Open(bundler.keys); err == nil {
+		if _, err := bundler.open(offer.Record); err == nil {
 			// The peer serves with an older bundle, so this newer one may serve although the end of the log is not read.
 			bundler.show()
 		}
@@ -221,7 +238,7 @@
 	if record.Version <= version {
 		return nil, eris.Errorf("version %d is not above version %d, which is in force", record.Version, version)
 	}
-	bundle, err := record.Open(bundler.keys)
+	bundle, err := bundler.open(record)
 	if err != nil {
 		return nil, err
 	}
@@ -262,7 +279,7 @@
 	if record.replaces() >= renewal.Offset || record.Renewal != nil {
 		return nil, eris.New("the record contradicts its offset")
 	}
-	bundle, err := record.Open(bundler.keys)
+	bundle, err := bundler.open(record)
 	if err != nil {
 		return nil, err
 	}
--- a/bundler/diff.go
+++ b/bundler/diff.go
@@ -102,7 +102,9 @@
 	return []field{number("answers-seconds", int(retention.answers.Seconds())), number("log-seconds", int(retention.log.Seconds()))}
 }
 
-func (domain FailureDomain) fields() []field { return []field{{"leaving", fmt.Sprint(domain.leaving)}} }
+func (domain FailureDomain) fields() []field {
+	return []field{{"leaving", fmt.Sprint(domain.leaving)}, {"split", fmt.Sprint(domain.split)}}
+}
 
 func (service Service) fields() []field { return []field{{"protocol", string(service.protocol)}} }
 
--- a/bundler/lint.go
+++ b/bundler/lint.go
@@ -54,13 +54,23 @@
 // Lint returns what would break or is doubtful if bundle replaced inForce, which may be nil; errors come first.
 func Lint(bundle, inForce *Bundle) []Finding {
 	linter := &linter{bundle: bundle}
+	if bundle.part != "" {
+		linter.checkPart()
+		linter.checkVersion(inForce)
+		return linter.sorted()
+	}
 	linter.checkDomains()
 	linter.checkTargets()
+	linter.checkKinds()
 	linter.checkLimits()
 	linter.checkObjectives()
-	if inForce != nil {
-		linter.checkSuccession(inForce)
-	}
+	linter.checkVersion(inForce)
+	linter.checkRemoval(inForce)
+	return linter.sorted()
+}
+
+// sorted returns the findings, errors first.
+func (linter *linter) sorted() []Finding {
 	slices.SortStableFunc(linter.findings, func(a, b Finding) int { return cmp.Compare(a.severity, b.severity) })
 	return linter.findings
 }
@@ -74,17 +84,23 @@
 	linter.fail("every failure domain is leaving: no new key would have a home")
 }
 
-// checkTargets finds kinds without a target and targets in failure domains that have no section.
+// checkTargets finds targets that no instance could use.
 func (linter *linter) checkTargets() {
-	type place struct{ domain, service string }
-	served := make(map[place]bool)
-	services := make(map[string]bool)
-	addresses := make(map[string]string, len(linter.bundle.targets))
 	for _, target := range linter.bundle.targets {
 		domain, ok := linter.bundle.domains[target.failureDomain]
 		if !ok {
 			linter.fail("[target %s] failure-domain: %q has no section, but still has this target", target.name, target.failureDomain)
 		}
+		if domain.split && !linter.bundle.composed() {
+			linter.fail("[target %s] failure-domain: %q is split, so its targets belong in its own part", target.name, target.failureDomain)
+		}
+	}
+	linter.checkSlots()
+}
+
+func (linter *linter) checkSlots() {
+	addresses := make(map[string]string, len(linter.bundle.targets))
+	for _, target := range linter.bundle.targets {
 		if target.slots == 0 {
 			linter.fail("[target %s] slots: 0 would run nothing; remove the target instead", target.name)
 		}
@@ -92,19 +108,42 @@
 			linter.warn("[target %s] address: %s is also the address of target %s", target.name, target.address, other)
 		}
 		addresses[target.address] = target.name
+	}
+}
+
+func (linter *linter) checkPart() {
+	for _, target := range linter.bundle.targets {
+		if target.failureDomain != linter.bundle.part {
+			linter.fail("[target %s] failure-domain: got %q, but this is the part of %q", target.name, target.failureDomain, linter.bundle.part)
+		}
+	}
+	linter.checkSlots()
+}
+
+// checkKinds finds kinds without a target. Of split failure domains, only a composed bundle shows the targets.
+func (linter *linter) checkKinds() {
+	type place struct{ domain, service string }
+	served := make(map[place]bool)
+	services := make(map[string]bool)
+	for _, target := range linter.bundle.targets {
 		served[place{target.failureDomain, target.service}] = true
-		if !domain.leaving {
+		if !linter.bundle.domains[target.failureDomain].leaving {
 			services[target.service] = true
 		}
 	}
+	hidden := func(domain FailureDomain) bool { return domain.split && !linter.bundle.composed() }
+	someHidden := slices.ContainsFunc(slices.Collect(maps.Values(linter.bundle.domains)), hidden)
 	for _, name := range slices.Sorted(maps.Keys(linter.bundle.kinds)) {
 		service := linter.bundle.kinds[name].service
 		if !services[service] {
-			linter.fail("[kind %s] service: %q has no target in a failure domain that stays", name, service)
+			if !someHidden {
+				linter.fail("[kind %s] service: %q has no target in a failure domain that stays", name, service)
+			}
 			continue
 		}
 		for _, domain := range linter.bundle.failureDomains {
-			if !linter.bundle.domains[domain].leaving && !served[place{domain, service}] {
+			entry := linter.bundle.domains[domain]
+			if !entry.leaving && !hidden(entry) && !served[place{domain, service}] {
 				linter.warn("[kind %s] service: %q has no target in failure domain %s; its jobs spill over", name, service, domain)
 			}
 		}
@@ -155,11 +194,17 @@
 	}
 }
 
-// checkSuccession finds what breaks only because of the bundle in force before.
-func (linter *linter) checkSuccession(inForce *Bundle) {
-	if linter.bundle.version <= inForce.version {
+func (linter *linter) checkVersion(inForce *Bundle) {
+	if inForce != nil && linter.bundle.version <= inForce.version {
 		linter.fail("[bundle] version: %d is not above %d, the version in force", linter.bundle.version, inForce.version)
 	}
+}
+
+// checkRemoval finds failure domains that the bundle in force still gives new keys to.
+func (linter *linter) checkRemoval(inForce *Bundle) {
+	if inForce == nil {
+		return
+	}
 	for _, name := range inForce.failureDomains {
 		if _, ok := linter.bundle.domains[name]; !ok && !inForce.domains[name].leaving {
 			linter.fail("failure domain %s is removed but may still hold keys: first publish a bundle with leaving = true in [failure-domain %s]", name, name)
--- a/bundler/parse.go
+++ b/bundler/parse.go
@@ -176,7 +176,8 @@
 	switch reader.section.class {
 	case "bundle":
 		bundle.version = reader.number("version", required, 1, maxVersion)
-		return reader.close("version")
+		bundle.part, _ = reader.lookup("part")
+		return reader.close("version", "part")
 	case "policy":
 		bundle.policy.responseTimeWeight = int(reader.number("response-time-weight", defaultWeight, 0, maxWeight))
 		bundle.policy.wastedMessageWeight = int(reader.number("wasted-message-weight", defaultWeight, 0, maxWeight))
@@ -193,8 +194,9 @@
 	switch reader.section.class {
 	case "failure-domain":
 		bundle.failureDomains = append(bundle.failureDomains, name)
-		put(reader, bundle.domains, name, FailureDomain{name: name, leaving: reader.boolean("leaving", "false")})
-		return reader.close("leaving")
+		domain := FailureDomain{name: name, leaving: reader.boolean("leaving", "false"), split: reader.boolean("split", "false")}
+		put(reader, bundle.domains, name, domain)
+		return reader.close("leaving", "split")
 	case "service":
 		protocol := reader.choice("protocol", string(ProtocolRunner), string(ProtocolRunner), string(ProtocolWorker))
 		put(reader, bundle.services, name, Service{name: name, protocol: Protocol(protocol)})
@@ -248,13 +250,27 @@
 	}
 }
 
+func (parser *parser) checkPart() error {
+	bundle := parser.bundle
+	if bundle.part == "" {
+		if len(bundle.failureDomains) == 0 {
+			return eris.New("the bundle has no [failure-domain NAME] section")
+		}
+		return nil
+	}
+	if len(bundle.domains)+len(bundle.services)+len(bundle.kinds)+len(bundle.teams)+len(bundle.objectives) > 0 || parser.seen["policy"] {
+		return eris.Errorf("the part of failure domain %s may hold only [bundle], [retention] and [target NAME] sections", bundle.part)
+	}
+	return nil
+}
+
 func (parser *parser) close() (*Bundle, error) {
 	bundle := parser.bundle
 	if bundle.version == 0 {
 		return nil, eris.New("[bundle] version: is missing")
 	}
-	if len(bundle.failureDomains) == 0 {
-		return nil, eris.New("the bundle has no [failure-domain NAME] section")
+	if err := parser.checkPart(); err != nil {
+		return nil, err
 	}
 	slices.Sort(bundle.failureDomains)
 	slices.SortFunc(bundle.targets, func(a, b Target) int { return strings.Compare(a.name, b.name) })
--- a/bundler/parse_test.go
+++ b/bundler/parse_test.go
@@ -119,7 +119,7 @@
 	is.Equal(Diff(before, mustParse(t, after)), []string{
 		"version: from 1 to 2",
 		"policy: response-time-weight from 50 to 60",
-		"failure domain srt added (leaving false)",
+		"failure domain srt added (leaving false, split false)",
 		"service old removed",
 		"kind loop-check: repeatable from true to false",
 		"objective loop-check: target-percent from 99.5 to 99.9",
--- a/bundler/publication.go
+++ b/bundler/publication.go
@@ -45,7 +45,7 @@
 	if !bundler.connected() {
 		return nil, eris.New("the log was trimmed and holds no renewal of the bundle in force yet: wait for the instances to renew it")
 	}
-	bundle, err := record.Open(bundler.keys)
+	bundle, err := bundler.open(record)
 	if err != nil {
 		return nil, err
 	}
--- a/bundler/record.go
+++ b/bundler/record.go
@@ -7,9 +7,17 @@
 	"github.com/rotisserie/eris"
 )
 
-// Stream is the stream of the log that bundles are published on.
+// Stream is the stream of the log that common bundles are published on.
 const Stream = "bundles"
 
+// PartStream returns the stream of the part of a split failure domain; an empty name means the common part.
+func PartStream(failureDomain string) string {
+	if failureDomain == "" {
+		return Stream
+	}
+	return Stream + "-" + failureDomain
+}
+
 // MaxRecordBytes bounds an encoded record; the log client reads at most 16 MiB per response, in which the
 // record is base64.
 const MaxRecordBytes = 8 << 20
--- a/commander/bundle.go
+++ b/commander/bundle.go
@@ -35,6 +35,7 @@
 	keys    string
 	name    string
 	key     string
+	part    string
 	timeout time.Duration
 }
 
@@ -54,8 +55,8 @@
 		{"sign", "FILE", "sign FILE as its author", []string{"name", "key"}, 1, (*bundleFlags).sign},
 		{"approve", "FILE", "sign FILE as its approver", []string{"name", "key", "bundle-keys"}, 1, (*bundleFlags).approve},
 		{"publish", "FILE", "put FILE in force", []string{"log", "bundle-keys", "timeout"}, 1, (*bundleFlags).publish},
-		{"status", "", "print the bundle in force", []string{"log", "bundle-keys"}, 0, (*bundleFlags).status},
-		{"history", "", "print every bundle record that the log holds", []string{"log", "bundle-keys"}, 0, (*bundleFlags).history},
+		{"status", "", "print the bundle in force", []string{"log", "bundle-keys", "part"}, 0, (*bundleFlags).status},
+		{"history", "", "print every bundle record that the log holds", []string{"log", "bundle-keys", "part"}, 0, (*bundleFlags).history},
 	}
 	command := &ffcli.Command{
 		Name:       "bundle",
@@ -102,6 +103,8 @@
 		flags.set.StringVar(&flags.name, name, "", "name of the operator in bundle-keys")
 	case "key":
 		flags.set.StringVar(&flags.key, name, "", "file with the operator's private key")
+	case "part":
+		flags.set.StringVar(&flags.part, name, "", "split failure domain whose part is meant; the common part if not given")
 	case "timeout":
 		flags.set.DurationVar(&flags.timeout, name, publishTimeout, "time within which the outcome is due")
 	}
@@ -116,18 +119,12 @@
 	if err != nil {
 		return err
 	}
-	var inForce *bundler.Bundle
-	if flags.log != "" {
-		bundles, _, err := flags.readLog(ctx)
-		if err != nil {
-			return err
-		}
-		if snapshot := bundles.Snapshot(); snapshot != nil {
-			inForce = snapshot.Bundle()
-		}
+	findings, err := flags.findings(ctx, bundle)
+	if err != nil {
+		return err
 	}
 	broken := false
-	for _, finding := range bundler.Lint(bundle, inForce) {
+	for _, finding := range findings {
 		fmt.Fprintln(flags.stdout, finding)
 		broken = broken || finding.Severity() == bundler.SeverityError
 	}
@@ -272,8 +269,46 @@
 	return record, err
 }
 
+// findings returns what lint finds, under the bundles in force if a log is given.
+func (flags *bundleFlags) findings(ctx context.Context, bundle *bundler.Bundle) ([]bundler.Finding, error) {
+	if flags.log == "" {
+		return bundler.Lint(bundle, nil), nil
+	}
+	inForce, err := flags.bundleInForce(ctx, bundle.Part())
+	if err != nil {
+		return nil, err
+	}
+	if bundle.Part() != "" {
+		findings := bundler.Lint(bundle, inForce)
+		common, err := flags.bundleInForce(ctx, "")
+		if common != nil {
+			findings = append(findings, bundler.LintPart(bundle, common)...)
+		}
+		return findings, err
+	}
+	parts := make(map[string]*bundler.Bundle)
+	for _, name := range bundle.FailureDomains() {
+		if domain, _ := bundle.FailureDomain(name); !domain.Split() {
+			continue
+		}
+		if parts[name], err = flags.bundleInForce(ctx, name); err != nil {
+			return nil, err
+		}
+	}
+	return bundler.LintParts(bundle, inForce, parts), nil
+}
+
+// bundleInForce returns the part that the log proves to be in force, or nil.
+func (flags *bundleFlags) bundleInForce(ctx context.Context, part string) (*bundler.Bundle, error) {
+	bundles, _, err := flags.readLog(ctx, part)
+	if err != nil || bundles.Snapshot() == nil {
+		return nil, err
+	}
+	return bundles.Snapshot().Bundle(), nil
+}
+
 // readLog returns a bundler that has read to the end of the log, and what became of each record.
-func (flags *bundleFlags) readLog(ctx context.Context) (*bundler.Bundler, []bundler.Event, error) {
+func (flags *bundleFlags) readLog(ctx context.Context, part string) (*bundler.Bundler, []bundler.Event, error) {
 	if flags.log == "" {
 		return nil, nil, eris.New("--log is missing")
 	}
@@ -281,13 +316,13 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	bundles := bundler.New(keys)
+	bundles := bundler.NewPart(keys, part)
 	events, err := readToEnd(ctx, appender.New(flags.log), bundles)
 	return bundles, events, err
 }
 
 func (flags *bundleFlags) status(ctx context.Context, _ []string) error {
-	bundles, _, err := flags.readLog(ctx)
+	bundles, _, err := flags.readLog(ctx, flags.part)
 	if err != nil {
 		return err
 	}
@@ -301,7 +336,7 @@
 }
 
 func (flags *bundleFlags) history(ctx context.Context, _ []string) error {
-	_, events, err := flags.readLog(ctx)
+	_, events, err := flags.readLog(ctx, flags.part)
 	for _, event := range events {
 		fmt.Fprintln(flags.stdout, event)
 	}
--- a/commander/bundle_test.go
+++ b/commander/bundle_test.go
@@ -58,8 +58,12 @@
 
 // prepare writes and signs a bundle and returns its file.
 func (office *office) prepare(name string, version int) string {
+	text := fmt.Sprintf(quickstartBundle, "127.0.0.1:1", "127.0.0.1:2")
+	return office.sign(name, strings.Replace(text, "version = 1", fmt.Sprintf("version = %d\n# %s", version, name), 1))
+}
+
+func (office *office) sign(name, text string) string {
 	office.t.Helper()
-	text := strings.Replace(fmt.Sprintf(quickstartBundle, "127.0.0.1:1", "127.0.0.1:2"), "version = 1", fmt.Sprintf("version = %d\n# %s", version, name), 1)
 	if err := os.WriteFile(office.path(name), []byte(text), 0o600); err != nil {
 		office.t.Fatalf("writing the bundle: %v", err)
 	}
@@ -153,3 +157,28 @@
 	is.True(err != nil) // an existing key is kept
 	is.Equal(office.appended(), 0)
 }
+
+// Guards against a common bundle that takes the targets away before the parts with them are in force.
+func TestPublishSplit(t *testing.T) {
+	is := is.New(t)
+	office := newOffice(t)
+	_, err := office.onLog("publish", office.prepare("first", 1))
+	is.NoErr(err)
+	text := fmt.Sprintf(quickstartBundle, "127.0.0.1:1", "127.0.0.1:2")
+	targets := text[strings.Index(text, "[target"):strings.Index(text, "[kind")]
+	common := strings.NewReplacer("version = 1", "version = 2", "domain local]", "domain local]\nsplit = true", targets, "").Replace(text)
+	part := "[bundle]\nversion = 1\npart = local\n" + targets
+	_, err = office.onLog("publish", office.sign("common", common))
+	is.True(err != nil && strings.Contains(err.Error(), "publish its part first"))
+	lint, err := office.onLog("lint", office.sign("part", part))
+	is.NoErr(err)
+	is.True(strings.Contains(lint, "this part is not used yet"))
+	_, err = office.onLog("publish", office.path("part"))
+	is.NoErr(err)
+	output, err := office.onLog("publish", office.path("common"))
+	is.NoErr(err)
+	is.Equal(output, "version 2 is in force, at offset 1\n")
+	status, err := office.onLog("status", "--part", "local")
+	is.NoErr(err)
+	is.Equal(status, "version 1 by linh, approved by asha, at offset 0\n")
+}
--- a/commander/publish.go
+++ b/commander/publish.go
@@ -28,13 +28,20 @@
 	if err != nil {
 		return err
 	}
-	bundles, _, err := flags.readLog(ctx)
+	bundle, err := bundler.Parse([]byte(record.Text))
+	if err != nil {
+		return err
+	}
+	bundles, _, err := flags.readLog(ctx, bundle.Part())
 	if err != nil {
 		return err
 	}
 	if snapshot := bundles.Snapshot(); snapshot != nil && snapshot.Text() == record.Text {
 		return flags.printWon(record, snapshot.Offset())
 	}
+	if err := flags.refuseBroken(ctx, bundle); err != nil {
+		return err
+	}
 	publication, err := bundles.Publish(record)
 	if err != nil {
 		return err
@@ -52,6 +59,20 @@
 	return nil
 }
 
+// refuseBroken returns an error if lint finds one, also between the common part and the others.
+func (flags *bundleFlags) refuseBroken(ctx context.Context, bundle *bundler.Bundle) error {
+	findings, err := flags.findings(ctx, bundle)
+	if err != nil {
+		return err
+	}
+	for _, finding := range findings {
+		if finding.Severity() == bundler.SeverityError {
+			return eris.Errorf("the bundle would break: %s", finding)
+		}
+	}
+	return nil
+}
+
 func (flags *bundleFlags) printWon(record bundler.Record, offset int64) error {
 	_, err := fmt.Fprintf(flags.stdout, "version %d is in force, at offset %d\n", record.Version, offset)
 	return eris.Wrap(err, "writing the outcome")
@@ -60,9 +81,9 @@
 // appendAndWait appends the publication and reads on until it or another record replaced the bundle in force.
 func appendAndWait(ctx context.Context, log *appender.Appender, bundles *bundler.Bundler, publication *bundler.Publication) (bundler.Outcome, error) {
 	for ctx.Err() == nil {
-		_, appendErr := log.Append(ctx, bundler.Stream, publication.Data())
+		_, appendErr := log.Append(ctx, bundles.Stream(), publication.Data())
 		for reads := 0; ctx.Err() == nil && (appendErr == nil || reads < lateReads); {
-			page, err := log.Read(ctx, bundler.Stream, bundles.Next(), publishWait)
+			page, err := log.Read(ctx, bundles.Stream(), bundles.Next(), publishWait)
 			if err != nil {
 				pause(ctx, publishRetryDelay)
 				continue
@@ -79,7 +100,7 @@
 func readToEnd(ctx context.Context, log *appender.Appender, bundles *bundler.Bundler) ([]bundler.Event, error) {
 	var events []bundler.Event
 	for {
-		page, err := log.Read(ctx, bundler.Stream, bundles.Next(), 0)
+		page, err := log.Read(ctx, bundles.Stream(), bundles.Next(), 0)
 		if err != nil {
 			return events, err
 		}
--- a/server/bundles.go
+++ b/server/bundles.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,38 +18,48 @@
 	logRetryDelay = 500 * time.Millisecond
 )
 
-// followBundles reads the bundle stream and renews the bundle in force when it is due, until ctx is done.
+// followBundles reads the streams of the common part and of the instance's failure domain until ctx is done.
 func (server *Server) followBundles(ctx context.Context) {
 	keys, err := bundler.ParseKeys(server.settings.Text("bundle-keys"))
 	if err != nil {
 		panic(eris.Wrap(err, "the setting bundle-keys was checked when it was read"))
 	}
-	bundles := bundler.New(keys)
+	composer := bundler.NewComposer(keys, server.settings.Text("failure-domain"))
+	var group sync.WaitGroup
+	for _, bundles := range composer.Bundlers() {
+		group.Go(func() { server.followStream(ctx, composer, bundles) })
+	}
+	group.Wait()
+}
+
+// followStream reads one stream and renews its bundle when that is due.
+func (server *Server) followStream(ctx context.Context, composer *bundler.Composer, bundles *bundler.Bundler) {
 	for ctx.Err() == nil {
-		page, err := server.log.Read(ctx, bundler.Stream, bundles.Next(), logWait)
+		page, err := server.log.Read(ctx, bundles.Stream(), bundles.Next(), logWait)
 		if err != nil {
-			server.logger.Warn("reading bundles failed", "error", eris.ToString(err, false))
+			server.logger.Warn("reading bundles failed", "stream", bundles.Stream(), "error", eris.ToString(err, false))
 			sleep(ctx, logRetryDelay)
 			continue
 		}
-		server.fold(bundles, page)
+		server.fold(composer, bundles, page)
 		server.renew(ctx, bundles)
 	}
 }
 
-func (server *Server) fold(bundles *bundler.Bundler, page appender.Page) {
+func (server *Server) fold(composer *bundler.Composer, bundles *bundler.Bundler, page appender.Page) {
 	entries := make([]bundler.Entry, len(page.Records))
 	for i, record := range page.Records {
 		entries[i] = bundler.Entry{Offset: record.Offset, Data: record.Data}
 	}
 	events := bundles.Fold(bundler.Page{Earliest: page.Earliest, Next: page.Next, Entries: entries}, time.Now())
 	for _, event := range events {
-		server.logger.Info("bundle record read", "offset", event.Offset, "bundle-version", event.Record.Version,
-			"verdict", string(event.Verdict), "reason", event.Reason)
-	}
-	if snapshot := bundles.Snapshot(); snapshot != nil && server.bundle.Swap(snapshot.Bundle()) != snapshot.Bundle() {
-		server.logger.Info("bundle in force", "bundle-version", snapshot.Bundle().Version(), "offset", snapshot.Offset())
+		server.logger.Info("bundle record read", "stream", bundles.Stream(), "offset", event.Offset,
+			"bundle-version", event.Record.Version, "verdict", string(event.Verdict), "reason", event.Reason)
 	}
+	composer.Compose(func(bundle *bundler.Bundle) {
+		server.bundle.Store(bundle)
+		server.logger.Info("bundle in force", "bundle-version", bundle.Version(), "part-version", bundle.PartVersion())
+	})
 }
 
 func (server *Server) renew(ctx context.Context, bundles *bundler.Bundler) {
@@ -57,7 +68,7 @@
 	}
 	data, err := bundles.Renewal()
 	if err == nil {
-		_, err = server.log.Append(ctx, bundler.Stream, data)
+		_, err = server.log.Append(ctx, bundles.Stream(), data)
 	}
 	if err != nil {
 		server.logger.Warn("renewing the bundle failed", "error", eris.ToString(err, false))
