Give up calls to the log on silent connections

The log client has no timeout, so one connection that went silent would have kept an instance on its old bundle, and publish without an answer, for as long as the process lived.

A read of bundles now ends 2 s after the log should have answered, which leaves time for another one within 10 s; publish gives up a call after 3 s and reads on. A test publishes over a connection that goes silent.

--- a/bundler/publication.go
+++ b/bundler/publication.go
@@ -8,9 +8,8 @@
 
 // Publication is one attempt to replace the bundle in force.
 type Publication struct {
-	record   Record
-	replaces int64
-	data     []byte
+	record Record
+	data   []byte
 }
 
 // Outcome is what became of a publication: Won or Beaten.
@@ -50,11 +49,11 @@
 		return nil, err
 	}
 	record.Replaces, record.Renewal = nil, nil
-	publication := &Publication{replaces: noOffset}
+	publication := &Publication{}
 	var inForce *Bundle
 	if bundler.current != nil {
 		offset := bundler.current.offset
-		record.Replaces, publication.replaces, inForce = &offset, offset, bundler.current.bundle
+		record.Replaces, inForce = &offset, bundler.current.bundle
 	}
 	if err := lintError(bundle, inForce); err != nil {
 		return nil, err
@@ -67,11 +66,11 @@
 // Data returns the record to append.
 func (publication *Publication) Data() []byte { return publication.data }
 
-// Observe returns the outcome if events decide it. It recognizes the publication by text and signers, so the answer to
+// Observe returns the outcome if events, all that followed the call of Publish, decide it. It recognizes the publication by text and signers, so the answer to
 // the append is not needed.
 func (publication *Publication) Observe(events []Event) (Outcome, bool) {
 	for _, event := range events {
-		if event.Verdict != VerdictInForce || event.Offset <= publication.replaces {
+		if event.Verdict != VerdictInForce {
 			continue
 		}
 		own := publication.record
--- a/commander/bundle_test.go
+++ b/commander/bundle_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -24,14 +25,14 @@
 	keys   string
 	log    *emulator.Log
 	// before runs ahead of each append and reports whether the append gets through.
-	before func() bool
+	before func(request *http.Request) bool
 	server *httptest.Server
 }
 
 func newOffice(t *testing.T) *office {
-	office := &office{t: t, folder: t.TempDir(), log: emulator.NewLog(), before: func() bool { return true }}
+	office := &office{t: t, folder: t.TempDir(), log: emulator.NewLog(), before: func(*http.Request) bool { return true }}
 	office.server = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if request.Method == http.MethodPost && !office.before() {
+		if request.Method == http.MethodPost && !office.before(request) {
 			panic(http.ErrAbortHandler)
 		}
 		office.log.ServeHTTP(writer, request)
@@ -99,7 +100,17 @@
 		{"answer lost", func(office *office) { office.log.SetFault(emulator.LogLosesAnswers) }, "version 2 is in force, at offset 1", false, 2},
 		{"append lost", func(office *office) {
 			calls := 0
-			office.before = func() bool { calls++; return calls > 1 }
+			office.before = func(*http.Request) bool { calls++; return calls > 1 }
+		}, "version 2 is in force, at offset 1", false, 2},
+		{"connection silent", func(office *office) {
+			calls := 0
+			office.before = func(request *http.Request) bool {
+				if calls++; calls == 1 {
+					_, _ = io.Copy(io.Discard, request.Body)
+					<-request.Context().Done()
+				}
+				return calls > 1
+			}
 		}, "version 2 is in force, at offset 1", false, 2},
 		{"beaten", func(office *office) {
 			rival, err := readRecord(office.prepare("rival", 2))
@@ -112,12 +123,13 @@
 			if err != nil {
 				office.t.Fatalf("encoding the rival: %v", err)
 			}
-			office.before = func() bool { office.log.Append(bundler.Stream, data); return true }
+			office.before = func(*http.Request) bool { office.log.Append(bundler.Stream, data); return true }
 		}, "not published: version 2 by linh at offset 1 came first", true, 3},
 		{"log down before", func(office *office) { office.log.SetFault(emulator.LogDown) }, "the log answered 503", true, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			office := newOffice(t)
 			_, err := office.onLog("publish", office.prepare("first", 1))
--- a/commander/publish.go
+++ b/commander/publish.go
@@ -14,6 +14,8 @@
 const (
 	// publishWait is how long one read waits for the next record.
 	publishWait = time.Second
+	// callTimeout ends a call on a connection that went silent.
+	callTimeout = 3 * time.Second
 	// publishRetryDelay spaces attempts while the log is down.
 	publishRetryDelay = 200 * time.Millisecond
 	// lateReads is the number of reads, each of publishWait, after which an append without an answer counts as not
@@ -81,14 +83,14 @@
 // appendAndWait appends the publication and reads on until it or another record replaced the bundle in force.
 func appendAndWait(ctx context.Context, log *appender.Appender, bundles *bundler.Bundler, publication *bundler.Publication) (bundler.Outcome, error) {
 	for ctx.Err() == nil {
-		_, appendErr := log.Append(ctx, bundles.Stream(), publication.Data())
+		appendErr := appendOnce(ctx, log, bundles, publication)
 		for reads := 0; ctx.Err() == nil && (appendErr == nil || reads < lateReads); {
-			page, err := log.Read(ctx, bundles.Stream(), bundles.Next(), publishWait)
+			events, _, err := readOnce(ctx, log, bundles, publishWait)
 			if err != nil {
 				pause(ctx, publishRetryDelay)
 				continue
 			}
-			if outcome, ok := publication.Observe(fold(bundles, page)); ok {
+			if outcome, ok := publication.Observe(events); ok {
 				return outcome, nil
 			}
 			reads++
@@ -97,26 +99,38 @@
 	return nil, eris.New("the log did not show the outcome in time: the bundle may still come into force; run hyssoplift bundle status, then publish again")
 }
 
-func readToEnd(ctx context.Context, log *appender.Appender, bundles *bundler.Bundler) ([]bundler.Event, error) {
-	var events []bundler.Event
-	for {
-		page, err := log.Read(ctx, bundles.Stream(), bundles.Next(), 0)
-		if err != nil {
-			return events, err
-		}
-		events = append(events, fold(bundles, page)...)
-		if bundles.Next() >= page.Next {
-			return events, nil
-		}
-	}
+func appendOnce(ctx context.Context, log *appender.Appender, bundles *bundler.Bundler, publication *bundler.Publication) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := log.Append(ctx, bundles.Stream(), publication.Data())
+	return err
 }
 
-func fold(bundles *bundler.Bundler, page appender.Page) []bundler.Event {
+// readOnce folds one page and reports whether it was the last one.
+func readOnce(ctx context.Context, log *appender.Appender, bundles *bundler.Bundler, wait time.Duration) ([]bundler.Event, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	page, err := log.Read(ctx, bundles.Stream(), bundles.Next(), wait)
+	if err != nil {
+		return nil, false, err
+	}
 	entries := make([]bundler.Entry, len(page.Records))
 	for i, record := range page.Records {
 		entries[i] = bundler.Entry{Offset: record.Offset, Data: record.Data}
 	}
-	return bundles.Fold(bundler.Page{Earliest: page.Earliest, Next: page.Next, Entries: entries}, time.Now())
+	events := bundles.Fold(bundler.Page{Earliest: page.Earliest, Next: page.Next, Entries: entries}, time.Now())
+	return events, bundles.Next() >= page.Next, nil
+}
+
+func readToEnd(ctx context.Context, log *appender.Appender, bundles *bundler.Bundler) ([]bundler.Event, error) {
+	var all []bundler.Event
+	for {
+		events, end, err := readOnce(ctx, log, bundles, 0)
+		all = append(all, events...)
+		if err != nil || end {
+			return all, err
+		}
+	}
 }
 
 func pause(ctx context.Context, duration time.Duration) {
--- a/server/bundles.go
+++ b/server/bundles.go
@@ -14,6 +14,9 @@
 const (
 	// logWait is how long one read waits at the log for the next record.
 	logWait = 5 * time.Second
+	// logTimeout ends a read on a connection that went silent, early enough for another read within the 10 s in which
+	// a bundle must be in force.
+	logTimeout = logWait + 2*time.Second
 	// logRetryDelay spaces reads while the log is down.
 	logRetryDelay = 500 * time.Millisecond
 )
@@ -35,7 +38,7 @@
 // followStream reads one stream and renews its bundle when that is due.
 func (server *Server) followStream(ctx context.Context, composer *bundler.Composer, bundles *bundler.Bundler) {
 	for ctx.Err() == nil {
-		page, err := server.log.Read(ctx, bundles.Stream(), bundles.Next(), logWait)
+		page, err := server.readBundles(ctx, bundles)
 		if err != nil {
 			server.logger.Warn("reading bundles failed", "stream", bundles.Stream(), "error", eris.ToString(err, false))
 			sleep(ctx, logRetryDelay)
@@ -46,6 +49,12 @@
 	}
 }
 
+func (server *Server) readBundles(ctx context.Context, bundles *bundler.Bundler) (appender.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	return server.log.Read(ctx, bundles.Stream(), bundles.Next(), logWait)
+}
+
 func (server *Server) fold(composer *bundler.Composer, bundles *bundler.Bundler, page appender.Page) {
 	entries := make([]bundler.Entry, len(page.Records))
 	for i, record := range page.Records {
@@ -68,7 +77,9 @@
 	}
 	data, err := bundles.Renewal()
 	if err == nil {
-		_, err = server.log.Append(ctx, bundles.Stream(), data)
+		appendCtx, cancel := context.WithTimeout(ctx, logTimeout)
+		defer cancel()
+		_, err = server.log.Append(appendCtx, bundles.Stream(), data)
 	}
 	if err != nil {
 		server.logger.Warn("renewing the bundle failed", "error", eris.ToString(err, false))
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -91,6 +91,13 @@
 		}
 		world.run(time.Minute)
 	}, "a-0 b-0 c-0 d-0 e-0 f-0 g-0 h-0", 1, 0, false, 0},
+	{"candidate that only one member hears", "abcd", 0, func(world *world) {
+		for _, member := range []string{"b", "c", "d"} {
+			world.link("e", member, false)
+		}
+		world.start("e")
+		world.run(time.Minute)
+	}, "a-0 b-0 c-0 d-0", 0, 0, false, 0},
 	{"majority silent, until the list drops them after 40 s", "abcde", 40 * time.Second, func(world *world) {
 		for _, name := range []string{"c", "d", "e"} {
 			world.get(name).alive = false
