--- a/commander/commander.go
+++ b/commander/commander.go
@@ -25,6 +25,7 @@
 		Subcommands: []*ffcli.Command{
 			newServe(),
 			newSubmit(stdin, stdout, stderr),
+			newBundle(stdout, stderr),
 			newQuickstart(stdout),
 			{
 				Name:      "version",
--- a/server/bundles.go
+++ b/server/bundles.go
@@ -2,46 +2,89 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/hyssoplift/hyssoplift/appender"
 	"github.com/hyssoplift/hyssoplift/bundler"
 )
 
 const (
-	bundleStream = "bundles"
 	// logWait is how long one read waits at the log for the next record.
 	logWait = 5 * time.Second
+	// logTimeout ends a read on a connection that went silent, early enough for another read within the 10 s in which
+	// a bundle must be in force.
+	logTimeout = logWait + 2*time.Second
 	// logRetryDelay spaces reads while the log is down.
 	logRetryDelay = 500 * time.Millisecond
 )
 
-// followBundles reads the bundle stream until ctx is done.
+// followBundles reads the streams of the common part and of the instance's failure domain until ctx is done.
 func (server *Server) followBundles(ctx context.Context) {
-	var next int64
+	keys, err := bundler.ParseKeys(server.settings.Text("bundle-keys"))
+	if err != nil {
+		panic(eris.Wrap(err, "the setting bundle-keys was checked when it was read"))
+	}
+	composer := bundler.NewComposer(keys, server.settings.Text("failure-domain"))
+	var group sync.WaitGroup
+	for _, bundles := range composer.Bundlers() {
+		group.Go(func() { server.followStream(ctx, composer, bundles) })
+	}
+	group.Wait()
+}
+
+// followStream reads one stream and renews its bundle when that is due.
+func (server *Server) followStream(ctx context.Context, composer *bundler.Composer, bundles *bundler.Bundler) {
 	for ctx.Err() == nil {
-		page, err := server.log.Read(ctx, bundleStream, next, logWait)
+		page, err := server.readBundles(ctx, bundles)
 		if err != nil {
-			server.logger.Warn("reading bundles failed", "error", eris.ToString(err, false))
+			server.logger.Warn("reading bundles failed", "stream", bundles.Stream(), "error", eris.ToString(err, false))
 			sleep(ctx, logRetryDelay)
 			continue
 		}
-		for _, record := range page.Records {
-			next = record.Offset + 1
-			server.accept(record.Offset, record.Data)
-		}
+		server.fold(composer, bundles, page)
+		server.renew(ctx, bundles)
 	}
 }
 
-func (server *Server) accept(offset int64, data []byte) {
-	bundle, err := bundler.Parse(data)
-	if err != nil {
-		server.logger.Error("bundle record ignored", "offset", offset, "error", eris.ToString(err, false))
+func (server *Server) readBundles(ctx context.Context, bundles *bundler.Bundler) (appender.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	return server.log.Read(ctx, bundles.Stream(), bundles.Next(), logWait)
+}
+
+func (server *Server) fold(composer *bundler.Composer, bundles *bundler.Bundler, page appender.Page) {
+	entries := make([]bundler.Entry, len(page.Records))
+	for i, record := range page.Records {
+		entries[i] = bundler.Entry{Offset: record.Offset, Data: record.Data}
+	}
+	events := bundles.Fold(bundler.Page{Earliest: page.Earliest, Next: page.Next, Entries: entries}, time.Now())
+	for _, event := range events {
+		server.logger.Info("bundle record read", "stream", bundles.Stream(), "offset", event.Offset,
+			"bundle-version", event.Record.Version, "verdict", string(event.Verdict), "reason", event.Reason)
+	}
+	composer.Compose(func(bundle *bundler.Bundle) {
+		server.bundle.Store(bundle)
+		server.logger.Info("bundle in force", "bundle-version", bundle.Version(), "part-version", bundle.PartVersion())
+	})
+}
+
+func (server *Server) renew(ctx context.Context, bundles *bundler.Bundler) {
+	if !bundles.RenewalDue(time.Now(), server.settings.Text("failure-domain"), server.settings.Text("instance")) {
 		return
 	}
-	server.bundle.Store(bundle)
-	server.logger.Info("bundle in force", "bundle-version", bundle.Version(), "offset", offset)
+	data, err := bundles.Renewal()
+	if err == nil {
+		appendCtx, cancel := context.WithTimeout(ctx, logTimeout)
+		defer cancel()
+		_, err = server.log.Append(appendCtx, bundles.Stream(), data)
+	}
+	if err != nil {
+		server.logger.Warn("renewing the bundle failed", "error", eris.ToString(err, false))
+		sleep(ctx, logRetryDelay)
+	}
 }
 
 func sleep(ctx context.Context, duration time.Duration) {
