Add the router and the limiter

Targets were drawn at random and nothing limited a kind or a team.

The limiter queues jobs and grants single tasks.

--- /dev/null
+++ b/limiter/api.go
@@ -0,0 +1,130 @@
+package limiter
+
+import (
+	"time"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+)
+
+// Kind holds the limits of one kind of task.
+type Kind struct {
+	// MaxTasks is the largest number of tasks in one job; 0 means dispatcher.MaxTasks.
+	MaxTasks int
+	// MaxInFlight is how many tasks may run at once; 0 means without limit.
+	MaxInFlight int
+	// RunTime is the declared run time of one task; the limiter corrects it by what it sees.
+	RunTime time.Duration
+}
+
+// Config holds the parameters of a limiter.
+type Config struct {
+	// Kinds holds the limits by kind; a kind without an entry has none.
+	Kinds map[string]Kind
+	// TeamQuotas holds the tasks that may run at once by team; a team without an entry has no quota.
+	TeamQuotas map[string]int
+	// MaxQueued is the largest number of jobs with tasks that wait; 0 means 4096.
+	MaxQueued int
+	// Order is the order of the queue; nil means ByDeadline.
+	Order Order
+}
+
+// Order is the order in which waiting jobs start: ByDeadline, ByArrival or ByRemaining.
+type Order interface{ isOrder() }
+
+// ByDeadline starts jobs by deadline, and those whose deadlines lie in the same step by remaining tasks.
+type ByDeadline struct{ step time.Duration }
+
+// ByArrival starts jobs in the order in which they were admitted.
+type ByArrival struct{}
+
+// ByRemaining starts the job with the fewest remaining tasks first.
+type ByRemaining struct{}
+
+func (ByDeadline) isOrder()  {}
+func (ByArrival) isOrder()   {}
+func (ByRemaining) isOrder() {}
+
+// NewByDeadline returns an order whose deadlines are rounded down to step; 0 compares them exactly.
+func NewByDeadline(step time.Duration) ByDeadline { return ByDeadline{step: step} }
+
+// Job is what the limiter needs to know of a job.
+type Job struct {
+	kind     string
+	team     string
+	tasks    int
+	deadline time.Time
+}
+
+// NewJob returns a job with the given number of tasks.
+func NewJob(kind, team string, tasks int, deadline time.Time) Job {
+	return Job{kind: kind, team: team, tasks: tasks, deadline: deadline}
+}
+
+// Ticket identifies an admitted job within its limiter.
+type Ticket uint64
+
+// Verdict is the answer to Admit: Run, Queued or Refused.
+type Verdict interface{ isVerdict() }
+
+// Run means that the job was admitted and no limit holds its first task back; Next grants its tasks.
+type Run struct{ ticket Ticket }
+
+// Queued means that the job was admitted and waits; Next grants its tasks in due course.
+type Queued struct {
+	ticket  Ticket
+	startAt time.Time
+}
+
+// Refused means that the job was not admitted and none of its tasks will be granted.
+type Refused struct {
+	reason  dispatcher.Reason
+	detail  string
+	retryAt time.Time
+}
+
+func (Run) isVerdict()     {}
+func (Queued) isVerdict()  {}
+func (Refused) isVerdict() {}
+
+// Ticket returns the ticket of the admitted job.
+func (run Run) Ticket() Ticket { return run.ticket }
+
+// Ticket returns the ticket of the admitted job.
+func (queued Queued) Ticket() Ticket { return queued.ticket }
+
+// StartAt returns the time at which the first task is expected to start.
+func (queued Queued) StartAt() time.Time { return queued.startAt }
+
+// Reason returns the class of the refusal.
+func (refused Refused) Reason() dispatcher.Reason { return refused.reason }
+
+// Detail returns a sentence that explains the refusal.
+func (refused Refused) Detail() string { return refused.detail }
+
+// RetryAt returns the earliest time at which a retry may succeed, or the zero time if a retry does not help.
+func (refused Refused) RetryAt() time.Time { return refused.retryAt }
+
+// Grant permits the start of one task; it must be given back to Release exactly once.
+type Grant struct {
+	entry *entry
+	at    time.Time
+	first bool
+}
+
+// Ticket returns the ticket of the job whose next task may start.
+func (grant Grant) Ticket() Ticket { return grant.entry.ticket }
+
+// First reports whether it is the first grant of the job, before which its start record is due.
+func (grant Grant) First() bool { return grant.first }
+
+// Expired is a job whose deadline passed before all of its tasks were granted.
+type Expired struct {
+	ticket  Ticket
+	granted int
+}
+
+// Ticket returns the ticket of the job.
+func (expired Expired) Ticket() Ticket { return expired.ticket }
+
+// Granted returns how many tasks were granted before; with 0 the job may be answered as not run.
+func (expired Expired) Granted() int { return expired.granted }
--- /dev/null
+++ b/router/target.go
@@ -0,0 +1,124 @@
+package router
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// never is a time that does not come.
+	never = math.MaxInt64
+	// leaveHold outlasts the lag of the instance list, which may show a leaving target as live.
+	leaveHold = 30 * time.Second
+	// defaultRunTime stands for the run time of a kind of which no task has finished.
+	defaultRunTime = 200 * time.Millisecond
+)
+
+// state is a target's standing with the router.
+type state uint8
+
+const (
+	healthy state = iota
+	// slow targets were ejected because their run times stand out.
+	slow
+	// failing targets were ejected because of failures or silence.
+	failing
+)
+
+// cell is what is known of one kind on one target.
+type cell struct {
+	mean  float32 // nanoseconds
+	count float32
+}
+
+// kind is what is known of one kind on all targets.
+type kind struct {
+	mean  float64 // nanoseconds
+	count float64
+}
+
+// target is the state that a router keeps of one target.
+type target struct {
+	Target
+	freeAt   int32 // position among the free targets, -1 if it has no room
+	inFlight int32
+	share    int32
+	extra    float32 // slots beyond the share that may be borrowed
+	state    state
+	gone     bool
+	trial    bool // a trial is in flight
+
+	factor   float32 // run time relative to the means of its kinds
+	count    float32 // number of run times seen, up to a bound
+	mean     float64 // run time of any kind, nanoseconds
+	queue    float64 // assumed wait for a slot behind the tasks of all instances, nanoseconds
+	queueAt  int64
+	failures float32 // moving average of failures, 0 to 1
+	streak   int32   // failures since the last success
+
+	since        int64 // last sign of life while tasks are in flight
+	pickedAt     int64
+	pausedUntil  int64
+	leavingUntil int64
+	trialAt      int64
+	trials       int32 // ejections in a row, which spread out the trials
+	cells        []cell
+}
+
+func newTarget() *target { return &target{freeAt: -1, factor: 1, extra: -1} }
+
+// of returns the share of target's slots, at least 0 and at most all of them.
+//
+// The offset by the hash of the name rounds up for another instance at each
+// target, and the shares of all instances add up to the slots.
+func (share Share) of(target Target) int32 {
+	hash := uint32(2166136261)
+	for i := range len(target.name) {
+		hash = (hash ^ uint32(target.name[i])) * 16777619
+	}
+	offset := float64(hash>>8) / (1 << 24)
+	slots := float64(target.slots)
+	return int32(math.Floor(share.high*slots+offset) - math.Floor(share.low*slots+offset))
+}
+
+// limit returns how many tasks this instance may have in flight on target.
+func (router *Router) limit(target *target) int32 {
+	if router.config.KeepShare {
+		return target.share
+	}
+	return target.share + int32(max(0, target.extra))
+}
+
+// place puts target among the free ones if it may get work now, and takes it out otherwise.
+func (router *Router) place(target *target) {
+	if target.extra < 0 || target.extra > float32(target.slots)-float32(target.share) {
+		// All slots may be borrowed until waits show that other instances use them.
+		target.extra = float32(target.slots) - float32(target.share)
+	}
+	room := !target.gone && target.leavingUntil == 0 && target.state == healthy && target.inFlight < router.limit(target)
+	switch {
+	case room && target.freeAt < 0:
+		target.freeAt = int32(len(router.free))
+		router.free = append(router.free, target)
+	case !room && target.freeAt >= 0:
+		last := router.free[len(router.free)-1]
+		router.free[target.freeAt] = last
+		last.freeAt = target.freeAt
+		router.free = router.free[:len(router.free)-1]
+		target.freeAt = -1
+	}
+}
+
+// estimate returns the expected run time of a task on target in nanoseconds.
+func (router *Router) estimate(target *target, kindID int32) float64 {
+	if int(kindID) < len(target.cells) {
+		if cell := target.cells[kindID]; cell.count >= minCount {
+			return float64(cell.mean)
+		}
+	}
+	factor := float64(target.factor)
+	if target.count < minCount {
+		factor *= untriedFactor
+	}
+	return router.kinds[kindID].mean * factor
+}
