--- a/limiter/api.go
+++ b/limiter/api.go
@@ -31,13 +31,14 @@
 // Order is the order in which waiting jobs start: ByDeadline, ByArrival or ByRemaining.
 type Order interface{ isOrder() }
 
-// ByDeadline starts jobs by deadline, and those whose deadlines lie in the same step by remaining tasks.
+// ByDeadline starts jobs by deadline, and those whose deadlines lie in the same step by the expected run
+// time of their remaining tasks.
 type ByDeadline struct{ step time.Duration }
 
 // ByArrival starts jobs in the order in which they were admitted.
 type ByArrival struct{}
 
-// ByRemaining starts the job with the fewest remaining tasks first.
+// ByRemaining starts the job whose remaining tasks have the least expected run time first.
 type ByRemaining struct{}
 
 func (ByDeadline) isOrder()  {}
--- a/limiter/entry.go
+++ b/limiter/entry.go
@@ -16,8 +16,9 @@
 	learnRate = 0.05
 	// defaultRunTime stands for the run time of a kind that declares none.
 	defaultRunTime = 200 * time.Millisecond
-	// deadlineStep lets small jobs pass large ones whose deadline is nearly the same.
-	deadlineStep = time.Second
+	// deadlineStep lets short jobs pass long ones unless their deadlines differ by more; docs/measurements.md
+	// compares steps.
+	deadlineStep = 10 * time.Second
 )
 
 // kind holds the limits and counts of one kind.
@@ -70,9 +71,9 @@
 	switch order := limiter.order.(type) {
 	case ByDeadline:
 		entry.first = entry.deadline.Truncate(order.step).UnixNano()
-		entry.second = int64(entry.remaining)
+		entry.second = int64(entry.remaining) * int64(entry.kind.mean)
 	case ByRemaining:
-		entry.first = int64(entry.remaining)
+		entry.first = int64(entry.remaining) * int64(entry.kind.mean)
 	case ByArrival:
 	}
 }
--- a/measurer/counts.go
+++ b/measurer/counts.go
@@ -9,6 +9,7 @@
 // counts are the sums over the counted jobs of one or more runs.
 type counts struct {
 	slowdowns []float64 // response time divided by the ideal, of complete jobs
+	lost      []float64 // time to the deadline divided by the ideal, of failed jobs
 	failed    int
 	refused   int
 	cancelled int
@@ -44,6 +45,7 @@
 	counts.note(job)
 	if job.counted {
 		counts.failed++
+		counts.lost = append(counts.lost, float64(job.deadline.Sub(job.at))/float64(job.ideal()))
 	}
 }
 
@@ -71,6 +73,7 @@
 // add adds the sums of another run.
 func (counts *counts) add(other counts) {
 	counts.slowdowns = append(counts.slowdowns, other.slowdowns...)
+	counts.lost = append(counts.lost, other.lost...)
 	counts.failed += other.failed
 	counts.refused += other.refused
 	counts.cancelled += other.cancelled
@@ -85,6 +88,8 @@
 type Figures struct {
 	// Mean and P99 are response times of complete jobs divided by their ideal.
 	Mean, P99 float64
+	// P99All counts failed jobs as well, as if they had been answered at their deadline.
+	P99All float64
 	// WastedPerThousand is the number of wasted messages per 1,000 tasks.
 	WastedPerThousand float64
 	// WastedPart is the part of the messages that was wasted.
@@ -115,7 +120,8 @@
 	}
 	if complete > 0 {
 		figures.Mean = sum / float64(complete)
-		figures.P99 = counts.slowdowns[int(math.Ceil(0.99*float64(complete)))-1]
+		figures.P99 = quantile(counts.slowdowns)
+		figures.P99All = quantile(slices.Sorted(slices.Values(slices.Concat(counts.slowdowns, counts.lost))))
 	}
 	for _, job := range counts.answered {
 		for _, starts := range job.starts {
@@ -129,3 +135,8 @@
 	}
 	return figures
 }
+
+// quantile returns the 99th percentile of sorted, which must not be empty.
+func quantile(sorted []float64) float64 {
+	return sorted[int(math.Ceil(0.99*float64(len(sorted))))-1]
+}
--- a/measurer/table.go
+++ b/measurer/table.go
@@ -38,16 +38,16 @@
 func writeTable(writer io.Writer, deployment Deployment, group Group, load string, seeds []uint64) error {
 	var text strings.Builder
 	fmt.Fprintf(&text, "\n#### %s, %s\n\n", deployment.name, group.name)
-	text.WriteString("| load | variant | mean | p99 | wasted per 1,000 tasks | wasted % | refused % | failed % | started twice | untrue refusals |\n")
-	text.WriteString("|---|---|---|---|---|---|---|---|---|---|\n")
+	text.WriteString("| load | variant | mean | p99 | p99 with failed | wasted per 1,000 tasks | wasted % | refused % | failed % | started twice | untrue refusals |\n")
+	text.WriteString("|---|---|---|---|---|---|---|---|---|---|---|\n")
 	for _, candidate := range Loads() {
 		if !matches(load, candidate.name) {
 			continue
 		}
 		for _, variant := range group.variants {
 			figures := Measure(deployment, candidate, variant, seeds)
-			fmt.Fprintf(&text, "| %s | %s | %.2f | %.1f | %.2f | %.2f | %.2f | %.2f | %d | %d |\n",
-				candidate.name, variant.name, figures.Mean, figures.P99, figures.WastedPerThousand, 100*figures.WastedPart,
+			fmt.Fprintf(&text, "| %s | %s | %.2f | %.1f | %.1f | %.2f | %.2f | %.2f | %.2f | %d | %d |\n",
+				candidate.name, variant.name, figures.Mean, figures.P99, figures.P99All, figures.WastedPerThousand, 100*figures.WastedPart,
 				100*figures.RefusedPart, 100*figures.FailedPart, figures.StartedTwice, figures.UntrueRefusals)
 		}
 	}
--- a/measurer/variant.go
+++ b/measurer/variant.go
@@ -61,7 +61,9 @@
 		{name: "orders", variants: []Variant{
 			{name: "arrival", policy: least, order: limiter.ByArrival{}},
 			{name: "deadline", policy: least, order: limiter.NewByDeadline(0)},
-			{name: "deadline by second, remaining", policy: least, order: limiter.NewByDeadline(time.Second)},
+			{name: "deadline by 1 s, remaining", policy: least, order: limiter.NewByDeadline(time.Second)},
+			{name: "deadline by 5 s, remaining", policy: least, order: limiter.NewByDeadline(5 * time.Second)},
+			{name: "deadline by 10 s, remaining (chosen)", policy: least, order: limiter.NewByDeadline(10 * time.Second)},
 			{name: "remaining", policy: least, order: limiter.ByRemaining{}},
 		}},
 		{name: "shares", variants: []Variant{
--- a/router/choose.go
+++ b/router/choose.go
@@ -12,6 +12,11 @@
 	untriedFactor = 0.6
 	// minCount is the number of run times from which a mean is trusted.
 	minCount = 3
+	// silenceRatio is the silence of a target with tasks in flight, relative to its mean run time, from which
+	// others are preferred.
+	silenceRatio = 2
+	// failureCost is how much each failure since the last success raises the cost.
+	failureCost = 2
 	// staleAfter is the time without a task after which a target's speed is worth learning again.
 	staleAfter = 10 * time.Second
 	// queueMemory is the time in which an assumed queue fades without news.
@@ -61,18 +66,19 @@
 	return Choice{target: target, kind: kindID, inFlight: target.inFlight, at: now, trial: trial}
 }
 
-// choose returns the best free target by the policy, or nil if all pause.
+// choose returns the best free target by the policy, or nil if none may take the kind now.
 func (router *Router) choose(kindID int32, now int64) *target {
 	switch router.config.Policy.(type) {
 	case RoundRobin:
 		router.turn++
-		return router.firstReady(int(router.turn%uint64(len(router.free))), now)
+		return router.firstReady(int(router.turn%uint64(len(router.free))), kindID, now)
 	case Random:
-		return router.firstReady(router.below(len(router.free)), now)
+		return router.firstReady(router.below(len(router.free)), kindID, now)
 	case LeastInFlight:
 		return router.best(len(router.free), kindID, now, load)
 	case TwoChoices:
-		a, b := router.firstReady(router.below(len(router.free)), now), router.firstReady(router.below(len(router.free)), now)
+		a := router.firstReady(router.below(len(router.free)), kindID, now)
+		b := router.firstReady(router.below(len(router.free)), kindID, now)
 		if a != nil && load(router, b, kindID, now) < load(router, a, kindID, now) {
 			return b
 		}
@@ -82,9 +88,10 @@
 	}
 }
 
-func (router *Router) firstReady(from int, now int64) *target {
+func (router *Router) firstReady(from int, kindID int32, now int64) *target {
 	for i := range router.free {
-		if target := router.free[(from+i)%len(router.free)]; target.pausedUntil <= now {
+		target := router.free[(from+i)%len(router.free)]
+		if target.pausedUntil <= now && router.mayBorrow(target, kindID) {
 			return target
 		}
 	}
@@ -105,19 +112,25 @@
 	}
 	for i := range count {
 		target := router.free[(from+i*stride)%len(router.free)]
-		if target.pausedUntil > now {
+		if target.pausedUntil > now || !router.mayBorrow(target, kindID) {
 			continue
 		}
 		if value := cost(router, target, kindID, now); best == nil || value < lowest {
 			best, lowest = target, value
 		}
 	}
-	if best == nil && count < len(router.free) {
-		return router.firstReady(from, now)
-	}
 	return best
 }
 
+// mayBorrow reports whether a task of the kind may take the next slot of target, if that is beyond the share.
+//
+// A long task would hold a borrowed slot for longer than its owner can wait, so
+// only kinds that run for no longer than the mean of all tasks borrow. An
+// instance without own slots, as after the loss of its targets, borrows for all.
+func (router *Router) mayBorrow(target *target, kindID int32) bool {
+	return target.inFlight < target.share || router.available == 0 || router.kinds[kindID].mean <= router.mean
+}
+
 func load(_ *Router, target *target, _ int32, _ int64) float64 {
 	return float64(target.inFlight) / float64(max(1, target.slots))
 }
@@ -125,13 +138,17 @@
 // completion returns the expected time from now to the end of a task on target, in nanoseconds.
 //
 // A failed start delivers nothing, so failures raise the cost; the speed of a
-// failure never lowers it.
+// failure never lowers it. A silence longer than usual counts as a wait.
 func completion(router *Router, target *target, kindID int32, now int64) float64 {
 	run := router.estimate(target, kindID)
-	if now-target.pickedAt > int64(staleAfter) {
+	if target.streak == 0 && now-target.pickedAt > int64(staleAfter) {
 		return run * untriedFactor
 	}
-	return (run + target.assumedWait(now)) / (1 - 0.9*float64(target.failures))
+	cost := run + target.assumedWait(now)
+	if silence := float64(now - target.since); target.inFlight > 0 && silence > silenceRatio*target.mean {
+		cost += silence
+	}
+	return cost * float64(1+failureCost*target.streak)
 }
 
 // assumedWait returns the wait that the last answers showed, fading with their age.
--- a/router/eject.go
+++ b/router/eject.go
@@ -17,27 +17,31 @@
 	minSlowCount = 5
 	// overdueRatio and overdueFloor bound the silence of a target with tasks in flight; single tasks last
 	// several times the mean of their kind.
-	overdueRatio = 10
-	overdueFloor = time.Second
-	// firstTrial is the time from ejection to the first trial, which doubles with each failed trial.
-	firstTrial = time.Second
+	overdueRatio = 6
+	overdueFloor = 500 * time.Millisecond
+	// standOut is the ratio of a target's failures to those of all targets from which it is ejected; a kind
+	// that fails everywhere is no reason to eject a target.
+	standOut = 2
+	// firstTrial is the time from ejection to the first trial, which doubles with each failed trial. Each
+	// failed trial fails a whole job.
+	firstTrial = 8 * time.Second
 	// trialRetry is the time after which a trial that found no room is tried again.
 	trialRetry = 50 * time.Millisecond
-	// maxTrialShift bounds the time between trials to 64 times the first.
-	maxTrialShift = 6
+	// maxTrialShift bounds the time between trials to 8 times the first.
+	maxTrialShift = 3
 	// calmFailures is the moving average of failures below which a returned target is trusted again.
 	calmFailures = 0.1
 )
 
 func (router *Router) maxEjected() int { return int(maxEjectedPart * float64(len(router.targets))) }
 
-// maxStreak returns the failures in a row that eject target: 2 to 5, fewer the more a wasted message weighs,
+// maxStreak returns the failures in a row that eject target: 2 to 4, fewer the more a wasted message weighs,
 // and 1 for a target that returned from a trial a short while ago.
 func (router *Router) maxStreak(target *target) int32 {
 	if target.trials > 0 {
 		return 1
 	}
-	return 5 - int32(3*router.caution+0.5)
+	return 4 - int32(2*router.caution+0.5)
 }
 
 // overdue reports whether target has tasks in flight and has been silent for too long.
--- a/router/learn.go
+++ b/router/learn.go
@@ -7,6 +7,12 @@
 	learnRate = 0.1
 	// failureRate is the weight of one result in the moving average of failures.
 	failureRate = 0.2
+	// borrowStep is the number of slots by which a finished task without a wait widens what may be borrowed.
+	borrowStep = 1
+	// meanMemory is the weight of one run time in the mean of all tasks.
+	meanMemory = 0.005
+	// failureMemory is the weight of one result in the moving average of failures on all targets.
+	failureMemory = 0.02
 	// waitFloor is the wait below which a task counts as started at once; it covers the network.
 	waitFloor = 5 * time.Millisecond
 	// pauseStep is how long a target that refused a start gets no other one.
@@ -27,6 +33,7 @@
 	}
 	switch result := result.(type) {
 	case Finished:
+		router.failures *= 1 - failureMemory
 		router.finish(choice, float64(result.runTime), nanos)
 	case NotStarted:
 		router.refuse(target, result, nanos)
@@ -73,6 +80,7 @@
 	kind := &router.kinds[kindID]
 	kind.count = min(kind.count+1, 1000)
 	kind.mean += (runTime - kind.mean) / kind.count
+	router.mean += (runTime - router.mean) * meanMemory
 	target.count = min(target.count+1, 1/learnRate)
 	target.factor += (float32(runTime/kind.mean) - target.factor) / target.count
 	target.mean += (runTime - target.mean) / float64(target.count)
@@ -98,7 +106,7 @@
 	case waited:
 		target.extra = max(0, target.extra/2)
 	case inFlight >= router.limit(target):
-		target.extra = min(room, target.extra+1)
+		target.extra = min(room, target.extra+borrowStep)
 	}
 }
 
@@ -118,10 +126,11 @@
 }
 
 func (router *Router) fail(target *target, trial bool, now int64) {
+	router.failures += (1 - router.failures) * failureMemory
 	target.streak++
 	target.failures += (1 - target.failures) * failureRate
 	switch {
-	case target.state == healthy && target.streak >= router.maxStreak(target):
+	case target.state == healthy && target.streak >= router.maxStreak(target) && float64(target.failures) > standOut*router.failures:
 		router.eject(target, failing, now)
 	case target.state != healthy && trial:
 		router.postpone(target, now)
--- a/router/router.go
+++ b/router/router.go
@@ -11,16 +11,19 @@
 	config  Config
 	caution float64
 
-	mu       sync.Mutex
-	random   *rand.PCG
-	targets  map[string]*target
-	free     []*target // targets with room, in no order
-	ejected  []*target
-	trialAt  int64 // earliest time at which a trial is due
-	turn     uint64
-	kinds    []kind
-	kindByID map[string]int32
-	inFlight int
+	mu        sync.Mutex
+	random    *rand.PCG
+	targets   map[string]*target
+	free      []*target // targets with room, in no order
+	ejected   []*target
+	trialAt   int64 // earliest time at which a trial is due
+	turn      uint64
+	kinds     []kind
+	kindByID  map[string]int32
+	mean      float64 // run time of all kinds, nanoseconds
+	failures  float64 // moving average of failures on all targets, 0 to 1
+	available int32   // own slots on targets that may get work
+	inFlight  int
 }
 
 // New returns a router without targets.
@@ -42,6 +45,7 @@
 		targets:  make(map[string]*target),
 		kindByID: make(map[string]int32),
 		trialAt:  never,
+		mean:     float64(defaultRunTime),
 	}
 }
 
--- a/router/target.go
+++ b/router/target.go
@@ -8,8 +8,8 @@
 const (
 	// never is a time that does not come.
 	never = math.MaxInt64
-	// leaveHold outlasts the lag of the instance list, which may show a leaving target as live.
-	leaveHold = 30 * time.Second
+	// leaveHold outlasts the lag of 5 s of the instance list, which may show a leaving target as live.
+	leaveHold = 10 * time.Second
 	// defaultRunTime stands for the run time of a kind of which no task has finished.
 	defaultRunTime = 200 * time.Millisecond
 )
@@ -40,13 +40,14 @@
 // target is the state that a router keeps of one target.
 type target struct {
 	Target
-	freeAt   int32 // position among the free targets, -1 if it has no room
-	inFlight int32
-	share    int32
-	extra    float32 // slots beyond the share that may be borrowed
-	state    state
-	gone     bool
-	trial    bool // a trial is in flight
+	freeAt    int32 // position among the free targets, -1 if it has no room
+	inFlight  int32
+	share     int32
+	available int32   // share while the target may get work, else 0
+	extra     float32 // slots beyond the share that may be borrowed
+	state     state
+	gone      bool
+	trial     bool // a trial is in flight
 
 	factor   float32 // run time relative to the means of its kinds
 	count    float32 // number of run times seen, up to a bound
@@ -95,7 +96,14 @@
 		// All slots may be borrowed until waits show that other instances use them.
 		target.extra = float32(target.slots) - float32(target.share)
 	}
-	room := !target.gone && target.leavingUntil == 0 && target.state == healthy && target.inFlight < router.limit(target)
+	up := !target.gone && target.leavingUntil == 0 && target.state == healthy
+	router.available -= target.available
+	target.available = 0
+	if up {
+		target.available = target.share
+	}
+	router.available += target.available
+	room := up && target.inFlight < router.limit(target)
 	switch {
 	case room && target.freeAt < 0:
 		target.freeAt = int32(len(router.free))
