Test the router and the limiter against plain references

A target that had refused starts was never tried again after its fault, and one that had lagged kept its old speed; both are now tried again after 10 s without work.

--- a/measurer/cluster.go
+++ b/measurer/cluster.go
@@ -22,6 +22,7 @@
 	faults    *rand.Rand
 	cut       bool // the first failure domain cannot be reached by callers
 	cutListed bool // the load balancer knows of the cut
+	submitted int
 	counts    counts
 }
 
--- a/measurer/load.go
+++ b/measurer/load.go
@@ -107,6 +107,7 @@
 		}
 		job := drawJob(cluster.jobs, cluster.clock.now)
 		job.cancel = since >= faultFrom && since < faultFrom+5*time.Second && cluster.jobs.Float64() < cluster.load.cancelled
+		cluster.submitted++
 		cluster.clock.after(callerDelay, func() { cluster.balance(job) })
 		cluster.clock.after(time.Duration(cluster.jobs.ExpFloat64()/now*float64(time.Second)), next)
 	}
--- a/router/choose.go
+++ b/router/choose.go
@@ -59,6 +59,9 @@
 		target.since = now
 	}
 	target.inFlight++
+	if now-target.pickedAt > int64(staleAfter) {
+		target.age()
+	}
 	target.pickedAt = now
 	target.trial = target.trial || trial
 	router.inFlight++
@@ -141,7 +144,7 @@
 // failure never lowers it. A silence longer than usual counts as a wait.
 func completion(router *Router, target *target, kindID int32, now int64) float64 {
 	run := router.estimate(target, kindID)
-	if target.streak == 0 && now-target.pickedAt > int64(staleAfter) {
+	if now-target.pickedAt > int64(staleAfter) {
 		return run * untriedFactor
 	}
 	cost := run + target.assumedWait(now)
--- a/router/router.go
+++ b/router/router.go
@@ -69,6 +69,7 @@
 		known.share = router.config.Share.of(snapshot)
 		if snapshot.leaving {
 			known.leavingUntil = never
+			router.restore(known) // an ejected target would get trials
 		} else if known.leavingUntil == never || known.leavingUntil <= nanos {
 			known.leavingUntil = 0
 		}
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,346 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// reference is a plain model of what a router must know: it looks at every target at every step.
+type reference struct {
+	targets  map[string]Target
+	leaving  map[string]time.Time // end of the time in which a snapshot doesn't clear a Leave
+	listed   map[string]bool      // the last snapshot showed the target as leaving
+	inFlight map[*target]int
+}
+
+func newReference() *reference {
+	return &reference{
+		targets: make(map[string]Target), leaving: make(map[string]time.Time),
+		listed: make(map[string]bool), inFlight: make(map[*target]int),
+	}
+}
+
+func (reference *reference) update(targets []Target, now time.Time) {
+	current := make(map[string]Target, len(targets))
+	for _, target := range targets {
+		current[target.name] = target
+		if until, ok := reference.leaving[target.name]; ok && (reference.listed[target.name] || !now.Before(until)) {
+			delete(reference.leaving, target.name)
+		}
+		reference.listed[target.name] = target.leaving
+	}
+	for name := range reference.targets {
+		if _, ok := current[name]; !ok {
+			// A target of the same name that appears later is another one.
+			delete(reference.leaving, name)
+			delete(reference.listed, name)
+		}
+	}
+	reference.targets = current
+}
+
+func (reference *reference) leave(name string, now time.Time) {
+	if _, ok := reference.targets[name]; ok {
+		reference.leaving[name] = now.Add(leaveHold)
+	}
+}
+
+func (reference *reference) mayWork(name string) bool {
+	_, present := reference.targets[name]
+	_, leaving := reference.leaving[name]
+	return present && !leaving && !reference.listed[name]
+}
+
+// sequence drives a router and the reference with the same random events.
+type sequence struct {
+	*testing.T
+	random    *rand.Rand
+	router    *Router
+	reference *reference
+	now       time.Time
+	open      []Choice
+	picked    int
+}
+
+// candidates returns the targets that the rules allow for kindID, found without the index.
+func (sequence *sequence) candidates(kindID int32) []*target {
+	router, nanos := sequence.router, sequence.now.UnixNano()
+	var candidates []*target
+	for name, target := range router.targets {
+		if sequence.reference.mayWork(name) && target.state == healthy && target.inFlight < router.limit(target) &&
+			target.pausedUntil <= nanos && router.mayBorrow(target, kindID) {
+			candidates = append(candidates, target)
+		}
+	}
+	return candidates
+}
+
+// cheapest returns the candidates of least cost, and whether any candidate is silent for too long.
+func (sequence *sequence) cheapest(candidates []*target, kindID int32) ([]*target, bool) {
+	var cheapest []*target
+	lowest, silent := 0.0, false
+	for _, candidate := range candidates {
+		silent = silent || sequence.router.overdue(candidate, sequence.now.UnixNano())
+		cost := completion(sequence.router, candidate, kindID, sequence.now.UnixNano())
+		if len(cheapest) == 0 || cost < lowest {
+			cheapest, lowest = nil, cost
+		}
+		if cost == lowest {
+			cheapest = append(cheapest, candidate)
+		}
+	}
+	return cheapest, silent
+}
+
+func (sequence *sequence) pick() {
+	kind := fmt.Sprint("kind-", sequence.random.IntN(3))
+	kindID := sequence.router.kindID(kind)
+	candidates := sequence.candidates(kindID)
+	cheapest, silent := sequence.cheapest(candidates, kindID)
+	ejected := slices.Clone(sequence.router.ejected)
+	choice, ok := sequence.router.Pick(kind, sequence.now)
+	_, least := sequence.router.config.Policy.(LeastExpected)
+	switch {
+	case !ok && len(candidates) > 0 && !silent:
+		sequence.Fatalf("no target was picked, %d have room", len(candidates))
+	case !ok:
+		return
+	case !sequence.reference.mayWork(choice.Name()):
+		sequence.Fatalf("%s was picked and is leaving or gone", choice.Name())
+	case choice.trial && !slices.Contains(ejected, choice.target):
+		sequence.Fatalf("%s was picked for a trial and was not ejected", choice.Name())
+	case !choice.trial && !slices.Contains(candidates, choice.target):
+		sequence.Fatalf("%s was picked and is ejected or has no room", choice.Name())
+	case least && !choice.trial && !silent && !slices.Contains(cheapest, choice.target):
+		sequence.Fatalf("%s was picked and is not the one with the least expected completion", choice.Name())
+	}
+	sequence.reference.inFlight[choice.target]++
+	sequence.open = append(sequence.open, choice)
+	sequence.picked++
+}
+
+func (sequence *sequence) done() {
+	if len(sequence.open) == 0 {
+		return
+	}
+	i := sequence.random.IntN(len(sequence.open))
+	choice := sequence.open[i]
+	sequence.open = slices.Delete(sequence.open, i, i+1)
+	var result Result = NewFinished(time.Duration(sequence.random.IntN(400)) * time.Millisecond)
+	// A few targets fail, freeze or are full most of the time, so that ejections and returns occur.
+	if class := len(choice.Name()) + int(choice.Name()[len(choice.Name())-1]); class%4 == 0 && sequence.random.IntN(10) > 0 {
+		result = []Result{Failed{}, Lost{}, NewNotStarted(false), NewFinished(5 * time.Second)}[class/4%4]
+	}
+	if sequence.random.IntN(300) == 0 {
+		result = NewNotStarted(true)
+		if sequence.router.targets[choice.Name()] == choice.target {
+			sequence.reference.leave(choice.Name(), sequence.now)
+		}
+	}
+	sequence.router.Done(choice, result, sequence.now)
+	sequence.reference.inFlight[choice.target]--
+}
+
+func (sequence *sequence) update() {
+	var targets []Target
+	for i := range 40 {
+		if sequence.random.IntN(12) > 0 {
+			targets = append(targets, NewTarget(fmt.Sprint("runner-", i), "address", 1+i%9, sequence.random.IntN(15) == 0))
+		}
+	}
+	sequence.router.Update(targets, sequence.now)
+	sequence.reference.update(targets, sequence.now)
+}
+
+func (sequence *sequence) leave() {
+	name := fmt.Sprint("runner-", sequence.random.IntN(45))
+	sequence.router.Leave(name, sequence.now)
+	sequence.reference.leave(name, sequence.now)
+}
+
+// check compares counts and indexes with the reference.
+func (sequence *sequence) check() {
+	router := sequence.router
+	if limit := len(sequence.reference.targets) * 3 / 10; len(router.ejected) > limit {
+		sequence.Fatalf("%d targets are ejected, at most %d may be", len(router.ejected), limit)
+	}
+	var available int32
+	for name, target := range router.targets {
+		if int(target.inFlight) != sequence.reference.inFlight[target] || target.inFlight < 0 {
+			sequence.Fatalf("%s has %d tasks in flight, want %d", name, target.inFlight, sequence.reference.inFlight[target])
+		}
+		if router.config.KeepShare && target.inFlight > target.share || int(target.inFlight) > target.slots {
+			sequence.Fatalf("%s has %d tasks in flight, its share is %d of %d slots", name, target.inFlight, target.share, target.slots)
+		}
+		if up := sequence.reference.mayWork(name) && target.state == healthy; up {
+			available += target.share
+			if room := target.inFlight < router.limit(target); room != (target.freeAt >= 0) {
+				sequence.Fatalf("%s has room: %v, the index says %v", name, room, !room)
+			}
+		}
+	}
+	if router.available != available || router.InFlight() != len(sequence.open) {
+		sequence.Fatalf("available %d, want %d; in flight %d, want %d", router.available, available, router.InFlight(), len(sequence.open))
+	}
+}
+
+// Guards against work for leaving or ejected targets, too many ejections, wrong counts, overdrawn shares and a
+// choice that differs from a scan of all targets.
+func TestRandomSequences(t *testing.T) {
+	share := NewShare([]float64{2, 1, 1}, 0)
+	for _, config := range []Config{
+		{Share: share},
+		{Share: share, KeepShare: true},
+		{Share: share, KeepOutliers: true},
+		{Share: share, Policy: RoundRobin{}, WastedMessageWeight: 1},
+		{Share: share, Policy: LeastInFlight{}, ResponseTimeWeight: 1},
+		{Share: share, Policy: TwoChoices{}},
+		{Share: share, Policy: Random{}},
+	} {
+		for seed := range uint64(4) {
+			if testing.Short() && seed > 0 {
+				break
+			}
+			config.Seed = seed
+			sequence := &sequence{
+				T: t, random: rand.New(rand.NewPCG(seed, 7)), router: New(config),
+				reference: newReference(), now: time.Unix(1000, 0),
+			}
+			sequence.update()
+			ejected := 0
+			for range 10_000 {
+				sequence.now = sequence.now.Add(time.Duration(sequence.random.IntN(4)) * time.Millisecond)
+				switch draw := sequence.random.IntN(1000); {
+				case draw < 2:
+					sequence.update()
+				case draw < 4:
+					sequence.leave()
+				case draw < 520:
+					sequence.pick()
+				default:
+					sequence.done()
+				}
+				sequence.check()
+				ejected = max(ejected, sequence.router.Ejected())
+			}
+			if sequence.picked < 2500 || (ejected > 0) == config.KeepOutliers {
+				t.Fatalf("seed %d: %d picks and %d ejected at once do not test the rules", seed, sequence.picked, ejected)
+			}
+		}
+	}
+}
+
+// Guards against shares of the instances that overlap or leave slots unused.
+func TestSharesAddUp(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 2000 {
+		weights := make([]float64, 1+random.IntN(30))
+		for i := range weights {
+			weights[i] = 1 + float64(random.IntN(8))
+		}
+		target := NewTarget(fmt.Sprint("runner-", random.IntN(1000)), "address", 1+random.IntN(64), false)
+		var sum int32
+		for i := range weights {
+			share := NewShare(weights, i).of(target)
+			is.True(share >= 0)
+			sum += share
+		}
+		is.Equal(int(sum), target.slots)
+	}
+}
+
+// behaviour is how one target answers in play.
+type behaviour struct {
+	name   string
+	delay  time.Duration
+	result Result
+}
+
+// play runs a load that leaves two of all slots free for three minutes, with one target that behaves differently in the
+// first half minute, and returns the parts of the starts that it got during and after that and the largest number
+// of ejected targets.
+func play(config Config, odd behaviour, others int) (first, second float64, ejected int) {
+	const step, fault, length = 5 * time.Millisecond, 30 * time.Second, 3 * time.Minute
+	router := New(config)
+	begin := time.Unix(1000, 0)
+	router.Update(snapshot(others+1, 4), begin)
+	type pending struct {
+		choice Choice
+		end    time.Time
+		result Result
+	}
+	var open []pending
+	var odds, all [2]float64
+	for now := begin; now.Before(begin.Add(length)); now = now.Add(step) {
+		open = slices.DeleteFunc(open, func(pending pending) bool {
+			if now.Before(pending.end) {
+				return false
+			}
+			router.Done(pending.choice, pending.result, now)
+			return true
+		})
+		half := min(1, int(now.Sub(begin)/fault))
+		for len(open) < 4*others+2 {
+			choice, ok := router.Pick("check", now)
+			if !ok {
+				break
+			}
+			all[half]++
+			delay, result := 100*time.Millisecond, Result(NewFinished(100*time.Millisecond))
+			if choice.Name() == "runner-00000" {
+				odds[half]++
+				if half == 0 {
+					delay, result = odd.delay, odd.result
+				}
+			}
+			open = append(open, pending{choice: choice, end: now.Add(delay), result: result})
+		}
+		ejected = max(ejected, router.Ejected())
+	}
+	return odds[0] / all[0], odds[1] / all[1], ejected
+}
+
+// Guards against targets that attract work by failing fast, that keep work by freezing or lagging, or that
+// never come back after the fault.
+func TestOutliersGetLessAndReturn(t *testing.T) {
+	is := is.New(t)
+	for _, odd := range []behaviour{
+		{"fails at once", time.Millisecond, Failed{}},
+		{"freezes", 8 * time.Second, Lost{}},
+		{"refuses", time.Millisecond, NewNotStarted(false)},
+		{"lags", 900 * time.Millisecond, NewFinished(900 * time.Millisecond)},
+	} {
+		for _, policy := range []Policy{LeastExpected{}, RoundRobin{}, LeastInFlight{}, TwoChoices{}, Random{}} {
+			first, second, ejected := play(Config{Seed: 1, Policy: policy}, odd, 9)
+			t.Logf("%T, %s: %.4f of the starts, then %.4f", policy, odd.name, first, second)
+			is.True(first < 0.01)  // with a fault, a tenth of the even part at most
+			is.True(second > 0.02) // it gets work again after the fault
+			is.True(ejected <= 1)  // no healthy target is ejected
+		}
+	}
+}
+
+// Guards against an instance that ejects its targets because the tasks themselves are bad.
+func TestBadKindEjectsFew(t *testing.T) {
+	is := is.New(t)
+	router, now := New(Config{Seed: 1}), time.Unix(1000, 0)
+	router.Update(snapshot(20, 4), now)
+	for i := range 5000 {
+		now = now.Add(time.Millisecond)
+		choice, ok := router.Pick("bad", now)
+		is.True(ok)
+		router.Done(choice, Failed{}, now)
+		is.True(i < 100 || router.Ejected() <= 6) // at most 30% of 20
+	}
+	now = now.Add(time.Hour)
+	for range 20 * 4 {
+		_, ok := router.Pick("good", now)
+		is.True(ok) // every slot can be used
+	}
+}
--- a/router/target.go
+++ b/router/target.go
@@ -68,6 +68,14 @@
 
 func newTarget() *target { return &target{freeAt: -1, factor: 1, extra: -1} }
 
+// age makes the next run times count as much as all those before, because the target may have changed.
+func (target *target) age() {
+	target.count = min(target.count, 1)
+	for i := range target.cells {
+		target.cells[i].count = min(target.cells[i].count, 1)
+	}
+}
+
 // of returns the share of target's slots, at least 0 and at most all of them.
 //
 // The offset by the hash of the name rounds up for another instance at each
