--- /dev/null
+++ b/accountant/accountant_test.go
@@ -0,0 +1,110 @@
+package accountant
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/hyssoplift/hyssoplift/appender"
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+	"github.com/hyssoplift/hyssoplift/emulator"
+	"github.com/hyssoplift/hyssoplift/reporter"
+)
+
+// newTestAccountant returns an accountant without the goroutine that appends by the clock.
+func newTestAccountant(log *appender.Appender, incarnation string, now time.Time) *Accountant {
+	objective, _ := reporter.NewObjective(500*time.Millisecond, 99)
+	config := reporter.Config{
+		Domain: "local", Instance: "entry-1", Incarnation: incarnation, Retention: 10 * time.Minute, MaxClaims: 1000, MaxSeries: 1000,
+		Objectives: map[string]reporter.Objective{"check": objective},
+	}
+	return &Accountant{Reporter: reporter.New(config, now), log: log, logger: hclog.NewNullLogger()}
+}
+
+func answer(outcome dispatcher.Outcome, took time.Duration) reporter.Answer {
+	return reporter.NewAnswer(dispatcher.NewJob("", "check", "demo", time.Time{}, nil), outcome, took, reporter.Own)
+}
+
+// Guards against counts that are lost over an outage, counted twice after a lost answer, or wrong after a restart, and
+// against a dead instance's time that passes as good.
+func TestReportAcrossFaultsOfTheLog(t *testing.T) {
+	is := is.New(t)
+	log := emulator.NewLog()
+	server := httptest.NewServer(log)
+	defer server.Close()
+	client := appender.New(strings.TrimPrefix(server.URL, "http://"))
+	now := time.Unix(1_800_000_000, 0)
+	first := newTestAccountant(client, "run-1", now)
+	for _, fault := range []emulator.LogFault{emulator.LogHealthy, emulator.LogLosesAnswers, emulator.LogDown, emulator.LogLosesAnswers, emulator.LogHealthy} {
+		log.SetFault(fault)
+		first.Record(answer(dispatcher.Complete{}, 100*time.Millisecond), now)
+		first.Record(answer(dispatcher.Complete{}, time.Second), now)
+		now = now.Add(time.Minute)
+		err := first.flushAll(context.Background(), now, false)
+		is.Equal(err == nil, fault == emulator.LogHealthy) // minute
+	}
+	first.Record(answer(dispatcher.Failed{}, 0), now) // in memory only when the instance is killed
+	now = now.Add(10 * time.Minute)
+	second := newTestAccountant(client, "run-2", now)
+	second.Record(answer(dispatcher.Refused{}, 0), now)
+	is.NoErr(second.flushAll(context.Background(), now, true))
+
+	report, err := NewReader(client).Report(context.Background(), now.Add(5*time.Minute))
+	is.NoErr(err)
+	row := report.Rows[0]
+	hour := row.Burns[2]
+	is.Equal(hour.Answers, uint64(11)) // five minutes with two answers each, and one after the restart
+	is.Equal(hour.Late, uint64(5))
+	is.Equal(hour.Refused, uint64(1))
+	is.Equal(hour.Failed, uint64(0))
+	// The killed run covered 5 of its 15 minutes; then one minute of the second run, and two in which nobody is known to run.
+	is.Equal(report.Coverage[2].ExpectedMinutes, int64(5+10+1+2))
+	is.Equal(report.Coverage[2].CoveredMinutes, int64(6))
+	is.Equal(row.Verdict, reporter.Page)
+}
+
+// Guards against a handler that serves a stale report while the log is down, and against wrong content types.
+func TestHandler(t *testing.T) {
+	is := is.New(t)
+	log := emulator.NewLog()
+	server := httptest.NewServer(log)
+	defer server.Close()
+	client := appender.New(strings.TrimPrefix(server.URL, "http://"))
+	start := time.Now().Add(-time.Hour)
+	accountant := newTestAccountant(client, "run-1", start)
+	accountant.Record(answer(dispatcher.Complete{}, time.Millisecond), start)
+	is.NoErr(accountant.flushAll(context.Background(), time.Now(), false))
+	log.Append(burnStream, []byte("not a record"))
+	handler := Handler(client)
+	get := func(target string) (int, string, string) {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, target, nil))
+		body, _ := io.ReadAll(recorder.Body)
+		return recorder.Code, recorder.Header().Get("Content-Type"), string(body)
+	}
+	for range 2 {
+		status, kind, body := get("/v1/burn")
+		var report reporter.Report
+		is.Equal(status, http.StatusOK)
+		is.Equal(kind, "application/json")
+		is.NoErr(json.Unmarshal([]byte(body), &report))
+		is.Equal(report.Rows[0].Burns[3].Answers, uint64(1)) // two hours; a second request adds nothing
+		is.Equal(report.Unreadable, 1)
+	}
+	_, kind, body := get("/v1/burn?format=html")
+	is.Equal(kind, "text/html; charset=utf-8")
+	is.True(strings.Contains(body, "<svg"))
+	status, _, _ := get("/v1/burn?format=xml")
+	is.Equal(status, http.StatusBadRequest)
+	log.SetFault(emulator.LogDown)
+	status, _, _ = get("/v1/burn?format=text")
+	is.Equal(status, http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/accountant/reader.go
@@ -0,0 +1,107 @@
+package accountant
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hyssoplift/hyssoplift/appender"
+	"github.com/hyssoplift/hyssoplift/reporter"
+)
+
+// readTimeout bounds one request for a report; what was read until then is kept for the next one.
+const readTimeout = 20 * time.Second
+
+// Reader puts reports together from the stream burn. It reads only when a report is asked for, and then only what is
+// new, so that instances that nobody asks spend nothing on it.
+type Reader struct {
+	log *appender.Appender
+
+	mu     sync.Mutex
+	ledger *reporter.Ledger
+	next   int64
+	begun  bool
+}
+
+// NewReader returns a reader of the burn records in log.
+func NewReader(log *appender.Appender) *Reader {
+	return &Reader{log: log, ledger: reporter.NewLedger()}
+}
+
+// SetObjective sets the objective of a kind for which no record brings one.
+func (reader *Reader) SetObjective(kind string, objective reporter.Objective) {
+	reader.mu.Lock()
+	defer reader.mu.Unlock()
+	reader.ledger.SetObjective(kind, objective)
+}
+
+// Report reads what is new in the log and returns the report at now. After an error the report holds only what was read
+// before; the minutes that could not be read are missing in it.
+func (reader *Reader) Report(ctx context.Context, now time.Time) (reporter.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	reader.mu.Lock()
+	defer reader.mu.Unlock()
+	err := reader.readOn(ctx, now)
+	reader.ledger.Forget(now)
+	return reader.ledger.Report(now), err
+}
+
+// readOn adds all new records to the ledger; the caller holds reader.mu.
+func (reader *Reader) readOn(ctx context.Context, now time.Time) error {
+	for {
+		page, err := reader.log.Read(ctx, burnStream, reader.next, 0)
+		if err != nil {
+			return eris.Wrap(err, "reading burn records")
+		}
+		if !reader.begun {
+			reader.begun = true
+			reader.ledger.SetComplete(page.Earliest == 0)
+		}
+		if len(page.Records) == 0 {
+			return nil
+		}
+		for _, record := range page.Records {
+			reader.next = record.Offset + 1
+			batch, err := reporter.Decode(record.Data)
+			if err != nil {
+				reader.ledger.AddUnreadable()
+				continue
+			}
+			reader.ledger.Add(batch, now)
+		}
+	}
+}
+
+// Handler answers GET /v1/burn from log: JSON, or with ?format=text or ?format=html a table or a page.
+func Handler(log *appender.Appender) http.Handler {
+	reader := NewReader(log)
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		report, err := reader.Report(request.Context(), time.Now())
+		if err != nil {
+			// An old report could pass for the current state, so there is none.
+			http.Error(writer, "the burn records cannot be read from the log now", http.StatusServiceUnavailable)
+			return
+		}
+		write, contentType := report.WriteText, "text/plain; charset=utf-8"
+		switch request.FormValue("format") {
+		case "", "json":
+			writer.Header().Set("Content-Type", "application/json")
+			_ = json.NewEncoder(writer).Encode(report)
+			return
+		case "html":
+			write, contentType = report.WriteHTML, "text/html; charset=utf-8"
+		case "text":
+		default:
+			http.Error(writer, "format: allowed are json, text and html", http.StatusBadRequest)
+			return
+		}
+		writer.Header().Set("Content-Type", contentType)
+		// A failed write means that the operator has gone.
+		_ = write(writer)
+	})
+}
--- a/bundler/bench_test.go
+++ b/bundler/bench_test.go
@@ -48,7 +48,7 @@
 				}
 			}
 			b.ReportMetric(heapBytes()-before, "held-B")
-			b.ReportMetric(float64(len(text)), "wire-B/op")
+			b.ReportMetric(float64(len(text)), "record-B")
 			runtime.KeepAlive(bundle)
 		})
 	}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -26,6 +26,7 @@
 			newServe(),
 			newSubmit(stdout, stderr),
 			newQuickstart(stdout),
+			newReport(stdout, stderr),
 			{
 				Name:      "version",
 				ShortHelp: "print the version",
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -15,6 +15,7 @@
 BenchmarkBeta/items=2-2         	 100	 4.0 ns/op	 60 wire-B/op	 3 B/op
 BenchmarkBeta/items=4-2         	 100	 4.0 ns/op	 80 wire-B/op	 3 B/op
 BenchmarkGamma/ini/rows=8/cols=3-2	 100	 7 ns/op
+BenchmarkBare/30-2 	 100	 3 ns/op
 BenchmarkDelta-2 	 100	 9 ns/op
 PASS
 ok  	example.org/mod/alpha	1.0s
@@ -36,6 +37,8 @@
 
 	fit, ok = measurements.fit(series{"alpha.Gamma/ini/cols=3", "rows", "ns/op"})
 	is.True(ok && !fit.Fitted() && near(fit.At(1000), 7)) // one size is never extended to a slope
+	_, ok = measurements.fit(series{"alpha.Bare", "size", "ns/op"})
+	is.True(ok)
 	fit, ok = measurements.fit(series{"alpha.Delta", "", "ns/op"})
 	is.True(ok && !fit.Fitted() && near(fit.At(0), 9)) // a benchmark without a size
 }
@@ -57,6 +60,7 @@
 		{"within the sizes: 3*70+1", []term{wire(3, 3), flat(1)}, "211 *x*"},
 		{"beyond the sizes: 2*(40+10*100)", []term{wire(100, 2)}, "2080 *xx*"},
 		{"not fitted: 2*9", []term{line("alpha.Delta", "", "ns/op", 0, 2)}, "18 *nf*"},
+		{"stand-in for a missing one: 50+2", []term{line("alpha.Absent", "items", "ns/op", 1, 1).or(wire(1, 1)), flat(2)}, "52 *x* + ?"},
 		{"partly missing", []term{wire(1, 1), line("alpha.Absent", "items", "ns/op", 1, 1)}, "50 *x* + ?"},
 		{"missing", []term{line("alpha.Absent", "items", "ns/op", 1, 1)}, "not measured yet"},
 	}
@@ -73,9 +77,9 @@
 func TestBundleRowAgainstHandComputedCase(t *testing.T) {
 	is := is.New(t)
 	measurements, err := Parse(strings.NewReader(`pkg: m/bundler
-BenchmarkParse/targets=50 1 5000 ns/op 5000 wire-B/op
-BenchmarkParse/targets=500 1 50000 ns/op 50000 wire-B/op
-BenchmarkParse/targets=22000 1 2200000 ns/op 2200000 wire-B/op
+BenchmarkParse/targets=50 1 5000 ns/op 5000 record-B
+BenchmarkParse/targets=500 1 50000 ns/op 50000 record-B
+BenchmarkParse/targets=22000 1 2200000 ns/op 2200000 record-B
 `))
 	is.NoErr(err)
 	scale := TargetScale()
@@ -87,7 +91,7 @@
 		}
 		is.True(near(entry.wire.Value(), 22_000*100*0.1*4/3))
 		is.True(near(entry.cpu.Value(), 0.1*2.2e6*1e-9))
-		is.Equal(entry.cpu.Missing(), []string{"appender.Read"})
+		is.Equal(entry.cpu.Missing(), []string{"appender.Read", "bundler.Fold"})
 		is.True(estimate.points[i].Short())
 		is.Equal(estimate.points[i].resource, "bytes/s")
 		is.True(math.Abs(estimate.points[i].size-2_100) < 21) // the search stops within 1%
--- a/estimator/model.go
+++ b/estimator/model.go
@@ -32,7 +32,7 @@
 			cpu: []term{
 				work("encoder.DecodeJob", "tasks", tasks, jobs),
 				work("dispatcher.Digest", "tasks", tasks, jobs),
-				socketWork("server.Job", "tasks", tasks, jobs),
+				exchange(jobs),
 			},
 			mechanism: "HTTP/1.1 and strict JSON, one goroutine per request",
 			breaks:    "JSON decoding fills the cores", next: "CBOR bodies for callers that ask for them",
@@ -47,9 +47,12 @@
 		},
 		{
 			role: roleEntry, function: "routing: pick a target per task", driver: byTargets, limits: instance,
-			state:     []term{line("router.Pick", "targets", "held-B", scale.targets/scale.domains, 1)},
-			cpu:       []term{work("router.Pick", "targets", scale.targets/scale.domains, starts)},
-			mechanism: "expected completion time over the targets of the own failure domain",
+			state: []term{line("router.Decision", "size", "B/target", scale.targets/scale.domains, scale.targets/scale.domains)},
+			cpu: []term{
+				work("router.Decision", "size", scale.targets/scale.domains, starts),
+				work("placer.Place", "workers", scale.targets/scale.domains, starts),
+			},
+			mechanism: "runners by expected completion time, workers by room; both are counted for every start; own failure domain",
 			breaks:    "a scan of all targets per pick", next: "power of two choices over the same estimates",
 		},
 		{
@@ -65,7 +68,7 @@
 			role: roleEntry, function: "start records: owner and witness", driver: byStarts, limits: instance,
 			state:    []term{flat(records * scale.recordBytes)},
 			messages: []term{flat(4 * jobs)}, // record and acknowledgement, once as owner and once as witness
-			wire:     []term{flat(4 * jobs * scale.messageBytes)},
+			wire:     []term{line("linker.Record", "peers", "B/message", scale.instancesPerDomain, 4*jobs).or(flat(4 * jobs * scale.messageBytes))},
 			cpu: []term{
 				work("keeper.Start", "records", records, jobs),
 				work("keeper.Witness", "records", records, jobs),
@@ -81,7 +84,8 @@
 		},
 		{
 			role: roleEntry, function: "peers: links and codec", driver: byStarts, limits: instance,
-			cpu:       []term{work("linker.Codec", "records", 1, 4*jobs)},
+			// A message is measured with both ends; an instance is one end of each of its 4 messages per job.
+			cpu:       []term{line("linker.Record", "peers", "cpu-ns/message", scale.instancesPerDomain, 2*jobs*1e-9)},
 			mechanism: "WebSocket frames, CBOR; full mesh inside a failure domain",
 			breaks:    "one frame and one system call per message", next: "records of several jobs in one frame",
 		},
@@ -95,7 +99,7 @@
 			cpu: []term{
 				work("encoder.EncodeJob", "tasks", tasks, scale.callerJobs()),
 				work("encoder.DecodeOutcome", "tasks", tasks, scale.callerJobs()),
-				socketWork("submitter.Submit", "tasks", tasks, scale.callerJobs()),
+				exchange(scale.callerJobs()),
 			},
 			mechanism: "HTTP/1.1 to the balancer",
 			breaks:    "JSON encoding and decoding", next: "more caller processes",
@@ -108,31 +112,34 @@
 	budget := limits{cpu: budgetCPU, memory: budgetMemory, wire: budgetWire}
 	bundles := scale.changeRate()
 	views := scale.viewRate()
+	records := scale.burnRate() * 3 * secondsPerDay // burn records of three days
 	return []row{
 		{
-			role: roleConfig, function: "bundles: read, check, parse", control: true, driver: byTargets, limits: budget,
-			state: []term{line("bundler.Parse", "targets", "held-B", scale.targets, 2), line("bundler.Parse", "targets", "wire-B/op", scale.targets, 1)},
+			role: roleConfig, function: "bundles: read, verify, parse", control: true, driver: byTargets, limits: budget,
+			state: []term{line("bundler.Parse", "targets", "held-B", scale.targets, 2), line("bundler.Parse", "targets", "record-B", scale.targets, 1)},
 			memory: []term{
 				line("bundler.Parse", "targets", "B/op", scale.targets, 1),
 				line("appender.Read", "bytes", "B/op", scale.targets*bundleBytesPerTarget, 1),
 			},
 			messages: []term{flat(2 * bundles)},
-			wire:     []term{line("bundler.Parse", "targets", "wire-B/op", scale.targets, bundles*base64Growth)},
+			wire:     []term{line("bundler.Parse", "targets", "record-B", scale.targets, bundles*base64Growth)},
 			cpu: []term{
-				work("bundler.Parse", "targets", scale.targets, bundles),
+				work("bundler.Fold", "targets", scale.targets, bundles).or(work("bundler.Parse", "targets", scale.targets, bundles)),
 				socketWork("appender.Read", "bytes", scale.targets*bundleBytesPerTarget, bundles),
 			},
-			// Signature checks hash the text twice; their cost is part of the row once it is measured.
 			mechanism: "each change publishes the whole bundle; each instance reads and parses all of it",
 			breaks:    "every instance reads the whole configuration for each change",
 			next:      "a record per change that holds only the changed sections and the digest of the whole; targets by failure domain in streams of their own",
 		},
 		{
 			role: roleMembership, function: "heartbeats and suspicion", control: true, driver: byInstances, limits: budget,
-			state:     []term{flat(64 * scale.instancesPerDomain * scale.viewBytes)},
-			messages:  []term{flat(2 * peers)},
-			wire:      []term{flat(2 * peers * scale.heartbeatBytes)},
-			cpu:       []term{work("watcher.Heartbeat", "members", scale.instancesPerDomain, peers)},
+			state:    []term{flat(64 * scale.instancesPerDomain * scale.viewBytes)},
+			messages: []term{flat(2 * peers)},
+			wire:     []term{line("linker.Heartbeat", "peers", "B/message", scale.instancesPerDomain, 2*peers).or(flat(2 * peers * scale.heartbeatBytes))},
+			cpu: []term{
+				work("watcher.Second/suspects=0", "peers", scale.instancesPerDomain, 1),
+				line("linker.Heartbeat", "peers", "cpu-ns/message", scale.instancesPerDomain, peers*1e-9),
+			},
 			mechanism: "full mesh inside the failure domain, one heartbeat a second to each member",
 			breaks:    "heartbeats grow with the members of a failure domain", next: "heartbeats to a few rendezvous neighbours; larger instances",
 		},
@@ -145,30 +152,39 @@
 			breaks:    "sync of moved slices after each change", next: "send only records that the new owner lacks, by slice digest",
 		},
 		{
-			role: roleMembership, function: "instance list polls", control: true, driver: byTargets, limits: budget,
-			state:     []term{flat(scale.targets * scale.listEntryBytes)},
+			role: roleMembership, function: "instance list polls", control: true, driver: byInstances, limits: budget,
+			state:     []term{flat(scale.instancesPerDomain * scale.listEntryBytes)},
 			messages:  []term{flat(2 / scale.pollSeconds)},
-			wire:      []term{flat(scale.targets * scale.listEntryBytes / scale.pollSeconds)},
-			cpu:       []term{socketWork("lister.Read", "targets", scale.targets, 1/scale.pollSeconds)},
-			mechanism: "the whole list at each poll; assumed to name every target",
-			breaks:    "the whole list is read for a few changed entries", next: "poll the own failure domain only, conditionally (ETag)",
+			wire:      []term{flat(scale.instancesPerDomain * scale.listEntryBytes / scale.pollSeconds)},
+			cpu:       []term{socketWork("lister.Instances", "instances", scale.instancesPerDomain, 1/scale.pollSeconds).or(exchange(1 / scale.pollSeconds))},
+			mechanism: "the instances of the own failure domain at each poll",
+			breaks:    "the whole answer is read for a few changed entries", next: "conditional requests (ETag)",
 		},
 		{
 			role: roleBurn, function: "count answers, append minute records", control: true, driver: bySeries, limits: budget,
-			state:    []term{line("reporter.Record", "series", "held-B", scale.seriesPerInstance, 1)},
+			state: []term{
+				line("reporter.Batch", "series", "held-B", scale.seriesPerInstance, 1),
+				flat(scale.jobs() * 2 * scale.retentionSeconds * claimBytes),
+			},
 			messages: []term{flat(2.0 / 60)},
 			wire:     []term{line("reporter.Batch", "series", "wire-B/op", scale.seriesPerInstance, 1.0/60)},
 			cpu: []term{
 				work("reporter.Record", "series", scale.seriesPerInstance, scale.jobs()),
 				work("reporter.Batch", "series", scale.seriesPerInstance, 1.0/60),
+				socketWork("appender.Append", "bytes", scale.seriesPerInstance*scale.burnSeriesBytes, 1.0/60),
 			},
 			mechanism: "bucketed counters per series; one record a minute and instance to stream burn",
 			breaks:    "size of the minute records", next: "fewer series per instance: callers of one team on few instances",
 		},
 		{
-			role: roleBurn, function: "a report of three days, read from the log in a minute", driver: bySeries, limits: limits{wire: scale.networkBytes},
-			cpu:       []term{work("reporter.Report", "series", scale.seriesPerInstance, 1.0/60)},
-			wire:      []term{flat(base64Growth * scale.burnRate() * scale.seriesPerInstance * scale.burnSeriesBytes * 3 * secondsPerDay / 60)},
+			role: roleBurn, function: "a report of three days, read from the log in a minute", driver: bySeries, limits: limits{wire: scale.networkBytes, cpu: 1},
+			memory:   []term{line("reporter.Add", "series", "held-B", scale.seriesPerInstance, 1)},
+			messages: []term{flat(records / maxPageRecords / 60)},
+			cpu: []term{
+				work("reporter.Add", "series", scale.seriesPerInstance, records/60),
+				work("reporter.Report", "series", scale.seriesPerInstance, 1.0/60),
+			},
+			wire:      []term{line("reporter.Batch", "series", "wire-B/op", scale.seriesPerInstance, base64Growth*records/60)},
 			mechanism: "the reader of a report reads every minute record of three days",
 			breaks:    "reading three days of minute records for each report", next: "hourly sums appended by the instance that rendezvous hashing selects; a reader that follows the stream",
 		},
@@ -186,7 +202,7 @@
 			messages: []term{flat(views), flat(bundles), flat(scale.burnRate())},
 			wire: []term{
 				flat(views * viewBytes),
-				line("bundler.Parse", "targets", "wire-B/op", scale.targets, bundles),
+				line("bundler.Parse", "targets", "record-B", scale.targets, bundles),
 				line("reporter.Batch", "series", "wire-B/op", scale.seriesPerInstance, scale.burnRate()),
 			},
 			mechanism: "one HTTP append per record", breaks: "appends per second, spent on burn records",
@@ -197,27 +213,37 @@
 			// Two long polls of five seconds per instance, and one answer per new record.
 			messages: []term{flat(instances * (2.0/5 + bundles + scale.viewRate()))},
 			wire: []term{
-				line("bundler.Parse", "targets", "wire-B/op", scale.targets, bundles*instances*base64Growth),
+				line("bundler.Parse", "targets", "record-B", scale.targets, bundles*instances*base64Growth),
 				flat(views * viewBytes * scale.instancesPerDomain * base64Growth),
 			},
 			mechanism: "every instance reads every bundle from the log", breaks: "the log's bandwidth",
 			next: "bundles from a peer of the failure domain after one member has read them",
 		},
 		{
-			role: rolePlatform, function: "instance list: polls", driver: byTargets, limits: limits{wire: scale.networkBytes},
+			role: rolePlatform, function: "instance list: polls", driver: byInstances, limits: limits{wire: scale.networkBytes},
 			messages:  []term{flat(instances / scale.pollSeconds)},
-			wire:      []term{flat(instances * scale.targets * scale.listEntryBytes / scale.pollSeconds)},
-			mechanism: "the whole list to each instance", breaks: "the list's bandwidth",
+			wire:      []term{flat(instances * scale.instancesPerDomain * scale.listEntryBytes / scale.pollSeconds)},
+			mechanism: "the instances of one failure domain to each of them", breaks: "the list's bandwidth",
 			next: "one poll per failure domain, handed on in heartbeats",
 		},
 	}
 }
 
-// bundleBytesPerTarget is the slope of the bundle text that bundler.Parse reports.
+// bundleBytesPerTarget is the growth of a bundle record per target, as bundler.Parse reports it.
 const bundleBytesPerTarget = 107
 
 // connectionBytes is the memory of one connection in use: two buffers of 4 KiB and the stacks of two goroutines.
 const connectionBytes = 20_000
 
+// claimBytes is the memory of one entry of a map from a fingerprint to a claim, at the usual load.
+const claimBytes = 60
+
+// maxPageRecords is the number of records that the log returns at once.
+const maxPageRecords = 1000
+
+// exchange returns the CPU share of one side of an HTTP request and its answer, without their encoding. One task
+// start over loopback is both sides of such an exchange, so this is an upper bound.
+func exchange(rate float64) term { return socketWork("starter.Start", "tasks", 1, rate) }
+
 // callerJobs returns the jobs per second of one caller process, one per team.
 func (scale Scale) callerJobs() float64 { return scale.starts / scale.tasksPerJob / scale.teams }
--- a/estimator/parse.go
+++ b/estimator/parse.go
@@ -89,6 +89,9 @@
 	sized := false
 	for i, name := range names {
 		dimension, text, ok := strings.Cut(name, "=")
+		if !ok && i > 0 {
+			dimension, text, ok = "size", name, true // a bare number
+		}
 		size, err := strconv.ParseFloat(text, 64)
 		if !ok || err != nil {
 			continue
--- a/estimator/row.go
+++ b/estimator/row.go
@@ -10,6 +10,14 @@
 	series
 	size  float64
 	times float64
+	// fallback stands in for a family that is not measured yet; the family is still listed as missing.
+	fallback *term
+}
+
+// or returns the term with a fallback.
+func (term term) or(fallback term) term {
+	term.fallback = &fallback
+	return term
 }
 
 // line returns the term for one unit of a benchmark family at a size, times a count.
@@ -83,6 +91,8 @@
 	}
 	fit, ok := measurements.fit(term.series)
 	switch {
+	case !ok && term.fallback != nil:
+		return measurements.figure(*term.fallback).plus(Figure{missing: []string{term.family}})
 	case !ok:
 		return Figure{missing: []string{term.family}}
 	case !fit.Fitted():
--- a/estimator/sections.go
+++ b/estimator/sections.go
@@ -23,6 +23,10 @@
 				number(size.cores), number(size.memory), number(plain), number(plain*scale.domains), number(covered*scale.domains))
 		}
 	}
+	// Two cores are busy while the callers wait, so that wall time per job times two bounds the CPU time per job.
+	whole := estimate.measurements.figure(line("server.Throughput/entry", "tasks", "ns/op", scale.tasksPerJob, 2e-9*scale.starts/scale.tasksPerJob))
+	page.line("\nCross-check, upper bound: `server.Throughput/entry` keeps two cores busy with caller, instance and runner together;")
+	page.line("at %s tasks per job the peak takes %s cores for all three.", number(scale.tasksPerJob), whole)
 }
 
 func (estimate *Estimate) writeLosses(page *page) {
--- /dev/null
+++ b/reporter/bench_test.go
@@ -0,0 +1,145 @@
+package reporter
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+)
+
+func benchSeries(b *testing.B, run func(b *testing.B, names []Series)) {
+	for _, count := range []int{10, 120, 1_200} {
+		b.Run(fmt.Sprintf("series=%d", count), func(b *testing.B) {
+			names := make([]Series, count)
+			for i := range names {
+				names[i] = Series{Kind: fmt.Sprintf("kind-%d", i/120), Team: fmt.Sprintf("team-%03d", i%120)}
+			}
+			b.ReportAllocs()
+			run(b, names)
+		})
+	}
+}
+
+func benchReporter() *Reporter {
+	objectives := make(map[string]Objective)
+	for i := range 10 {
+		objectives[fmt.Sprintf("kind-%d", i)] = Objective{within: time.Second, percent: 99.9}
+	}
+	return New(Config{
+		Incarnation: "run", Instance: "entry", Domain: "local", Objectives: objectives,
+		Retention: 10 * time.Minute, MaxClaims: 1 << 21, MaxSeries: 1 << 14,
+	}, testStart)
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+func benchAnswer(series Series, key string) Answer {
+	return NewAnswer(dispatcher.NewJob(key, series.Kind, series.Team, time.Time{}, nil), dispatcher.Complete{}, time.Millisecond, Own)
+}
+
+// BenchmarkRecord counts one answer with a fresh key; a second of the clock passes every 256 answers.
+func BenchmarkRecord(b *testing.B) {
+	benchSeries(b, func(b *testing.B, names []Series) {
+		reporter := benchReporter()
+		keys := make([]string, 1<<18)
+		for i := range keys {
+			keys[i] = fmt.Sprintf("~hanoi-a.1200.17.order-%d", i)
+		}
+		i := 0
+		for b.Loop() {
+			// Every key is fresh: it comes again only after more than two retention periods of the clock.
+			at := testStart.Add(time.Duration(i/256) * 2 * time.Second)
+			reporter.Record(benchAnswer(names[i%len(names)], keys[i%len(keys)]), at)
+			i++
+		}
+	})
+}
+
+// benchMinute records 20 answers per series in one minute and returns the batch.
+func benchMinute(reporter *Reporter, names []Series, at time.Time) Batch {
+	for _, name := range names {
+		for range 20 {
+			reporter.Record(benchAnswer(name, ""), at)
+		}
+	}
+	batch, _ := reporter.Batch(at.Add(time.Minute), false)
+	return batch
+}
+
+// BenchmarkBatch encodes the record of one minute; held-B is the memory of a reporter with that minute pending.
+func BenchmarkBatch(b *testing.B) {
+	benchSeries(b, func(b *testing.B, names []Series) {
+		before := heapBytes()
+		reporter := benchReporter()
+		batch := benchMinute(reporter, names, testStart)
+		held := heapBytes() - before
+		size := 0
+		for b.Loop() {
+			data, err := batch.Encode()
+			if err != nil {
+				b.Fatal(err)
+			}
+			size = len(data)
+		}
+		b.ReportMetric(float64(size), "wire-B/op")
+		b.ReportMetric(held, "held-B")
+		runtime.KeepAlive(reporter)
+	})
+}
+
+// BenchmarkAdd decodes the record of one minute and adds it to a ledger.
+func BenchmarkAdd(b *testing.B) {
+	benchSeries(b, func(b *testing.B, names []Series) {
+		data, err := benchMinute(benchReporter(), names, testStart).Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		before := heapBytes()
+		ledger, i := NewLedger(), 0
+		for b.Loop() {
+			batch, err := Decode(data)
+			if err != nil {
+				b.Fatal(err)
+			}
+			// Another incarnation each time, so that no minute is skipped as known.
+			batch.incarnation = fmt.Sprint(i % 162)
+			delete(ledger.incarnations, batch.incarnation)
+			ledger.Add(batch, testStart.Add(time.Hour))
+			i++
+		}
+		b.ReportMetric(heapBytes()-before, "held-B")
+		runtime.KeepAlive(ledger)
+	})
+}
+
+// BenchmarkReport puts a report together from full histories of three days of ten instances.
+func BenchmarkReport(b *testing.B) {
+	benchSeries(b, func(b *testing.B, names []Series) {
+		ledger := NewLedger()
+		end := testStart
+		for instance := range 10 {
+			for i := range windowMinutes / coarseMinutes {
+				end = testStart.Add(time.Duration(i*coarseMinutes) * time.Minute)
+				batch := Batch{incarnation: fmt.Sprint(instance), instance: fmt.Sprint(instance), objectives: map[string]Objective{"kind-0": {within: time.Second, percent: 99}}}
+				counts := make(map[Series]*Counts)
+				for _, name := range names {
+					counts[name] = &Counts{20}
+				}
+				batch.minutes = []closedMinute{{minute: minuteOf(end), counts: counts}}
+				ledger.Add(batch, end)
+			}
+		}
+		for b.Loop() {
+			if report := ledger.Report(end); len(report.Rows) < len(names) {
+				b.Fatal("rows are missing")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/reporter/differential_test.go
@@ -0,0 +1,272 @@
+package reporter
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+)
+
+// naiveEvent is one counted answer; the naive version keeps all of them.
+type naiveEvent struct {
+	incarnation string
+	minute      minute
+	series      Series
+	class       Class
+}
+
+// naive counts the first answer to each key that its owner knew of, and once per instance and key those given
+// without the owner.
+type naive struct {
+	events   []naiveEvent
+	counted  map[string]bool
+	unasked  map[string]bool
+	appended map[string]map[minute]bool // minutes in the log, by incarnation
+	runs     []*naiveRun
+}
+
+type naiveRun struct {
+	name, incarnation string
+	reporter          *Reporter
+	begin, end        minute // end is 0 while it is not known to have ended
+	final             bool
+}
+
+func (naive *naive) record(run *naiveRun, key string, series Series, class Class, at minute) {
+	local := run.incarnation + " " + key
+	if class == Unclaimed {
+		if naive.unasked[local] || naive.counted[local] {
+			return
+		}
+		naive.unasked[local] = true
+	} else {
+		if naive.counted[key] {
+			return
+		}
+		naive.counted[key], naive.counted[local] = true, true
+	}
+	naive.events = append(naive.events, naiveEvent{incarnation: run.incarnation, minute: at, series: series, class: class})
+}
+
+// counts returns the answers of series from one minute to another, as far as the log holds them.
+func (naive *naive) counts(series Series, from, to minute) Counts {
+	var counts Counts
+	for _, event := range naive.events {
+		matches := event.series == series || (series.Team == "" && event.series.Kind == series.Kind)
+		if matches && event.minute >= from && event.minute < to && naive.appended[event.incarnation][event.minute] {
+			counts[event.class]++
+		}
+	}
+	return counts
+}
+
+// extent counts minute by minute and run by run.
+func (naive *naive) extent(from, to minute) extent {
+	var extent extent
+	for at := from; at < to; at++ {
+		before, present := true, false
+		for _, run := range naive.runs {
+			minutes := naive.appended[run.incarnation]
+			if len(minutes) == 0 {
+				continue // It left no trace.
+			}
+			before = before && at < run.begin
+			if at < run.begin || (run.end != 0 && at >= run.end) {
+				continue
+			}
+			present = true
+			extent.expected++
+			if minutes[at] {
+				extent.covered++
+			}
+		}
+		if !present && !before {
+			extent.expected++
+		}
+	}
+	return extent
+}
+
+type simulation struct {
+	*rand.Rand
+	naive  naive
+	now    time.Time
+	runs   []*naiveRun
+	keys   map[string]*naiveRun // owner by key
+	log    [][]byte
+	serial int
+}
+
+var simulatedObjectives = map[string]Objective{"check": {within: 500 * time.Millisecond, percent: 99}}
+
+func (simulation *simulation) start(name string) *naiveRun {
+	simulation.serial++
+	run := &naiveRun{name: name, incarnation: fmt.Sprintf("%s#%d", name, simulation.serial), begin: minuteOf(simulation.now)}
+	run.reporter = New(Config{
+		Domain: "local", Instance: name, Incarnation: run.incarnation, Objectives: simulatedObjectives,
+		Retention: 72 * time.Hour, MaxClaims: 1 << 20, MaxSeries: 1024,
+	}, simulation.now)
+	simulation.naive.runs = append(simulation.naive.runs, run)
+	return run
+}
+
+// answer gives one answer to a fresh or a known key through a random instance.
+func (simulation *simulation) answer() {
+	run := simulation.runs[simulation.IntN(len(simulation.runs))]
+	key, owner := fmt.Sprintf("key-%d", simulation.serial), simulation.runs[simulation.IntN(len(simulation.runs))]
+	simulation.serial++
+	if simulation.IntN(3) == 0 {
+		for known, knownOwner := range simulation.keys {
+			if key, owner = known, knownOwner; simulation.IntN(4) == 0 {
+				break
+			}
+		}
+	}
+	simulation.keys[key] = owner
+	grant := Own
+	switch {
+	case run != owner && simulation.IntN(8) == 0:
+		grant = Unasked
+	case run != owner && owner.reporter.Grant(key, run.incarnation, simulation.now):
+		grant = Granted
+	case run != owner:
+		grant = Denied
+	}
+	outcomes := []dispatcher.Outcome{dispatcher.Complete{}, dispatcher.Complete{}, dispatcher.Failed{}, dispatcher.Refused{}, dispatcher.Unknown{}}
+	class, took := []Class{Good, Late, Failed, Refused, Unknown}[simulation.IntN(5)], time.Millisecond
+	outcome := outcomes[class]
+	series := Series{Kind: []string{"check", "plain"}[simulation.IntN(2)], Team: fmt.Sprintf("team-%d", simulation.IntN(3))}
+	if class == Late {
+		took = 501 * time.Millisecond
+		if series.Kind == "plain" {
+			class = Good // A kind without an objective has no late answers.
+		}
+	}
+	if grant == Unasked {
+		class = Unclaimed
+	}
+	run.reporter.Record(NewAnswer(dispatcher.NewJob(key, series.Kind, series.Team, time.Time{}, nil), outcome, took, grant), simulation.now)
+	simulation.naive.record(run, key, series, class, minuteOf(simulation.now))
+}
+
+// flush hands one batch to the log, which may be down or lose its answer.
+func (simulation *simulation) flush(run *naiveRun, final bool) {
+	batch, ok := run.reporter.Batch(simulation.now, final)
+	if !ok || (!final && simulation.IntN(4) == 0) {
+		return // nothing to append, or the log is down
+	}
+	data, err := batch.Encode()
+	if err != nil {
+		panic(err)
+	}
+	simulation.log = append(simulation.log, data)
+	for _, closed := range batch.minutes {
+		if simulation.naive.appended[run.incarnation] == nil {
+			simulation.naive.appended[run.incarnation] = make(map[minute]bool)
+		}
+		simulation.naive.appended[run.incarnation][closed.minute] = true
+	}
+	if batch.final {
+		run.final, run.end = true, batch.minutes[len(batch.minutes)-1].minute+1
+	}
+	if simulation.IntN(4) != 0 { // otherwise the answer to the append is lost
+		run.reporter.Acknowledge(batch)
+	}
+}
+
+// restart replaces one instance, by plan or after a crash.
+func (simulation *simulation) restart() {
+	index := simulation.IntN(len(simulation.runs))
+	old := simulation.runs[index]
+	if simulation.IntN(2) == 0 {
+		simulation.flush(old, true)
+	}
+	simulation.now = simulation.now.Add(time.Minute)
+	simulation.runs[index] = simulation.start(old.name)
+	if !old.final {
+		old.end = simulation.runs[index].begin
+	}
+	for key, owner := range simulation.keys {
+		if owner == old {
+			delete(simulation.keys, key) // The grants of a dead owner are gone; see the package comment.
+		}
+	}
+}
+
+func simulate(seed uint64) *simulation {
+	simulation := &simulation{
+		Rand: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0), keys: make(map[string]*naiveRun),
+		naive: naive{counted: make(map[string]bool), unasked: make(map[string]bool), appended: make(map[string]map[minute]bool)},
+	}
+	for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+		simulation.runs = append(simulation.runs, simulation.start(name))
+	}
+	for range 600 {
+		step := time.Duration(simulation.IntN(40)) * time.Second
+		if simulation.IntN(40) == 0 {
+			step = time.Duration(simulation.IntN(9*60)) * time.Minute
+		}
+		if simulation.now = simulation.now.Add(step); simulation.IntN(60) == 0 {
+			simulation.restart()
+		}
+		if simulation.IntN(5) == 0 {
+			simulation.flush(simulation.runs[simulation.IntN(len(simulation.runs))], false)
+		}
+		simulation.answer()
+	}
+	for range 3 {
+		simulation.now = simulation.now.Add(time.Minute)
+		for _, run := range simulation.runs {
+			simulation.flush(run, false)
+		}
+	}
+	return simulation
+}
+
+// Guards against answers that count twice (resubmissions, records appended twice, any order of records) or not at
+// all, and against missing minutes that are shown as covered, in every window.
+func TestReportAgainstNaive(t *testing.T) {
+	for seed := range uint64(60) {
+		is := is.New(t)
+		simulation := simulate(seed)
+		ledger := NewLedger()
+		ledger.SetComplete(true)
+		for _, twice := range []bool{false, true} {
+			for _, index := range simulation.Perm(len(simulation.log)) {
+				if batch, err := Decode(simulation.log[index]); !twice || index%3 == 0 {
+					is.NoErr(err)
+					ledger.Add(batch, simulation.now)
+				}
+			}
+		}
+		// A run whose successor left no trace in the log cannot be known to have ended.
+		for i, run := range simulation.naive.runs {
+			for _, next := range simulation.naive.runs[i+1:] {
+				if next.name == run.name && !run.final && run.end == next.begin && len(simulation.naive.appended[next.incarnation]) == 0 {
+					run.end = next.end
+				}
+			}
+		}
+		report := ledger.Report(simulation.now)
+		to := minuteOf(simulation.now) - reportLag
+		for i, window := range windows {
+			from := windowStart(window, to)
+			naiveExtent := simulation.naive.extent(from, to)
+			if report.Coverage[i].ExpectedMinutes != naiveExtent.expected || report.Coverage[i].CoveredMinutes != naiveExtent.covered {
+				t.Errorf("seed %d, window %v: coverage is %+v, naive %+v", seed, window, report.Coverage[i], naiveExtent)
+			}
+			for _, row := range report.Rows {
+				counts, burn := simulation.naive.counts(Series{row.Kind, row.Team}, from, to), row.Burns[i]
+				got := Counts{burn.Answers - burn.Bad(), burn.Late, burn.Failed, burn.Refused, burn.Unknown, burn.Unclaimed}
+				if got != counts {
+					t.Errorf("seed %d, window %v, %s: counts are %v, naive %v", seed, window, row.title(), got, counts)
+				}
+			}
+		}
+		is.Equal(len(report.Rows), 8) // two kinds with three teams each
+	}
+}
--- /dev/null
+++ b/reporter/ledger.go
@@ -0,0 +1,157 @@
+package reporter
+
+import "time"
+
+const (
+	// windowMinutes is the longest window: three days.
+	windowMinutes = 3 * 24 * 60
+	// fineMinutes is the longest window that is summed by the minute.
+	fineMinutes = 6 * 60
+	// coarseMinutes is the width of the slots for longer windows.
+	coarseMinutes = 10
+	// maxAheadMinutes is how far an instance's clock may be ahead of the reader's.
+	maxAheadMinutes = 5
+	// Minutes after the end of a window must not evict its first ones, hence the extra slots.
+	spareMinutes = reportLag + maxAheadMinutes + 1
+	fineSlots    = fineMinutes + spareMinutes
+	coarseSlots  = windowMinutes/coarseMinutes + 2 + spareMinutes/coarseMinutes + 1
+	// maxLedgerSeries bounds the series of a report; answers beyond it are added to one series that holds all other.
+	maxLedgerSeries = 20_000
+)
+
+// slot holds the counts of one minute or of ten; a slot of another stamp is empty.
+type slot struct {
+	stamp  int64
+	counts [classes]uint32
+}
+
+// history holds the counts of one series in two resolutions.
+type history struct {
+	fine   [fineSlots]slot
+	coarse [coarseSlots]slot
+}
+
+func (history *history) add(at minute, counts Counts) {
+	history.fine[at%fineSlots].add(int64(at), counts)
+	history.coarse[at/coarseMinutes%coarseSlots].add(int64(at/coarseMinutes), counts)
+}
+
+// add counts into the slot unless the slot already serves a later time.
+func (slot *slot) add(stamp int64, counts Counts) {
+	if stamp < slot.stamp {
+		return
+	}
+	if stamp > slot.stamp {
+		slot.stamp, slot.counts = stamp, [classes]uint32{}
+	}
+	for class, count := range counts {
+		slot.counts[class] += uint32(count)
+	}
+}
+
+// sum returns the counts from minute from to before minute to; from must come from windowStart.
+func (history *history) sum(from, to minute) Counts {
+	var total Counts
+	add := func(slots []slot, low, high int64) {
+		for i := range slots {
+			if slots[i].stamp >= low && slots[i].stamp < high {
+				for class, count := range slots[i].counts {
+					total[class] += uint64(count)
+				}
+			}
+		}
+	}
+	if to-from <= fineMinutes {
+		add(history.fine[:], int64(from), int64(to))
+		return total
+	}
+	// The coarse slots end where the last whole one ends; single minutes fill the rest.
+	edge := to / coarseMinutes * coarseMinutes
+	add(history.coarse[:], int64(from/coarseMinutes), int64(edge/coarseMinutes))
+	add(history.fine[:], int64(edge), int64(to))
+	return total
+}
+
+// usedSince reports whether any answer was counted since a minute.
+func (history *history) usedSince(at minute) bool {
+	for i := range history.coarse {
+		if history.coarse[i].stamp >= int64(at/coarseMinutes) {
+			return true
+		}
+	}
+	return false
+}
+
+// Ledger adds up the batches of all instances, in any order and however often each one is added. It is not safe for
+// concurrent use.
+type Ledger struct {
+	histories    map[Series]*history
+	objectives   map[string]Objective
+	objectivesAt map[string]minute
+	incarnations map[string]*coverage
+	unreadable   int
+	complete     bool
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{
+		histories: make(map[Series]*history), incarnations: make(map[string]*coverage),
+		objectives: make(map[string]Objective), objectivesAt: make(map[string]minute),
+	}
+}
+
+// SetComplete says whether the log was read from its first record on; if not, the time before the earliest record
+// is missing.
+func (ledger *Ledger) SetComplete(complete bool) { ledger.complete = complete }
+
+// AddUnreadable counts a record that could not be decoded; reports name the number.
+func (ledger *Ledger) AddUnreadable() { ledger.unreadable++ }
+
+// SetObjective sets the objective of kind, unless a later batch brings another one.
+func (ledger *Ledger) SetObjective(kind string, objective Objective) {
+	ledger.objectives[kind] = objective
+}
+
+// Add adds the minutes of batch, read at now, that are not yet counted for its incarnation. Minutes in the future are
+// left out, because they would evict current ones; the incarnation is then shown as missing.
+func (ledger *Ledger) Add(batch Batch, now time.Time) {
+	covered := ledger.incarnations[batch.incarnation]
+	first, through := batch.span()
+	if covered == nil {
+		covered = &coverage{domain: batch.domain, instance: batch.instance, first: min(first, minuteOf(now)), last: -1}
+		ledger.incarnations[batch.incarnation] = covered
+	}
+	if through > minuteOf(now)+maxAheadMinutes {
+		ledger.unreadable++
+		return
+	}
+	for _, closed := range batch.minutes {
+		if !covered.add(closed.minute) {
+			continue
+		}
+		for series, counts := range closed.counts {
+			ledger.history(series.named()).add(closed.minute, *counts)
+		}
+	}
+	covered.final = covered.final || batch.final
+	for kind, objective := range batch.objectives {
+		if through >= ledger.objectivesAt[kind] {
+			ledger.objectives[kind], ledger.objectivesAt[kind] = objective, through
+		}
+	}
+}
+
+// history returns the history of series, or of the series for all other when there are too many.
+func (ledger *Ledger) history(series Series) *history {
+	found := ledger.histories[series]
+	if found == nil && len(ledger.histories) >= maxLedgerSeries {
+		series = Series{Kind: Other, Team: Other}
+		found = ledger.histories[series]
+	}
+	if found == nil {
+		found = new(history)
+		ledger.histories[series] = found
+	}
+	return found
+}
--- /dev/null
+++ b/reporter/report.go
@@ -0,0 +1,290 @@
+package reporter
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// reportLag is how many closed minutes a report leaves out: an instance appends a minute during the one after it.
+const reportLag = 2
+
+// Verdict is what an operator has to do about a kind or a team.
+type Verdict string
+
+// Verdicts, from worst to best.
+const (
+	// Page means that the budget burns fast enough to call somebody now.
+	Page Verdict = "page"
+	// Ticket means that the budget burns fast enough to look at it in working hours.
+	Ticket Verdict = "ticket"
+	// Missing means that it would be ok without the answers that are missing or unclaimed.
+	Missing Verdict = "missing"
+	// OK means that it is ok even if every missing and every unclaimed answer were bad.
+	OK Verdict = "ok"
+	// NoObjective means that the kind has no objective to judge by.
+	NoObjective Verdict = "no-objective"
+)
+
+// pair is a long window that proves that the burn matters and a short one that proves that it goes on.
+type pair struct {
+	short, long time.Duration
+	factor      float64
+	verdict     Verdict
+}
+
+// pairs are the usual ones for a budget of 30 days: they fire when 2%, 5%, 10% and 10% of it burn in the long window.
+var pairs = []pair{
+	{5 * time.Minute, time.Hour, 14.4, Page},
+	{30 * time.Minute, 6 * time.Hour, 6, Page},
+	{2 * time.Hour, 24 * time.Hour, 3, Ticket},
+	{6 * time.Hour, 72 * time.Hour, 1, Ticket},
+}
+
+// windows are the lengths that the pairs use, ascending.
+var windows = []time.Duration{
+	5 * time.Minute, 30 * time.Minute, time.Hour, 2 * time.Hour, 6 * time.Hour, 24 * time.Hour, 72 * time.Hour,
+}
+
+// windowStart returns the first minute of a window that ends before minute to.
+func windowStart(length time.Duration, to minute) minute {
+	from := to - minute(length/time.Minute)
+	if to-from > fineMinutes {
+		from -= from % coarseMinutes
+	}
+	return max(from, 0)
+}
+
+// Report is the burn of every kind and team at one time.
+type Report struct {
+	// AsOf is the end of every window.
+	AsOf time.Time `json:"as-of"`
+	// Coverage holds one entry per window.
+	Coverage []Coverage `json:"coverage"`
+	// Unreadable is the number of records that could not be used.
+	Unreadable int   `json:"unreadable-records"`
+	Rows       []Row `json:"rows"`
+}
+
+// Coverage is the part of a window of which records exist, in minutes summed over the instances.
+type Coverage struct {
+	WindowMinutes   int64 `json:"window-minutes"`
+	ExpectedMinutes int64 `json:"expected-minutes"`
+	CoveredMinutes  int64 `json:"covered-minutes"`
+}
+
+// Row is the burn of one kind, or of one team within a kind.
+type Row struct {
+	Kind string `json:"kind"`
+	// Team is empty in the row of a whole kind.
+	Team     string  `json:"team,omitempty"`
+	WithinMS int64   `json:"within-ms,omitempty"`
+	Percent  float64 `json:"percent,omitempty"`
+	Verdict  Verdict `json:"verdict"`
+	// Allowed is how many answers of the longest window may be bad.
+	Allowed float64 `json:"allowed-bad"`
+	Burns   []Burn  `json:"burns"`
+	// Hours holds the hours of the longest window, in the row of a whole kind only.
+	Hours []Hour `json:"hours,omitempty"`
+}
+
+// Burn holds the answers of one window and how fast they use up the error budget.
+type Burn struct {
+	WindowMinutes int64  `json:"window-minutes"`
+	Answers       uint64 `json:"answers"`
+	Late          uint64 `json:"late"`
+	Failed        uint64 `json:"failed"`
+	Refused       uint64 `json:"refused"`
+	Unknown       uint64 `json:"unknown"`
+	Unclaimed     uint64 `json:"unclaimed"`
+	// Rate is the share of bad answers over the share that may be bad.
+	Rate float64 `json:"burn-rate"`
+	// WorstRate is Rate if every missing and unclaimed answer were bad; it is null if nothing is known of the window.
+	WorstRate *float64 `json:"worst-burn-rate"`
+}
+
+// Bad returns the answers that count against the budget.
+func (burn Burn) Bad() uint64 { return burn.Late + burn.Failed + burn.Refused + burn.Unknown }
+
+// Hour is one point of the plot.
+type Hour struct {
+	Start     time.Time `json:"start"`
+	Answers   uint64    `json:"answers"`
+	Bad       uint64    `json:"bad"`
+	Unclaimed uint64    `json:"unclaimed"`
+	// MissingShare is the share of instance-minutes without a record.
+	MissingShare float64 `json:"missing-share"`
+}
+
+// Report returns the burn at now, up to the last minutes that all instances had the time to append.
+func (ledger *Ledger) Report(now time.Time) Report {
+	to := minuteOf(now) - reportLag
+	presences := ledger.presences(to)
+	report := Report{AsOf: to.time(), Unreadable: ledger.unreadable}
+	extents := make([]extent, len(windows))
+	for i, window := range windows {
+		extents[i] = ledger.extent(presences, windowStart(window, to), to)
+		report.Coverage = append(report.Coverage, Coverage{
+			WindowMinutes:   int64(window / time.Minute),
+			ExpectedMinutes: extents[i].expected, CoveredMinutes: extents[i].covered,
+		})
+	}
+	sums := ledger.sums(to)
+	hours := ledger.hours(presences, to)
+	for series, counts := range sums {
+		objective, known := ledger.objectives[series.Kind]
+		row := newRow(series, objective, known, *counts, extents)
+		if series.Team == "" {
+			row.Hours = hours[series.Kind]
+		}
+		report.Rows = append(report.Rows, row)
+	}
+	slices.SortFunc(report.Rows, func(a, b Row) int {
+		return compareSeries(Series{a.Kind, a.Team}, Series{b.Kind, b.Team})
+	})
+	return report
+}
+
+// windowCounts holds the counts of one series per window.
+type windowCounts [7]Counts
+
+// sums returns the counts per window of every series, and of every kind under an empty team.
+func (ledger *Ledger) sums(to minute) map[Series]*windowCounts {
+	sums := make(map[Series]*windowCounts)
+	for kind := range ledger.objectives {
+		sums[Series{Kind: kind}] = new(windowCounts)
+	}
+	for series, history := range ledger.histories {
+		kind := Series{Kind: series.Kind}
+		if sums[kind] == nil {
+			sums[kind] = new(windowCounts)
+		}
+		sum := new(windowCounts)
+		for i, window := range windows {
+			sum[i] = history.sum(windowStart(window, to), to)
+			sums[kind][i].add(sum[i])
+		}
+		sums[series] = sum
+	}
+	return sums
+}
+
+// hours returns the points of the plot of every kind.
+func (ledger *Ledger) hours(presences []presence, to minute) map[string][]Hour {
+	const length = 60
+	from := windowStart(windows[len(windows)-1], to)
+	var template []Hour
+	for start := from; start < to; start += length {
+		end := min(start+length, to)
+		hour := Hour{Start: start.time()}
+		if extent := ledger.extent(presences, start, end); extent.expected > 0 {
+			hour.MissingShare = float64(extent.missing()) / float64(extent.expected)
+		}
+		template = append(template, hour)
+	}
+	hours := make(map[string][]Hour)
+	for kind := range ledger.objectives {
+		hours[kind] = slices.Clone(template)
+	}
+	for series, history := range ledger.histories {
+		if hours[series.Kind] == nil {
+			hours[series.Kind] = slices.Clone(template)
+		}
+		points := hours[series.Kind]
+		for i := range history.coarse {
+			slot := &history.coarse[i]
+			at := minute(slot.stamp * coarseMinutes)
+			if at < from || at >= to {
+				continue
+			}
+			point := &points[(at-from)/length]
+			var counts Counts
+			for class, count := range slot.counts {
+				counts[class] = uint64(count)
+			}
+			point.Answers += counts.Total()
+			point.Bad += counts.Bad()
+			point.Unclaimed += counts[Unclaimed]
+		}
+	}
+	return hours
+}
+
+func newRow(series Series, objective Objective, known bool, sums windowCounts, extents []extent) Row {
+	row := Row{Kind: series.Kind, Team: series.Team, Verdict: NoObjective}
+	for i, counts := range sums {
+		burn := Burn{
+			WindowMinutes: int64(windows[i] / time.Minute), Answers: counts.Total(), Late: counts[Late], Failed: counts[Failed],
+			Refused: counts[Refused], Unknown: counts[Unknown], Unclaimed: counts[Unclaimed],
+		}
+		if known {
+			burn.rate(objective, extents[i])
+		}
+		row.Burns = append(row.Burns, burn)
+	}
+	if known {
+		row.WithinMS, row.Percent = objective.within.Milliseconds(), objective.percent
+		row.Allowed = float64(row.Burns[len(row.Burns)-1].Answers) * objective.budget()
+		row.Verdict = row.judge()
+	}
+	return row
+}
+
+// rate sets the burn rates. Missing instance-minutes are taken to hold as many answers as the others on average.
+func (burn *Burn) rate(objective Objective, extent extent) {
+	if burn.Answers > 0 {
+		burn.Rate = float64(burn.Bad()) / float64(burn.Answers) / objective.budget()
+	}
+	if extent.covered == 0 && extent.expected > 0 {
+		return
+	}
+	worst := 0.0
+	lost := float64(burn.Unclaimed)
+	if extent.missing() > 0 {
+		lost += float64(burn.Answers+burn.Unclaimed) * float64(extent.missing()) / float64(extent.covered)
+	}
+	if total := float64(burn.Answers) + lost; total > 0 {
+		worst = (float64(burn.Bad()) + lost) / total / objective.budget()
+	}
+	burn.WorstRate = &worst
+}
+
+// judge returns the worst verdict of all pairs of windows.
+func (row Row) judge() Verdict {
+	verdict := OK
+	for _, pair := range pairs {
+		short, long := row.burn(pair.short), row.burn(pair.long)
+		if short.Rate > pair.factor && long.Rate > pair.factor {
+			return pair.verdict // The pairs are in order of severity.
+		}
+		if short.mayExceed(pair.factor) && long.mayExceed(pair.factor) {
+			verdict = Missing
+		}
+	}
+	return verdict
+}
+
+func (burn Burn) mayExceed(factor float64) bool {
+	return burn.WorstRate == nil || *burn.WorstRate > factor
+}
+
+func (row Row) burn(window time.Duration) Burn {
+	return row.Burns[slices.Index(windows, window)]
+}
+
+// Worst returns the worst verdict of all rows.
+func (report Report) Worst() Verdict {
+	order := []Verdict{Page, Ticket, Missing, OK, NoObjective}
+	worst := NoObjective
+	for _, row := range report.Rows {
+		if slices.Index(order, row.Verdict) < slices.Index(order, worst) {
+			worst = row.Verdict
+		}
+	}
+	return worst
+}
+
+// title returns the name of a row.
+func (row Row) title() string {
+	return strings.TrimSuffix(row.Kind+" / "+row.Team, " / ")
+}
--- /dev/null
+++ b/reporter/reporter.go
@@ -0,0 +1,223 @@
+package reporter
+
+import (
+	"hash/maphash"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	countShards = 16
+	// maxPendingRows bounds the counts that wait for the log; at 1,200 series it is about two hours.
+	maxPendingRows = 150_000
+)
+
+// Config holds the parameters of a Reporter.
+type Config struct {
+	// Domain and Instance name the instance; Incarnation is unique among all runs of all instances.
+	Domain, Instance, Incarnation string
+	// Objectives holds the objective of each kind that has one.
+	Objectives map[string]Objective
+	// Retention is how long a key may be resubmitted; a claim on a count lives one to two such periods.
+	Retention time.Duration
+	// MaxClaims bounds the keys that are remembered per retention period.
+	MaxClaims int
+	// MaxSeries bounds the pairs of kind and team that are counted separately in one minute.
+	MaxSeries int
+}
+
+// minute is a number of minutes since the Unix epoch.
+type minute int64
+
+func minuteOf(now time.Time) minute { return minute(now.Unix() / 60) }
+
+func (minute minute) time() time.Time { return time.Unix(int64(minute)*60, 0).UTC() }
+
+// countShard holds the counts of some series in the open minute, and the closed minutes not yet collected.
+type countShard struct {
+	mu     sync.Mutex
+	open   minute
+	counts map[Series]*Counts
+	closed []closedMinute
+}
+
+type closedMinute struct {
+	minute minute
+	counts map[Series]*Counts
+}
+
+// Reporter counts the answers of one instance and hands them out as batches of closed minutes.
+type Reporter struct {
+	config     Config
+	seed       maphash.Seed
+	claims     *claims
+	objectives atomic.Pointer[map[string]Objective]
+	shards     [countShards]countShard
+
+	mu      sync.Mutex
+	pending []closedMinute // closed minutes that the log has not acknowledged, ascending
+	rows    int            // series in pending
+	next    minute         // the first minute that is not in a batch yet
+}
+
+// New returns a reporter whose incarnation starts at now.
+func New(config Config, now time.Time) *Reporter {
+	reporter := &Reporter{
+		config: config, seed: maphash.MakeSeed(),
+		claims: newClaims(config.Retention, config.MaxClaims),
+		next:   minuteOf(now),
+	}
+	reporter.SetObjectives(config.Objectives)
+	for i := range reporter.shards {
+		reporter.shards[i] = countShard{open: minuteOf(now), counts: make(map[Series]*Counts)}
+	}
+	return reporter
+}
+
+// SetObjectives replaces the objectives, by kind; answers counted before keep their class.
+func (reporter *Reporter) SetObjectives(objectives map[string]Objective) {
+	reporter.objectives.Store(&objectives)
+}
+
+// Grant reports whether the instance called holder may count the request with key, which this instance owns.
+func (reporter *Reporter) Grant(key, holder string, now time.Time) bool {
+	return reporter.claims.grant(key, holder, now)
+}
+
+// Record counts an answer that has reached its caller at now, and reports whether it counted.
+func (reporter *Reporter) Record(answer Answer, now time.Time) bool {
+	if answer.key != "" {
+		counts, full := reporter.claims.count(answer.key, answer.grant, now)
+		if full && answer.grant != Denied {
+			// Without room for the key a duplicate could not be told apart later.
+			answer.grant = Unasked
+		} else if !counts {
+			return false
+		}
+	}
+	objective, known := (*reporter.objectives.Load())[answer.series.Kind]
+	class := answer.classify(objective, known)
+	shard := &reporter.shards[maphash.Comparable(reporter.seed, answer.series)%countShards]
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	shard.roll(minuteOf(now))
+	shard.series(answer.series, known, reporter.config.MaxSeries/countShards)[class]++
+	return true
+}
+
+// series returns the counts of a series in the open minute; beyond limit series, a kind with an objective keeps
+// its own total and all others share one.
+func (shard *countShard) series(series Series, known bool, limit int) *Counts {
+	counts := shard.counts[series]
+	if counts != nil {
+		return counts
+	}
+	if len(shard.counts) >= limit {
+		series.Team = Other
+		if !known {
+			series.Kind = Other
+		}
+		if counts = shard.counts[series]; counts != nil {
+			return counts
+		}
+	}
+	counts = new(Counts)
+	shard.counts[series] = counts
+	return counts
+}
+
+// roll closes the open minute if now is a later one; the caller holds shard.mu.
+func (shard *countShard) roll(now minute) {
+	if now <= shard.open {
+		return // A clock that went back counts into the open minute: closed minutes may be in the log.
+	}
+	if len(shard.counts) > 0 {
+		shard.closed = append(shard.closed, closedMinute{minute: shard.open, counts: shard.counts})
+		shard.counts = make(map[Series]*Counts)
+	}
+	shard.open = now
+}
+
+// take removes and returns the closed minutes through last, after closing them.
+func (shard *countShard) take(last minute) []closedMinute {
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	shard.roll(last + 1)
+	n := 0
+	for n < len(shard.closed) && shard.closed[n].minute <= last {
+		n++
+	}
+	taken := shard.closed[:n:n]
+	shard.closed = shard.closed[n:]
+	return taken
+}
+
+// collect moves every closed minute through last from the shards to pending; the caller holds reporter.mu.
+func (reporter *Reporter) collect(last minute) {
+	if last < reporter.next {
+		return
+	}
+	first := reporter.next
+	collected := make([]closedMinute, last-first+1)
+	for i := range collected {
+		collected[i] = closedMinute{minute: first + minute(i), counts: make(map[Series]*Counts)}
+	}
+	for i := range reporter.shards {
+		for _, closed := range reporter.shards[i].take(last) {
+			into := collected[closed.minute-first].counts
+			for series, counts := range closed.counts {
+				if into[series] == nil {
+					into[series] = new(Counts)
+				}
+				into[series].add(*counts)
+				reporter.rows++
+			}
+		}
+	}
+	reporter.pending = append(reporter.pending, collected...)
+	reporter.next = last + 1
+	for len(reporter.pending) > 1 && (reporter.rows > maxPendingRows || len(reporter.pending) > windowMinutes) {
+		// The dropped minute stays uncovered, and reports show it as missing.
+		reporter.rows -= len(reporter.pending[0].counts)
+		reporter.pending = reporter.pending[1:]
+	}
+}
+
+// Batch returns the closed minutes before now that the log has not acknowledged, as many as fit one record, and false
+// if there are none. It is to be called every minute, also while the log is down, since it bounds what is kept. With
+// final set the open minute is closed too, and no answer may be recorded afterwards.
+func (reporter *Reporter) Batch(now time.Time, final bool) (Batch, bool) {
+	reporter.mu.Lock()
+	defer reporter.mu.Unlock()
+	last := minuteOf(now) - 1
+	if final {
+		last++
+	}
+	reporter.collect(last)
+	if len(reporter.pending) == 0 {
+		return Batch{}, false
+	}
+	taken, rows := 0, 0
+	for taken < len(reporter.pending) && (taken == 0 || rows+len(reporter.pending[taken].counts) <= maxBatchRows) {
+		rows += len(reporter.pending[taken].counts)
+		taken++
+	}
+	batch := Batch{
+		domain: reporter.config.Domain, instance: reporter.config.Instance, incarnation: reporter.config.Incarnation,
+		final: final && taken == len(reporter.pending), minutes: append([]closedMinute(nil), reporter.pending[:taken]...),
+		objectives: *reporter.objectives.Load(),
+	}
+	return batch, true
+}
+
+// Acknowledge forgets the minutes of a batch that is known to be in the log.
+func (reporter *Reporter) Acknowledge(batch Batch) {
+	reporter.mu.Lock()
+	defer reporter.mu.Unlock()
+	_, through := batch.span()
+	for len(reporter.pending) > 0 && reporter.pending[0].minute <= through {
+		reporter.rows -= len(reporter.pending[0].counts)
+		reporter.pending = reporter.pending[1:]
+	}
+}
--- /dev/null
+++ b/reporter/reporter_test.go
@@ -0,0 +1,196 @@
+package reporter
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+)
+
+var testStart = time.Unix(1_800_000_000, 0)
+
+func testReporter(maxClaims, maxSeries int) *Reporter {
+	return New(Config{
+		Domain: "local", Instance: "entry-1", Incarnation: "run-1", Objectives: simulatedObjectives,
+		Retention: 10 * time.Minute, MaxClaims: maxClaims, MaxSeries: maxSeries,
+	}, testStart)
+}
+
+func testAnswer(key, kind, team string, grant Grant) Answer {
+	return NewAnswer(dispatcher.NewJob(key, kind, team, time.Time{}, nil), dispatcher.Failed{}, time.Second, grant)
+}
+
+// Guards against a request that counts at two instances or twice at one, and against claims that outlive their bound.
+func TestClaims(t *testing.T) {
+	is := is.New(t)
+	owner, other := testReporter(1000, 100), testReporter(1000, 100)
+	now := testStart
+	is.True(owner.Grant("a", "other", now))
+	is.True(owner.Grant("a", "other", now))                             // the answer to the first grant was lost
+	is.True(!owner.Grant("a", "third", now))                            // another instance asks
+	is.True(!owner.Record(testAnswer("a", "check", "t", Own), now))     // the caller came back to the owner
+	is.True(other.Record(testAnswer("a", "check", "t", Granted), now))  // the holder counts
+	is.True(!other.Record(testAnswer("a", "check", "t", Granted), now)) // once
+	is.True(!other.Record(testAnswer("b", "check", "t", Denied), now))  // never without the grant
+	is.True(owner.Record(testAnswer("c", "check", "t", Own), now))      //
+	is.True(!owner.Grant("c", "other", now))                            // counted at the owner
+	is.True(other.Record(testAnswer("d", "check", "t", Unasked), now))  // kept apart
+	is.True(!other.Record(testAnswer("d", "check", "t", Unasked), now)) // once
+	is.True(other.Record(testAnswer("d", "check", "t", Granted), now))  // and counted when the owner is back
+	now = now.Add(9 * time.Minute)                                      // within the retention period
+	is.True(!owner.Grant("a", "third", now) && !owner.Grant("c", "x", now))
+	now = now.Add(20 * time.Minute) // two periods later
+	is.True(owner.Grant("a", "third", now))
+
+	full := testReporter(claimShards, 100) // one claim per shard
+	for i := range 1000 {
+		full.Record(testAnswer(fmt.Sprint(i), "check", "t", Own), now)
+	}
+	batch, _ := full.Batch(now, true)
+	counts := batch.minutes[len(batch.minutes)-1].counts[Series{"check", "t"}]
+	is.Equal(counts[Failed], uint64(claimShards))         // as many as fit
+	is.Equal(counts[Unclaimed], uint64(1000-claimShards)) // the others are kept apart
+}
+
+// Guards against unbounded memory from kinds and teams that callers invent, and against a kind with an objective that
+// loses answers to the bound.
+func TestSeriesAreBounded(t *testing.T) {
+	is := is.New(t)
+	reporter := testReporter(1<<20, countShards)
+	for i := range 5000 {
+		reporter.Record(testAnswer("", fmt.Sprintf("kind-%d", i), "t", Own), testStart)
+		reporter.Record(testAnswer("", "check", fmt.Sprintf("team-%d", i), Own), testStart)
+	}
+	batch, ok := reporter.Batch(testStart, true)
+	is.True(ok)
+	counts := batch.minutes[0].counts
+	is.True(len(counts) <= 4*countShards)
+	check, total := uint64(0), uint64(0)
+	for series, count := range counts {
+		total += count.Total()
+		if series.Kind == "check" {
+			check += count.Total()
+		}
+	}
+	is.Equal(check, uint64(5000))
+	is.Equal(total, uint64(10000))
+}
+
+// Guards against answers that are lost or counted twice while a batch is collected.
+func TestRecordDuringBatches(t *testing.T) {
+	is := is.New(t)
+	reporter, ledger := testReporter(1<<20, 1000), NewLedger()
+	const workers, each = 8, 2000
+	var group sync.WaitGroup
+	for worker := range workers {
+		group.Go(func() {
+			for i := range each {
+				now := testStart.Add(time.Duration(i) * 200 * time.Millisecond)
+				reporter.Record(testAnswer("", "check", fmt.Sprintf("team-%d", (worker+i)%50), Own), now)
+			}
+		})
+	}
+	for i := range 400 {
+		if batch, ok := reporter.Batch(testStart.Add(time.Duration(i)*time.Second), false); ok {
+			ledger.Add(batch, testStart.Add(time.Hour))
+			if i%2 == 0 {
+				reporter.Acknowledge(batch)
+			}
+		}
+	}
+	group.Wait()
+	for now := testStart.Add(10 * time.Minute); ; {
+		batch, ok := reporter.Batch(now, true)
+		if !ok {
+			break
+		}
+		ledger.Add(batch, now)
+		reporter.Acknowledge(batch)
+	}
+	report := ledger.Report(testStart.Add(time.Hour))
+	is.Equal(report.Rows[0].burn(6*time.Hour).Answers, uint64(workers*each))
+}
+
+// Guards against a wrong verdict, and against missing data that passes as good.
+func TestVerdicts(t *testing.T) {
+	everywhere := func(burn Burn) [7]Burn { return [7]Burn{burn, burn, burn, burn, burn, burn, burn} }
+	full, gap := extent{100, 100}, extent{100, 90}
+	tests := []struct {
+		name   string
+		burns  [7]Burn
+		extent extent
+		want   Verdict
+	}{
+		{"1% bad of 1% allowed", everywhere(Burn{Answers: 1000, Late: 10}), full, OK},
+		{"1.1%", everywhere(Burn{Answers: 1000, Late: 5, Failed: 6}), full, Ticket},
+		{"6.1%", everywhere(Burn{Answers: 1000, Refused: 61}), full, Page},
+		{"14.5% in the short pair only", [7]Burn{{Answers: 1000, Unknown: 145}, {Answers: 1000}, {Answers: 1000, Unknown: 145}, {Answers: 1e6}, {Answers: 1e6}, {Answers: 1e6}, {Answers: 1e6}}, full, Page},
+		{"14.5% for five minutes only", [7]Burn{{Answers: 1000, Late: 145}, {Answers: 1e6}, {Answers: 1e6}, {Answers: 1e6}, {Answers: 1e6}, {Answers: 1e6}, {Answers: 1e6}}, full, OK},
+		{"no traffic", everywhere(Burn{}), full, OK},
+		{"nothing expected", everywhere(Burn{}), extent{}, OK},
+		{"all good, a tenth missing", everywhere(Burn{Answers: 1000}), gap, Missing},
+		{"all good, all missing", everywhere(Burn{}), extent{100, 0}, Missing},
+		{"all good, 2% unclaimed", everywhere(Burn{Answers: 980, Unclaimed: 20}), full, Missing},
+		{"a page although a tenth is missing", everywhere(Burn{Answers: 1000, Failed: 200}), gap, Page},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			row := Row{Burns: test.burns[:]}
+			for i := range row.Burns {
+				row.Burns[i].rate(Objective{within: time.Second, percent: 99}, test.extent)
+			}
+			is.Equal(row.judge(), test.want)
+		})
+	}
+}
+
+// Guards against a record that could make a reader allocate without bound, crash, or lose current minutes.
+func TestHostileRecords(t *testing.T) {
+	is := is.New(t)
+	for _, record := range []string{
+		``, `{}`, `{"format":2,"incarnation":"x"}`,
+		`{"format":1,"incarnation":"x","from-minute":0,"through-minute":99999999}`,
+		`{"format":1,"incarnation":"x","from-minute":5,"through-minute":4}`,
+		`{"format":1,"incarnation":"x","from-minute":-5,"through-minute":4}`,
+		`{"format":1,"incarnation":"x","counts":[[0,0,1,1,1,1,1,1]]}`,
+		`{"format":1,"incarnation":"x","series":[{}],"counts":[[1,0,1,1,1,1,1,1]]}`,
+		`{"format":1,"incarnation":"x","series":[{}],"counts":[[0,0,1]]}`,
+		`{"format":1,"incarnation":"x","objectives":[{"kind":"k","within-ms":1,"percent":100}]}`,
+	} {
+		_, err := Decode([]byte(record))
+		is.True(err != nil) // the record is rejected
+	}
+	ledger := NewLedger()
+	ahead, err := Decode(fmt.Appendf(nil, `{"format":1,"incarnation":"x","from-minute":%d,"through-minute":%[1]d}`, minuteOf(testStart)+100))
+	is.NoErr(err)
+	ledger.Add(ahead, testStart)
+	report := ledger.Report(testStart.Add(10 * time.Minute))
+	is.Equal(report.Unreadable, 1)
+	is.Equal(report.Coverage[0].CoveredMinutes, int64(0)) // its instance is shown as missing
+	is.Equal(report.Coverage[0].ExpectedMinutes, int64(5))
+}
+
+// Guards against markup from a caller's kind or team in the page, references to other files, and gaps drawn as good.
+func TestPageIsSelfContained(t *testing.T) {
+	is := is.New(t)
+	reporter, ledger := testReporter(1000, 1000), NewLedger()
+	reporter.Record(testAnswer("", "check", "<script>alert(1)</script>", Own), testStart)
+	batch, _ := reporter.Batch(testStart, true)
+	ledger.Add(batch, testStart)
+	report := ledger.Report(testStart.Add(time.Hour))
+	var page, text bytes.Buffer
+	is.NoErr(report.WriteHTML(&page))
+	is.NoErr(report.WriteText(&text))
+	is.True(!strings.Contains(page.String(), "<script"))
+	is.True(!strings.Contains(page.String(), "http"))
+	is.True(strings.Contains(page.String(), "<polyline") && strings.Contains(page.String(), "<rect"))
+	is.True(strings.Contains(text.String(), "missing"))
+	is.Equal(report.Worst(), Ticket) // the one answer failed, but longer ago than the short window of a page
+}
--- a/server/server.go
+++ b/server/server.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"github.com/hyssoplift/hyssoplift/accountant"
 	"github.com/hyssoplift/hyssoplift/appender"
 	"github.com/hyssoplift/hyssoplift/bundler"
 	"github.com/hyssoplift/hyssoplift/configurer"
@@ -67,6 +68,7 @@
 		writer.WriteHeader(http.StatusNoContent)
 	})
 	mux.HandleFunc("GET /readyz", server.handleReady)
+	mux.Handle("GET /v1/burn", accountant.Handler(server.log))
 	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) {
 		server.metrics.WritePrometheus(writer)
 		metrics.WriteProcessMetrics(writer)
