Sign the bundles of the server and restart tests

Cause: instances accept only signed bundles now, and four server tests and two process tests published unsigned text or lacked the setting bundle-keys.

Change: the tests publish with the operators' commands or a signed record; Shutdown and Start are called with their new arguments. No check changed.

--- a/bundler/bench_test.go
+++ b/bundler/bench_test.go
@@ -59,7 +59,7 @@
 			bundle, _ = Parse(data)
 		}
 		b.ReportMetric(float64(heldBytes()-before), "held-B")
-		b.ReportMetric(float64(len(data)), "wire-B/op")
+		b.ReportMetric(float64(len(data)), "text-B")
 		b.ReportMetric(float64(len(encode(signed(text, 0)))), "record-B")
 		runtime.KeepAlive(bundle)
 		runtime.KeepAlive(data)
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -27,6 +27,7 @@
 			newSubmit(stdin, stdout, stderr),
 			newBundle(stdout, stderr),
 			newQuickstart(stdout),
+			newReport(stdout, stderr),
 			{
 				Name:      "version",
 				ShortHelp: "print the version",
--- a/server/bundles_test.go
+++ b/server/bundles_test.go
@@ -85,7 +85,7 @@
 	}, io.Discard)
 	is.NoErr(err)
 	server := New(settings, listener, hclog.NewNullLogger())
-	defer func() { is.NoErr(server.Shutdown(ctx)) }()
+	defer func() { is.NoErr(server.Shutdown(ctx, time.Now())) }()
 	waitFor(t, func() bool { return server.bundle.Load() != nil })
 
 	submit := func() (dispatcher.Outcome, error) {
--- a/server/server.go
+++ b/server/server.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"github.com/hyssoplift/hyssoplift/accountant"
 	"github.com/hyssoplift/hyssoplift/appender"
 	"github.com/hyssoplift/hyssoplift/bundler"
 	"github.com/hyssoplift/hyssoplift/configurer"
@@ -74,6 +75,8 @@
 	mux.Handle("/healthz", methods{http.MethodGet: outer(func(exchange *exchange) { exchange.WriteHeader(http.StatusNoContent) })})
 	mux.Handle("/readyz", methods{http.MethodGet: outer(server.handleReady)})
 	mux.Handle("/metrics", methods{http.MethodGet: outer(func(exchange *exchange) { server.meter.write(exchange) })})
+	burn := accountant.Handler(server.log)
+	mux.Handle("/v1/burn", methods{http.MethodGet: outer(func(exchange *exchange) { burn.ServeHTTP(exchange, exchange.request) })})
 	notFound := outer(server.handleNotFound)
 	mux.HandleFunc("/", func(writer http.ResponseWriter, request *http.Request) {
 		notFound(&exchange{ResponseWriter: writer, request: request, received: time.Now()})
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -45,14 +45,19 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
+	text := fmt.Sprintf(testBundle, runner.Listener.Addr())
+	_, keys, err := signBundle(text, nil)
+	if err != nil {
+		tb.Fatal(err)
+	}
 	settings, err := configurer.Read([]string{
 		"--failure-domain=local", "--instance=entry-1",
-		"--log=" + log.Listener.Addr().String(), "--max-body-bytes=4096",
+		"--log=" + log.Listener.Addr().String(), "--max-body-bytes=4096", "--bundle-keys=" + keys,
 	}, io.Discard)
 	if err != nil {
 		tb.Fatal(err)
 	}
-	bundle, err := bundler.Parse(fmt.Appendf(nil, testBundle, runner.Listener.Addr()))
+	bundle, err := bundler.Parse([]byte(text))
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/starter/bench_test.go
+++ b/starter/bench_test.go
@@ -78,7 +78,7 @@
 				var group sync.WaitGroup
 				for i := range count {
 					group.Go(func() {
-						if result, ok := starter.Start(context.Background(), addresses[i%len(addresses)], "loop-check", task).(Success); !ok {
+						if result, ok := starter.Start(context.Background(), addresses[i%len(addresses)], "loop-check", "", task).(Success); !ok {
 							b.Errorf("start did not succeed: %v", result)
 						}
 					})
