--- a/bundler/event.go
+++ b/bundler/event.go
@@ -33,18 +33,19 @@
 // String returns the event as one line for an operator.
 func (event Event) String() string {
 	line := fmt.Sprintf("offset %d: version %d by %s, approved by %s: %s",
-		event.Offset, event.Record.Version, name(event.Record.Author), name(event.Record.Approver), event.Verdict)
+		event.Offset, event.Record.Version, signerName(event.Record.Author), signerName(event.Record.Approver), event.Verdict)
 	if event.Reason != "" {
 		line += ": " + event.Reason
 	}
 	return line
 }
 
-func name(text string) string {
-	if text == "" {
+// signerName returns name, or a word for the missing signer of a record that could not be decoded.
+func signerName(name string) string {
+	if name == "" {
 		return "nobody"
 	}
-	return text
+	return name
 }
 
 func ignored(offset int64, record Record, err error) Event {
--- a/bundler/parse.go
+++ b/bundler/parse.go
@@ -15,13 +15,15 @@
 
 // Bounds of bundle values. Lint applies narrower ones where a value parses but cannot be served.
 const (
-	maxSlots            = 4096
-	maxInFlight         = 1_000_000
-	maxRunMS            = 600_000
-	maxWeight           = 1_000_000
+	maxSlots    = 4096
+	maxInFlight = 1_000_000
+	maxRunMS    = 600_000
+	maxWeight   = 1_000_000
+	// minRetentionSeconds leaves 7.5 s between two renewals, enough for a slow log.
 	minRetentionSeconds = 60
 	maxRetentionSeconds = 30 * 24 * 3600
-	maxVersion          = 1 << 53
+	// maxVersion is the largest whole number that every JSON reader keeps exact.
+	maxVersion = 1 << 53
 )
 
 // Values of settings that a bundle leaves out.
