Read long log streams in pages bounded by bytes

Cause: the log client reads at most 16 MiB of a response, but a page was bounded by 1,000 records only. A stream of 145 bundle records of 87 KB could not be read again by a fresh instance: every read failed in the same place.

Ruled out: a larger limit in the client (a longer stream would fail again).

Change: a read asks for at most 4 MiB of records and the stand-in returns at least one record within that bound; a response above the client's limit is an error that says so.

Before: the new test fails on the old code at the first page (unexpected end of JSON input). After: 300 records of 87 KB are read in order, none twice.

Conclusion: fixed.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -16,6 +16,10 @@
 // MaxResponseBytes bounds what is read of one response of the log.
 const MaxResponseBytes = 16 << 20
 
+// maxPageBytes is the sum of record sizes asked for in one page. In base64 a page grows by a third, and the log
+// may exceed the bound by one record, so a page stays below MaxResponseBytes for records of up to 4 MB.
+const maxPageBytes = 4 << 20
+
 // Record is one record of a stream.
 type Record struct {
 	Offset int64  `json:"offset"`
@@ -64,7 +68,7 @@
 
 // Read returns the records of stream from offset from on, waiting up to wait for the first one.
 func (appender *Appender) Read(ctx context.Context, stream string, from int64, wait time.Duration) (Page, error) {
-	target := fmt.Sprintf("%s?from=%d&wait-ms=%d", appender.url(stream), from, wait.Milliseconds())
+	target := fmt.Sprintf("%s?from=%d&wait-ms=%d&max-bytes=%d", appender.url(stream), from, wait.Milliseconds(), maxPageBytes)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return Page{}, eris.Wrap(err, "preparing a read")
@@ -86,10 +90,13 @@
 		return eris.Wrap(err, "calling the log")
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes+1))
 	if err != nil {
 		return eris.Wrap(err, "reading the log's response")
 	}
+	if len(body) > MaxResponseBytes {
+		return eris.Errorf("the log's response exceeds %d bytes", MaxResponseBytes)
+	}
 	if response.StatusCode != status {
 		return eris.Errorf("the log answered %s", response.Status)
 	}
--- a/emulator/log.go
+++ b/emulator/log.go
@@ -28,8 +28,11 @@
 
 const slowLogDelay = 2 * time.Second
 
-// maxPageRecords bounds one page of a read.
-const maxPageRecords = 1000
+// Bounds of one page of a read; a page holds at least one record.
+const (
+	maxPageRecords = 1000
+	maxPageBytes   = 8 << 20
+)
 
 type logStream struct {
 	earliest int64
@@ -130,10 +133,14 @@
 		return
 	}
 	waitMS, _ := strconv.ParseInt(request.FormValue("wait-ms"), 10, 64)
+	limit, err := strconv.ParseInt(request.FormValue("max-bytes"), 10, 64)
+	if err != nil || limit <= 0 || limit > maxPageBytes {
+		limit = maxPageBytes
+	}
 	timer := time.NewTimer(time.Duration(waitMS) * time.Millisecond)
 	defer timer.Stop()
 	for {
-		page, changed := log.page(request.PathValue("stream"), from)
+		page, changed := log.page(request.PathValue("stream"), from, limit)
 		if len(page.Records) > 0 || waitMS <= 0 {
 			_ = json.NewEncoder(writer).Encode(page)
 			return
@@ -148,14 +155,21 @@
 	}
 }
 
-func (log *Log) page(name string, from int64) (appender.Page, <-chan struct{}) {
+// page returns records from offset from on, at least one and no more than fit in limit bytes.
+func (log *Log) page(name string, from, limit int64) (appender.Page, <-chan struct{}) {
 	log.mu.Lock()
 	defer log.mu.Unlock()
 	stream := log.stream(name)
 	page := appender.Page{Earliest: stream.earliest, Next: stream.next()}
 	if start := max(from-stream.earliest, 0); start < int64(len(stream.records)) {
 		end := min(start+maxPageRecords, int64(len(stream.records)))
-		page.Records = append(page.Records, stream.records[start:end]...)
+		for _, record := range stream.records[start:end] {
+			limit -= int64(len(record.Data))
+			if len(page.Records) > 0 && limit < 0 {
+				break
+			}
+			page.Records = append(page.Records, record)
+		}
 	}
 	return page, stream.changed
 }
