Take the limiter's benchmark by its name

Cause: the limiter has a benchmark now, under another name than the table of the estimate expected.

Change: the row of queueing reads limiter.Queue, which has one size and is therefore marked as not fitted.

Conclusion: keeper and lister are the only packages of the table without a benchmark.

--- a/estimator/model.go
+++ b/estimator/model.go
@@ -78,7 +78,7 @@
 		},
 		{
 			role: roleEntry, function: "queueing and quotas", driver: byStarts, limits: instance,
-			cpu:       []term{work("limiter.Admit", "queued", jobs*scale.taskSeconds, jobs)},
+			cpu:       []term{work("limiter.Queue", "", 0, jobs)},
 			mechanism: "one queue per instance, ordered by deadline",
 			breaks:    "one lock per queue", next: "a queue per kind",
 		},
