Keep targets to borrow from on a list of their own

With many targets, a sample of all with room could hold only slots to borrow, and a long task then found none although own slots were free. Targets are now on one of two lists, and a long task looks at the first only.

--- /dev/null
+++ b/router/borrow_test.go
@@ -0,0 +1,79 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// fill picks targets for tasks of kind until none has room.
+func fill(router *Router, kind string, now time.Time) []Choice {
+	var choices []Choice
+	for {
+		choice, ok := router.Pick(kind, now)
+		if !ok {
+			return choices
+		}
+		choices = append(choices, choice)
+	}
+}
+
+// finish ends choices after runTime and a wait at their targets.
+func finish(router *Router, choices []Choice, now time.Time, runTime, wait time.Duration) time.Time {
+	now = now.Add(runTime + wait)
+	for _, choice := range choices {
+		router.Done(choice, NewFinished(runTime), now)
+	}
+	return now
+}
+
+// Guards against long tasks on borrowed slots, against borrowing from a target on which tasks wait, and against
+// borrowing that never resumes.
+func TestBorrowing(t *testing.T) {
+	is := is.New(t)
+	const short, long = 10 * time.Millisecond, time.Second
+	now := time.Unix(1000, 0)
+	router := New(Config{Share: NewShare([]float64{1, 1}, 0)})
+	router.Update([]Target{NewTarget("runner", "address", 8, false)}, now)
+	for range 50 {
+		choice, _ := router.Pick("short", now)
+		now = finish(router, []Choice{choice}, now, short, 0)
+	}
+	choice, _ := router.Pick("long", now)
+	now = finish(router, []Choice{choice}, now, long, 0)
+
+	longs := fill(router, "long", now)
+	is.Equal(len(longs), 4) // the share
+	shorts := fill(router, "short", now)
+	is.Equal(len(shorts), 4) // the slots of the other instance
+	now = finish(router, shorts, now, short, 50*time.Millisecond)
+	is.Equal(len(fill(router, "short", now)), 0) // the waits show that the other instance uses its slots
+	now = finish(router, longs, now, long, 0)
+	for range 5 {
+		now = finish(router, fill(router, "short", now), now, short, 0)
+	}
+	is.Equal(len(fill(router, "short", now)), 8) // without waits the slots are borrowed again
+}
+
+// Guards against an instance without own slots that leaves long tasks waiting for ever.
+func TestBorrowingWithoutShare(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	router := New(Config{Share: NewShare([]float64{1, 1}, 0)})
+	for i := 0; ; i++ {
+		target := NewTarget(fmt.Sprint("runner-", i), "address", 1, false)
+		if router.config.Share.of(target) == 0 {
+			router.Update([]Target{target}, now)
+			break
+		}
+	}
+	for range 50 {
+		now = finish(router, fill(router, "short", now), now, 10*time.Millisecond, 0)
+	}
+	longs := fill(router, "long", now)
+	is.Equal(len(longs), 1)
+	now = finish(router, longs, now, time.Second, 0)
+	is.Equal(len(fill(router, "long", now)), 1) // also when the kind is known to be long
+}
--- a/router/choose.go
+++ b/router/choose.go
@@ -32,7 +32,7 @@
 	if target := router.dueTrial(nanos); target != nil {
 		return router.start(target, kindID, nanos, true), true
 	}
-	for len(router.free) > 0 {
+	for {
 		target := router.choose(kindID, nanos)
 		if target == nil {
 			return Choice{}, false
@@ -41,7 +41,6 @@
 			return router.start(target, kindID, nanos, false), true
 		}
 	}
-	return Choice{}, false
 }
 
 func (router *Router) kindID(name string) int32 {
@@ -69,71 +68,93 @@
 	return Choice{target: target, kind: kindID, inFlight: target.inFlight, at: now, trial: trial}
 }
 
-// choose returns the best free target by the policy, or nil if none may take the kind now.
+// candidates are the targets that one decision chooses from: those with own slots, then those to borrow from.
+type candidates struct{ own, lent []*target }
+
+func (candidates candidates) len() int { return len(candidates.own) + len(candidates.lent) }
+
+// at returns candidate i, counted from the start again beyond the last.
+func (candidates candidates) at(i int) *target {
+	i %= candidates.len()
+	if i < len(candidates.own) {
+		return candidates.own[i]
+	}
+	return candidates.lent[i-len(candidates.own)]
+}
+
+// candidates returns the targets that may take a task of the kind, apart from their pauses.
+//
+// A long task would hold a borrowed slot for longer than its owner can wait, so
+// only kinds that run for no longer than the mean of all tasks borrow. An
+// instance without own slots, as after the loss of its targets, borrows for all.
+func (router *Router) candidates(kindID int32) candidates {
+	if router.available > 0 && router.kinds[kindID].mean > router.mean {
+		return candidates{own: router.own.targets}
+	}
+	return candidates{own: router.own.targets, lent: router.lent.targets}
+}
+
+// choose returns the best target by the policy, or nil if none may take the kind now.
 func (router *Router) choose(kindID int32, now int64) *target {
+	candidates := router.candidates(kindID)
+	count := candidates.len()
+	if count == 0 {
+		return nil
+	}
 	switch router.config.Policy.(type) {
 	case RoundRobin:
 		router.turn++
-		return router.firstReady(int(router.turn%uint64(len(router.free))), kindID, now)
+		return candidates.firstReady(int(router.turn%uint64(count)), now)
 	case Random:
-		return router.firstReady(router.below(len(router.free)), kindID, now)
+		return candidates.firstReady(router.below(count), now)
 	case LeastInFlight:
-		return router.best(len(router.free), kindID, now, load)
+		return router.best(candidates, count, kindID, now, load)
 	case TwoChoices:
-		a := router.firstReady(router.below(len(router.free)), kindID, now)
-		b := router.firstReady(router.below(len(router.free)), kindID, now)
+		a, b := candidates.firstReady(router.below(count), now), candidates.firstReady(router.below(count), now)
 		if a != nil && load(router, b, kindID, now) < load(router, a, kindID, now) {
 			return b
 		}
 		return a
 	default:
-		return router.best(sampleSize, kindID, now, completion)
+		return router.best(candidates, sampleSize, kindID, now, completion)
 	}
 }
 
-func (router *Router) firstReady(from int, kindID int32, now int64) *target {
-	for i := range router.free {
-		target := router.free[(from+i)%len(router.free)]
-		if target.pausedUntil <= now && router.mayBorrow(target, kindID) {
+// firstReady returns the first candidate at or after from that does not pause, or nil.
+func (candidates candidates) firstReady(from int, now int64) *target {
+	for i := range candidates.len() {
+		if target := candidates.at(from + i); target.pausedUntil <= now {
 			return target
 		}
 	}
 	return nil
 }
 
-// best returns the target with the lowest cost among all free ones, or among a sample if there are many.
-func (router *Router) best(sample int, kindID int32, now int64, cost func(*Router, *target, int32, int64) float64) *target {
+// best returns the candidate with the lowest cost among all, or among a sample if there are many.
+func (router *Router) best(candidates candidates, sample int, kindID int32, now int64, cost func(*Router, *target, int32, int64) float64) *target {
 	var best *target
 	var lowest float64
-	count := len(router.free)
+	count, stride := candidates.len(), 1
 	from := router.below(count)
-	stride := 1
 	if count > scanSize && sample < count {
-		// A stride through the list draws distinct targets without state.
-		stride = max(1, count/sample)
-		count = sample
+		// A stride through the lists draws distinct targets without state.
+		count, stride = sample, count/sample
 	}
 	for i := range count {
-		target := router.free[(from+i*stride)%len(router.free)]
-		if target.pausedUntil > now || !router.mayBorrow(target, kindID) {
+		target := candidates.at(from + i*stride)
+		if target.pausedUntil > now {
 			continue
 		}
 		if value := cost(router, target, kindID, now); best == nil || value < lowest {
 			best, lowest = target, value
 		}
 	}
+	if best == nil {
+		return candidates.firstReady(from, now)
+	}
 	return best
 }
 
-// mayBorrow reports whether a task of the kind may take the next slot of target, if that is beyond the share.
-//
-// A long task would hold a borrowed slot for longer than its owner can wait, so
-// only kinds that run for no longer than the mean of all tasks borrow. An
-// instance without own slots, as after the loss of its targets, borrows for all.
-func (router *Router) mayBorrow(target *target, kindID int32) bool {
-	return target.inFlight < target.share || router.available == 0 || router.kinds[kindID].mean <= router.mean
-}
-
 func load(_ *Router, target *target, _ int32, _ int64) float64 {
 	return float64(target.inFlight) / float64(max(1, target.slots))
 }
--- a/router/eject.go
+++ b/router/eject.go
@@ -56,9 +56,9 @@
 	return float64(now-target.since) > overdueRatio*mean+float64(overdueFloor)
 }
 
-// eject takes target out of the choice unless too many are out already, and reports whether it did.
+// eject takes a healthy target out of the choice unless too many are out already, and reports whether it did.
 func (router *Router) eject(target *target, state state, now int64) bool {
-	if router.config.KeepOutliers || target.state != healthy || target.gone || target.leavingUntil != 0 || len(router.ejected) >= router.maxEjected() {
+	if router.config.KeepOutliers || target.gone || target.leavingUntil != 0 || len(router.ejected) >= router.maxEjected() {
 		return false
 	}
 	target.state = state
--- a/router/router.go
+++ b/router/router.go
@@ -14,7 +14,8 @@
 	mu        sync.Mutex
 	random    *rand.PCG
 	targets   map[string]*target
-	free      []*target // targets with room, in no order
+	own       list // targets with room within the share
+	lent      list // targets with room beyond the share only
 	ejected   []*target
 	trialAt   int64 // earliest time at which a trial is due
 	turn      uint64
--- a/router/target.go
+++ b/router/target.go
@@ -40,7 +40,8 @@
 // target is the state that a router keeps of one target.
 type target struct {
 	Target
-	freeAt    int32 // position among the free targets, -1 if it has no room
+	list      *list // the list that the target is on, nil if it has no room
+	listAt    int32 // position on the list
 	inFlight  int32
 	share     int32
 	available int32   // share while the target may get work, else 0
@@ -66,7 +67,7 @@
 	cells        []cell
 }
 
-func newTarget() *target { return &target{freeAt: -1, factor: 1, extra: -1} }
+func newTarget() *target { return &target{factor: 1, extra: -1} }
 
 // age makes the next run times count as much as all those before, because the target may have changed.
 func (target *target) age() {
@@ -98,7 +99,7 @@
 	return target.share + int32(max(0, target.extra))
 }
 
-// place puts target among the free ones if it may get work now, and takes it out otherwise.
+// place puts target on the list of those with own slots or slots to borrow, or on none if it may get no work.
 func (router *Router) place(target *target) {
 	if target.extra < 0 || target.extra > float32(target.slots)-float32(target.share) {
 		// All slots may be borrowed until waits show that other instances use them.
@@ -111,20 +112,40 @@
 		target.available = target.share
 	}
 	router.available += target.available
-	room := up && target.inFlight < router.limit(target)
 	switch {
-	case room && target.freeAt < 0:
-		target.freeAt = int32(len(router.free))
-		router.free = append(router.free, target)
-	case !room && target.freeAt >= 0:
-		last := router.free[len(router.free)-1]
-		router.free[target.freeAt] = last
-		last.freeAt = target.freeAt
-		router.free = router.free[:len(router.free)-1]
-		target.freeAt = -1
+	case up && target.inFlight < target.share:
+		router.own.take(target)
+	case up && target.inFlight < router.limit(target):
+		router.lent.take(target)
+	case target.list != nil:
+		target.list.remove(target)
 	}
 }
 
+// list holds targets in no order; a target is on one list at most.
+type list struct{ targets []*target }
+
+// take moves target to the list.
+func (list *list) take(target *target) {
+	if target.list == list {
+		return
+	}
+	if target.list != nil {
+		target.list.remove(target)
+	}
+	target.list = list
+	target.listAt = int32(len(list.targets))
+	list.targets = append(list.targets, target)
+}
+
+func (list *list) remove(target *target) {
+	last := list.targets[len(list.targets)-1]
+	list.targets[target.listAt] = last
+	last.listAt = target.listAt
+	list.targets = list.targets[:len(list.targets)-1]
+	target.list = nil
+}
+
 // estimate returns the expected run time of a task on target in nanoseconds.
 func (router *Router) estimate(target *target, kindID int32) float64 {
 	if int(kindID) < len(target.cells) {
