Describe workers and task sizes in the bundle

Cause: placement needs racks, worker sizes and declared task sizes, and a kind that no worker can hold should be found before it is published.

Change: targets take rack, milli-cores, memory-mb and accelerators, kinds take a size; lint refuses a kind on workers without a size or larger than every worker; diff shows the values and leaves out empty ones.

Conclusion: the entry instance does not use them yet.

--- a/bundler/bundle.go
+++ b/bundler/bundle.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/hyssoplift/hyssoplift/placer"
 )
 
 // Protocol is how the targets of a service are called.
@@ -50,6 +52,8 @@
 	service       string
 	address       string
 	slots         int
+	rack          string
+	size          placer.Size
 }
 
 // Name returns the target's name, unique in the bundle.
@@ -64,9 +68,15 @@
 // Address returns the target's host and port.
 func (target Target) Address() string { return target.address }
 
-// Slots returns how many tasks the target runs at once.
+// Slots returns how many tasks the target runs at once; a worker's size is the tighter bound.
 func (target Target) Slots() int { return target.slots }
 
+// Rack returns the rack that a worker is in, or an empty string.
+func (target Target) Rack() string { return target.rack }
+
+// Size returns a worker's size; it is zero for a runner.
+func (target Target) Size() placer.Size { return target.size }
+
 // Kind is a kind of task with the limits that it runs under.
 type Kind struct {
 	name        string
@@ -75,6 +85,7 @@
 	maxTasks    int
 	maxInFlight int
 	runTime     time.Duration
+	size        placer.Size
 }
 
 // Name returns the kind's name.
@@ -95,6 +106,9 @@
 // RunTime returns the declared run time of one task, which may be far off.
 func (kind Kind) RunTime() time.Duration { return kind.runTime }
 
+// Size returns the declared size of one task on a worker, which may be far off.
+func (kind Kind) Size() placer.Size { return kind.size }
+
 // Team is a group of callers with a quota.
 type Team struct {
 	name        string
--- a/bundler/diff.go
+++ b/bundler/diff.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"github.com/hyssoplift/hyssoplift/placer"
 )
 
 // field is one value of a section, as an operator reads it.
@@ -75,9 +77,12 @@
 }
 
 func added(class, name string, fields []field) string {
-	parts := make([]string, len(fields))
-	for i, field := range fields {
-		parts[i] = field.name + " " + field.value
+	var parts []string
+	for _, field := range fields {
+		// Runners have no rack and no size.
+		if field.value != "" && field.value != "0" {
+			parts = append(parts, field.name+" "+field.value)
+		}
 	}
 	return class + " " + name + " added (" + strings.Join(parts, ", ") + ")"
 }
@@ -118,20 +123,27 @@
 }
 
 func (kind Kind) fields() []field {
-	return []field{
+	return append([]field{
 		{"service", kind.service},
 		{"repeatable", fmt.Sprint(kind.repeatable)},
 		number("max-tasks", kind.maxTasks),
 		number("max-in-flight", kind.maxInFlight),
 		number("run-ms", int(kind.runTime.Milliseconds())),
-	}
+	}, sizeFields(kind.size)...)
 }
 
 func (target Target) fields() []field {
-	return []field{
+	return append([]field{
 		{"failure-domain", target.failureDomain},
 		{"service", target.service},
 		{"address", target.address},
 		number("slots", target.slots),
+		{"rack", target.rack},
+	}, sizeFields(target.size)...)
+}
+
+func sizeFields(size placer.Size) []field {
+	return []field{
+		number("milli-cores", int(size.MilliCores)), number("memory-mb", int(size.MemoryMB)), number("accelerators", int(size.Accelerators)),
 	}
 }
--- a/bundler/lint.go
+++ b/bundler/lint.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/hyssoplift/hyssoplift/placer"
 )
 
 // maxLintWeight is the largest policy weight, a percentage.
@@ -62,6 +64,7 @@
 	linter.checkDomains()
 	linter.checkTargets()
 	linter.checkKinds()
+	linter.checkSizes()
 	linter.checkLimits()
 	linter.checkObjectives()
 	linter.checkVersion(inForce)
@@ -120,6 +123,15 @@
 	linter.checkSlots()
 }
 
+// hidden reports whether the failure domain's targets are in a part that is not at hand.
+func (linter *linter) hidden(domain FailureDomain) bool {
+	return domain.split && !linter.bundle.composed()
+}
+
+func (linter *linter) someHidden() bool {
+	return slices.ContainsFunc(slices.Collect(maps.Values(linter.bundle.domains)), linter.hidden)
+}
+
 // checkKinds finds kinds without a target. Of split failure domains, only a composed bundle shows the targets.
 func (linter *linter) checkKinds() {
 	type place struct{ domain, service string }
@@ -131,25 +143,47 @@
 			services[target.service] = true
 		}
 	}
-	hidden := func(domain FailureDomain) bool { return domain.split && !linter.bundle.composed() }
-	someHidden := slices.ContainsFunc(slices.Collect(maps.Values(linter.bundle.domains)), hidden)
 	for _, name := range slices.Sorted(maps.Keys(linter.bundle.kinds)) {
 		service := linter.bundle.kinds[name].service
 		if !services[service] {
-			if !someHidden {
+			if !linter.someHidden() {
 				linter.fail("[kind %s] service: %q has no target in a failure domain that stays", name, service)
 			}
 			continue
 		}
 		for _, domain := range linter.bundle.failureDomains {
 			entry := linter.bundle.domains[domain]
-			if !entry.leaving && !hidden(entry) && !served[place{domain, service}] {
+			if !entry.leaving && !linter.hidden(entry) && !served[place{domain, service}] {
 				linter.warn("[kind %s] service: %q has no target in failure domain %s; its jobs spill over", name, service, domain)
 			}
 		}
 	}
 }
 
+// checkSizes finds kinds whose declared size no worker has: every job of such a kind would be refused.
+func (linter *linter) checkSizes() {
+	if linter.someHidden() {
+		return
+	}
+	largest := make(map[string]placer.Size)
+	for _, target := range linter.bundle.targets {
+		largest[target.service] = largest[target.service].Maximum(target.size)
+	}
+	for _, name := range slices.Sorted(maps.Keys(linter.bundle.kinds)) {
+		kind := linter.bundle.kinds[name]
+		known, ok := largest[kind.service]
+		if !ok || linter.bundle.services[kind.service].protocol != ProtocolWorker {
+			continue
+		}
+		switch {
+		case kind.size == placer.Size{}:
+			linter.fail("[kind %s] milli-cores: a kind that runs on workers needs a size", name)
+		case !kind.size.Fits(known):
+			linter.fail("[kind %s]: its size is larger than any worker of service %q", name, kind.service)
+		}
+	}
+}
+
 func (linter *linter) checkLimits() {
 	for _, name := range slices.Sorted(maps.Keys(linter.bundle.kinds)) {
 		kind := linter.bundle.kinds[name]
--- a/bundler/parse.go
+++ b/bundler/parse.go
@@ -11,14 +11,18 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
+	"github.com/hyssoplift/hyssoplift/placer"
 )
 
 // Bounds of bundle values. Lint applies narrower ones where a value parses but cannot be served.
 const (
-	maxSlots    = 4096
-	maxInFlight = 1_000_000
-	maxRunMS    = 600_000
-	maxWeight   = 1_000_000
+	maxSlots        = 4096
+	maxMilliCores   = 10_000_000
+	maxMemoryMB     = 1 << 30
+	maxAccelerators = 1024
+	maxInFlight     = 1_000_000
+	maxRunMS        = 600_000
+	maxWeight       = 1_000_000
 	// minRetentionSeconds leaves 7.5 s between two renewals, enough for a slow log.
 	minRetentionSeconds = 60
 	maxRetentionSeconds = 30 * 24 * 3600
@@ -205,10 +209,10 @@
 		return reader.close("protocol")
 	case "target":
 		bundle.targets = append(bundle.targets, readTarget(reader, name))
-		return reader.close("failure-domain", "service", "address", "slots")
+		return reader.close("failure-domain", "service", "address", "slots", "rack", "milli-cores", "memory-mb", "accelerators")
 	case "kind":
 		put(reader, bundle.kinds, name, readKind(reader, name))
-		return reader.close("service", "repeatable", "max-tasks", "max-in-flight", "run-ms")
+		return reader.close("service", "repeatable", "max-tasks", "max-in-flight", "run-ms", "milli-cores", "memory-mb", "accelerators")
 	case "team":
 		put(reader, bundle.teams, name, Team{name: name, maxInFlight: int(reader.number("max-in-flight", required, 0, maxInFlight))})
 		return reader.close("max-in-flight")
@@ -235,12 +239,23 @@
 		address:       reader.text("address"),
 		slots:         int(reader.number("slots", required, 0, maxSlots)),
 	}
+	target.rack, _ = reader.lookup("rack")
+	target.size = readSize(reader)
 	if _, _, err := net.SplitHostPort(target.address); err != nil {
 		reader.fail("address", "got %q, expected host:port", target.address)
 	}
 	return target
 }
 
+// readSize returns the size of a worker or of a task on a worker; runners have none.
+func readSize(reader *reader) placer.Size {
+	return placer.Size{
+		MilliCores:   reader.number("milli-cores", 0, 0, maxMilliCores),
+		MemoryMB:     reader.number("memory-mb", 0, 0, maxMemoryMB),
+		Accelerators: reader.number("accelerators", 0, 0, maxAccelerators),
+	}
+}
+
 func readKind(reader *reader, name string) Kind {
 	return Kind{
 		name:        name,
@@ -249,6 +264,7 @@
 		maxTasks:    int(reader.number("max-tasks", dispatcher.MaxTasks, 0, dispatcher.MaxTasks)),
 		maxInFlight: int(reader.number("max-in-flight", maxInFlight, 0, maxInFlight)),
 		runTime:     time.Duration(reader.number("run-ms", defaultRunMS, 1, maxRunMS)) * time.Millisecond,
+		size:        readSize(reader),
 	}
 }
 
--- a/bundler/parse_test.go
+++ b/bundler/parse_test.go
@@ -27,9 +27,9 @@
 	is.True(domain.Leaving())
 	service, _ := bundle.Service("loops")
 	is.Equal(service.Protocol(), ProtocolWorker)
-	is.Equal(bundle.Targets(), []Target{{"runner-1", "hanoi-a", "loops", "127.0.0.1:1", 8}})
+	is.Equal(bundle.Targets(), []Target{{name: "runner-1", failureDomain: "hanoi-a", service: "loops", address: "127.0.0.1:1", slots: 8}})
 	kind, _ := bundle.Kind("loop-check")
-	is.Equal(kind, Kind{"loop-check", "loops", true, 130, maxInFlight, 200 * time.Millisecond})
+	is.Equal(kind, Kind{name: "loop-check", service: "loops", repeatable: true, maxTasks: 130, maxInFlight: maxInFlight, runTime: 200 * time.Millisecond})
 	objective, _ := bundle.Objective("loop-check")
 	is.Equal(objective, Objective{"loop-check", 400 * time.Millisecond, 99.5})
 	team, _ := bundle.Team("heating")
@@ -71,6 +71,10 @@
 	}
 }
 
+// workers is a service whose only worker has 32 cores and 128 GB.
+const workers = "[service plans]\nprotocol = worker\n[target worker-1]\nfailure-domain = hanoi-a\nservice = plans\n" +
+	"address = 127.0.0.1:3\nslots = 32\nrack = rack-1\nmilli-cores = 32000\nmemory-mb = 131072"
+
 // Guards against bundles that parse but would break, and against lint that stops sound ones.
 func TestLint(t *testing.T) {
 	two := bundleText(1, "two", "[failure-domain srt]")
@@ -97,6 +101,9 @@
 		{"removed after leaving", two + "\nleaving = true", bundleText(2, ""), ""},
 		{"all leaving", "", strings.ReplaceAll(bundleText(1, ""), "[failure-domain hanoi-a]", "[failure-domain hanoi-a]\nleaving = true"), "every failure domain is leaving"},
 		{"version stays", bundleText(2, ""), bundleText(2, ""), "version: 2 is not above 2"},
+		{"kind on workers without a size", "", bundleText(1, "", workers, "[kind plan]\nservice = plans\nrepeatable = true"), "[kind plan] milli-cores: a kind that runs on workers needs a size"},
+		{"kind that fits no worker", "", bundleText(1, "", workers, "[kind plan]\nservice = plans\nrepeatable = true\nmemory-mb = 200000"), "[kind plan]: its size is larger than any worker"},
+		{"kind that fits a worker", "", bundleText(1, "", workers, "[kind plan]\nservice = plans\nrepeatable = true\nmemory-mb = 2000"), ""},
 		{"address twice", "", bundleText(1, "", "[target x]\nfailure-domain = hanoi-a\nservice = loops\naddress = 127.0.0.1:1\nslots = 1"), "warning: [target x] address"},
 	}
 	for _, test := range tests {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -142,7 +142,7 @@
 		}
 		placer.byName[worker.name] = entry
 		placer.seats = append(placer.seats, entry)
-		placer.largest = placer.largest.maximum(worker.total)
+		placer.largest = placer.largest.Maximum(worker.total)
 	}
 	// Racks stay together so that a job fills one rack before the next.
 	slices.SortFunc(placer.seats, func(a, b *seat) int {
@@ -168,7 +168,7 @@
 	if entry == nil || now.After(expiry) {
 		return
 	}
-	entry.foreign = usage.used.subtract(entry.reserved).maximum(Size{})
+	entry.foreign = usage.used.subtract(entry.reserved).Maximum(Size{})
 }
 
 // Close stops placing tasks on a worker that is leaving or fails what it starts.
@@ -220,7 +220,7 @@
 			return best, true
 		}
 	}
-	fitsIdle = slices.ContainsFunc(placer.seats, func(seat *seat) bool { return request.fits(seat.total) })
+	fitsIdle = slices.ContainsFunc(placer.seats, func(seat *seat) bool { return request.Fits(seat.total) })
 	return freest(nil, placer.seats, request), fitsIdle
 }
 
@@ -228,7 +228,7 @@
 func freest(best *seat, seats []*seat, request Size) *seat {
 	for _, seat := range seats {
 		room := seat.room()
-		if seat.closed || !request.fits(room) {
+		if seat.closed || !request.Fits(room) {
 			continue
 		}
 		if best == nil || freeShare(seat, room) > freeShare(best, best.room()) {
--- a/placer/size.go
+++ b/placer/size.go
@@ -20,13 +20,13 @@
 	return Size{size.MilliCores - other.MilliCores, size.MemoryMB - other.MemoryMB, size.Accelerators - other.Accelerators}
 }
 
-// fits reports whether size is no larger than room in any dimension.
-func (size Size) fits(room Size) bool {
+// Fits reports whether size is no larger than room in any dimension.
+func (size Size) Fits(room Size) bool {
 	return size.MilliCores <= room.MilliCores && size.MemoryMB <= room.MemoryMB && size.Accelerators <= room.Accelerators
 }
 
-// maximum returns the larger value of each dimension.
-func (size Size) maximum(other Size) Size {
+// Maximum returns the larger value of each dimension.
+func (size Size) Maximum(other Size) Size {
 	return Size{max(size.MilliCores, other.MilliCores), max(size.MemoryMB, other.MemoryMB), max(size.Accelerators, other.Accelerators)}
 }
 
@@ -57,13 +57,13 @@
 	excess := sizeEstimate.peak.subtract(peak)
 	decayed := peak.add(excess.scale(decayPercent))
 	decayed.Accelerators = max(peak.Accelerators, sizeEstimate.peak.Accelerators)
-	sizeEstimate.peak = peak.maximum(decayed)
+	sizeEstimate.peak = peak.Maximum(decayed)
 	sizeEstimate.samples++
 }
 
 // guard raises the estimate after the worker throttled, checkpointed or stopped a task that was granted size.
 func (sizeEstimate *sizeEstimate) guard(granted, peak Size) {
-	sizeEstimate.peak = sizeEstimate.peak.maximum(granted.scale(guardPercent)).maximum(peak)
+	sizeEstimate.peak = sizeEstimate.peak.Maximum(granted.scale(guardPercent)).Maximum(peak)
 	sizeEstimate.samples = max(sizeEstimate.samples, 1)
 }
 
@@ -75,7 +75,7 @@
 	learned := sizeEstimate.peak.scale(headroomPercent)
 	learned.Accelerators = declared.Accelerators
 	if sizeEstimate.samples < trustedSamples {
-		return declared.maximum(learned)
+		return declared.Maximum(learned)
 	}
 	return learned
 }
