--- /dev/null
+++ b/keeper/view.go
@@ -0,0 +1,36 @@
+package keeper
+
+// NoView is the Prev of the first view of a log, and the number of the view of a keeper that has none.
+const NoView int64 = -1
+
+// Member is one incarnation of an instance.
+type Member struct {
+	Name        string `json:"name" cbor:"name"`
+	Incarnation string `json:"incarnation" cbor:"incarnation"`
+	Address     string `json:"address" cbor:"address"`
+}
+
+// View is a record of the log stream of views; its number is its log offset.
+type View struct {
+	// Prev is the number of the view that this one follows, NoView for the first.
+	Prev    int64    `json:"prev" cbor:"prev"`
+	Members []Member `json:"members" cbor:"members"`
+	// Departing holds the members of the previous view that leave by plan; Members does not contain them.
+	Departing []Member `json:"departing,omitempty" cbor:"departing,omitempty"`
+	// ExpiryFloor is the number of the renewal before the last; keys of lower epochs have expired.
+	ExpiryFloor int64 `json:"expiry-floor" cbor:"expiry-floor"`
+	// Reset makes the view valid whatever Prev says, and raises every floor to its number.
+	Reset bool `json:"reset,omitempty" cbor:"reset,omitempty"`
+}
+
+// Member returns the member with the given incarnation, and whether there is one.
+func (view View) Member(incarnation string) (Member, bool) { return find(view.Members, incarnation) }
+
+func find(members []Member, incarnation string) (Member, bool) {
+	for _, member := range members {
+		if member.Incarnation == incarnation {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
