Decide starts by owner and witness, and judge histories by promise

Cause: an instance that only remembers the keys that it saw starts a job twice when the caller resubmits it elsewhere.

Each slice is a shard under its own lock. checker judges a history by the names of the promises. The random schedules run the naive version and the keeper in a small in-memory failure domain.

Ruled out: counting an acknowledgement by key and view alone. A late withdraw or acknowledgement of an earlier attempt then applies to a later one; records carry the sequence number of the attempt.

--- a/checker/event.go
+++ b/checker/event.go
@@ -62,6 +62,20 @@
 	Decided time.Time
 }
 
+// Cancelled is the receipt of an answer that says that the job was cancelled and never runs.
+type Cancelled struct {
+	At
+	Key string
+	// Decided is the time at which the instance knew it; a zero time stands for the receipt.
+	Decided time.Time
+}
+
+// Ended is the end of a job's last task at its target; the retention of a plain key counts from here.
+type Ended struct {
+	At
+	Key string
+}
+
 // UnknownAnswer is the receipt by the caller of an answer that makes no claim, or the loss of its request.
 type UnknownAnswer struct {
 	At
--- /dev/null
+++ b/keeper/adopt.go
@@ -0,0 +1,182 @@
+package keeper
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+)
+
+const (
+	detailMoved = "the slice has another owner now"
+	// lostRetentions is how many retention periods the record of a plain key is kept when its holder is gone:
+	// the job may still run for up to one, and the period counts from its end.
+	lostRetentions = 2
+)
+
+// OpenLog tells the keeper the earliest retained offset of the stream of views, before the first Adopt and
+// again whenever the reader had to skip trimmed records.
+func (keeper *Keeper) OpenLog(earliest int64) {
+	keeper.chainMutex.Lock()
+	defer keeper.chainMutex.Unlock()
+	keeper.chain.open(earliest)
+}
+
+// Adopt reads one record of the stream of views; records must come in the order of their offsets. A record
+// that is not valid changes nothing.
+func (keeper *Keeper) Adopt(offset int64, view View, now time.Time) ([]Event, []Outgoing) {
+	keeper.chainMutex.Lock()
+	defer keeper.chainMutex.Unlock()
+	var effects effects
+	for _, place := range keeper.chain.read(offset, view) {
+		keeper.adopt(place, now, &effects)
+	}
+	return effects.events, effects.outgoing
+}
+
+func (keeper *Keeper) adopt(place *position, now time.Time, effects *effects) {
+	keeper.handed.Store(0)
+	keeper.place.Store(place)
+	keeper.adopted = now
+	requests := map[string]*SyncRequest{}
+	for _, shard := range keeper.shards {
+		for _, member := range shard.adopt(place, now, effects) {
+			addRequest(requests, member, place.number(), shard.slice)
+		}
+	}
+	keeper.sendRequests(requests, effects)
+	keeper.announce(place, effects)
+	keeper.decideAgain(keeper.confirmer.take(), now, effects)
+	keeper.answerDeferred(effects)
+}
+
+// adopt moves the slice to a later view and returns the members to ask for its records.
+func (shard *shard) adopt(place *position, now time.Time, effects *effects) []string {
+	shard.mutex.Lock()
+	defer shard.mutex.Unlock()
+	stays := place.current.origin == follows && shard.owns() && shard.synced
+	earlier := shard.place
+	shard.place, shard.syncing = place, nil
+	stays = stays && shard.owns()
+	shard.forget(earlier, now)
+	if stays {
+		shard.serve(max(shard.floor, place.current.expiryFloor), shard.closed)
+		shard.renewAttempts(now, effects)
+		return nil
+	}
+	shard.synced = false
+	shard.keeper.setServing(shard.slice, false)
+	shard.loseAttempts(effects)
+	if !shard.owns() {
+		return nil
+	}
+	return shard.startSync(now, effects)
+}
+
+// serve makes this instance the deciding owner of the slice in its view.
+func (shard *shard) serve(floor int64, closed bool) {
+	if !shard.synced || !closed {
+		shard.opens = time.Time{}
+	}
+	shard.synced, shard.floor, shard.closed = true, floor, closed
+	shard.last = &SyncedView{View: shard.place.number(), Floor: floor, Closed: closed}
+	shard.keeper.setServing(shard.slice, true)
+}
+
+func (keeper *Keeper) setServing(slice int, serving bool) {
+	if serving {
+		keeper.serving.Or(1 << slice)
+	} else {
+		keeper.serving.And(^uint64(1 << slice))
+	}
+}
+
+// renewAttempts repeats the pending attempts in the new view: the old one's witnesses are sealed.
+func (shard *shard) renewAttempts(now time.Time, effects *effects) {
+	if len(shard.attempts) == 0 {
+		return
+	}
+	for _, text := range slices.Sorted(maps.Keys(shard.attempts)) {
+		attempt := shard.attempts[text]
+		stored := shard.records[text]
+		key, err := ParseKey(text)
+		if err != nil {
+			continue
+		}
+		attempt.tried, attempt.tries, attempt.fulls = nil, 0, 0
+		switch {
+		case stored.state == StatePending && shard.doubt(key, now) != "":
+			shard.abandon(attempt, stored)
+			shard.loseAttempt(attempt, shard.doubt(key, now), false, effects)
+		case shard.alone():
+			attempt.witness = Member{}
+			stored.view = shard.place.number()
+			shard.grant(attempt, stored, effects)
+		case !shard.request(attempt, stored, now, effects):
+			shard.abandon(attempt, stored)
+			shard.loseAttempt(attempt, detailNoWitness, false, effects)
+		}
+	}
+}
+
+// loseAttempts ends every attempt, because this instance may not decide the slice any more.
+func (shard *shard) loseAttempts(effects *effects) {
+	if len(shard.attempts) == 0 {
+		return
+	}
+	for _, text := range slices.Sorted(maps.Keys(shard.attempts)) {
+		attempt := shard.attempts[text]
+		shard.abandon(attempt, shard.records[text])
+		shard.loseAttempt(attempt, detailMoved, true, effects)
+	}
+}
+
+func (shard *shard) loseAttempt(attempt *attempt, detail string, resubmit bool, effects *effects) {
+	for _, ticket := range attempt.tickets {
+		effects.emit(AttemptLost{Key: attempt.key, Ticket: ticket, Outcome: dispatcher.NewUnknown(detail), Resubmit: resubmit})
+	}
+}
+
+// forget drops the records that the view's expiry-floor lets go, and gives those whose holder has left
+// their time of expiry. It scans the table only if the view changes one of the two.
+func (shard *shard) forget(earlier *position, now time.Time) {
+	current := shard.place.current
+	raised := earlier == nil || current.expiryFloor > earlier.current.expiryFloor
+	left := earlier == nil || slices.ContainsFunc(earlier.current.view.Members, func(member Member) bool {
+		return !current.answers(member.Incarnation)
+	}) || len(earlier.current.view.Departing) > 0
+	if !raised && !left {
+		return
+	}
+	for text, stored := range shard.records {
+		shard.age(text, stored, now)
+	}
+}
+
+// age drops the record of an issued key below the expiry-floor, and lets that of a plain key expire.
+func (shard *shard) age(text string, stored *record, now time.Time) {
+	if !shard.settled(stored) {
+		return
+	}
+	key, err := ParseKey(text)
+	switch {
+	case err != nil:
+	case key.form == IssuedKey && key.number < shard.place.current.expiryFloor && shard.attempts[text] == nil:
+		shard.drop(text)
+	case key.form == PlainKey && stored.expires == 0:
+		shard.expireLater(key, now.Add(lostRetentions*shard.keeper.limits.Retention))
+	}
+}
+
+// Accounted says that every incarnation outside the current view has adopted it or has disappeared from the
+// instance list; slices closed to plain keys open one retention period after the first such call.
+func (keeper *Keeper) Accounted(now time.Time) {
+	for _, shard := range keeper.shards {
+		shard.mutex.Lock()
+		if shard.synced && shard.closed && shard.opens.IsZero() {
+			shard.opens = now.Add(shard.keeper.limits.Retention)
+		}
+		shard.mutex.Unlock()
+	}
+}
--- /dev/null
+++ b/keeper/cancel.go
@@ -0,0 +1,61 @@
+package keeper
+
+import "time"
+
+// Cancel settles a job that has not started as cancelled; forwarded marks a request of another instance. The
+// job stays cancelled at this owner even if no confirmation follows.
+func (keeper *Keeper) Cancel(text string, forwarded bool, now time.Time) (Decision, []Outgoing) {
+	key, decision := keeper.parse(text, forwarded)
+	if decision != nil {
+		return decision, nil
+	}
+	var effects effects
+	decision = keeper.shards[key.slice].cancel(key, forwarded, now, &effects)
+	return decision, effects.outgoing
+}
+
+func (shard *shard) cancel(key Key, forwarded bool, now time.Time, effects *effects) Decision {
+	shard.mutex.Lock()
+	defer shard.mutex.Unlock()
+	stored := shard.records[key.text]
+	if stored != nil && stored.holder == shard.self() && stored.state >= StateStarted {
+		return TooLate{}
+	}
+	if decision := shard.standingDecision(key, forwarded); decision != nil {
+		return decision
+	}
+	switch {
+	case stored == nil && shard.doubt(key, now) != "":
+		return unknown(shard.doubt(key, now))
+	case stored == nil && shard.keeper.full():
+		return unknown(detailFull)
+	case stored == nil:
+		stored = &record{view: shard.place.number(), state: StateCancelled, holder: shard.self()}
+		shard.put(key.text, stored)
+		shard.expireLater(key, now.Add(shard.keeper.limits.Retention))
+		return shard.replicate(key, Submission{Key: key.text}, stored, now, effects)
+	case stored.state == StateCancelled:
+		verdict := shard.recall(key, stored, Submission{Key: key.text, Digest: stored.digest}, effects, now)
+		return verdict.decision
+	case shard.attempts[key.text] != nil:
+		return shard.cancelPending(key, stored, now, effects)
+	default:
+		return TooLate{}
+	}
+}
+
+// cancelPending turns a pending start into a cancellation; its waiters learn of it with the canceller.
+func (shard *shard) cancelPending(key Key, stored *record, now time.Time, effects *effects) Decision {
+	pending := shard.attempts[key.text]
+	shard.withdraw(pending, stored, effects)
+	stored.state = StateCancelled
+	shard.expireLater(key, now.Add(shard.keeper.limits.Retention))
+	ticket := shard.keeper.ticket()
+	pending.tickets = append(pending.tickets, ticket)
+	pending.tried, pending.tries, pending.fulls = nil, 0, 0
+	if !shard.request(pending, stored, now, effects) {
+		shard.abandon(pending, stored)
+		shard.loseAttempt(pending, detailNoWitness, false, effects)
+	}
+	return AwaitWitness{Ticket: ticket}
+}
--- a/keeper/decision.go
+++ b/keeper/decision.go
@@ -32,13 +32,17 @@
 // AwaitConfirmation means that a RefusalConfirmed or RefusalUnconfirmed event with this ticket follows.
 type AwaitConfirmation struct{ Ticket uint64 }
 
-// Joined means that the job is pending or running here: an event with this ticket that ends the attempt, or
-// an OutcomeKnown event with this key, follows.
+// Joined means that the job is pending or running here. An OutcomeKnown event with this key follows, or, if
+// Ticket is not 0, one of the events that AwaitWitness names.
 type Joined struct{ Ticket uint64 }
 
 // Answer means that the outcome is known now; a refusal in it is true.
 type Answer struct{ Outcome dispatcher.Outcome }
 
+// AnswerLost means that the job started in an instance that cannot be asked: the answer is failed, and each
+// task has this fate, Finished or OutcomeUnknown.
+type AnswerLost struct{ Fate dispatcher.Fate }
+
 // Forward means that another instance decides, or holds the answer.
 type Forward struct {
 	To Member
@@ -57,6 +61,7 @@
 func (AwaitConfirmation) isDecision() {}
 func (Joined) isDecision()            {}
 func (Answer) isDecision()            {}
+func (AnswerLost) isDecision()        {}
 func (Forward) isDecision()           {}
 func (ForwardDomain) isDecision()     {}
 func (TooLate) isDecision()           {}
@@ -84,6 +89,8 @@
 	Key     string
 	Ticket  uint64
 	Refusal dispatcher.Refused
+	// Decided is the time of the decision that was confirmed; no start of the job precedes it.
+	Decided time.Time
 }
 
 // RefusalUnconfirmed means that the job is answered with Outcome instead of the refusal.
@@ -99,6 +106,13 @@
 	Ticket uint64
 }
 
+// AnswerFound means that a refusal is replaced by Outcome, because a new view has another answer.
+type AnswerFound struct {
+	Key     string
+	Ticket  uint64
+	Outcome dispatcher.Outcome
+}
+
 // OutcomeKnown means that the job ended; it goes to every waiter of the key.
 type OutcomeKnown struct {
 	Key     string
@@ -110,4 +124,5 @@
 func (RefusalConfirmed) isEvent()   {}
 func (RefusalUnconfirmed) isEvent() {}
 func (CancelConfirmed) isEvent()    {}
+func (AnswerFound) isEvent()        {}
 func (OutcomeKnown) isEvent()       {}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -1,9 +1,11 @@
 package keeper
 
 import (
+	"maps"
+	"math"
+	"sync"
+	"sync/atomic"
 	"time"
-
-	"github.com/hyssoplift/hyssoplift/dispatcher"
 )
 
 // Slices is the number of slices of a failure domain.
@@ -26,99 +28,181 @@
 
 // Keeper decides the starts of one instance's slices; its methods are safe for concurrent use.
 type Keeper struct {
-	self   Member
-	domain string
-	limits Limits
+	self    Member
+	domain  string
+	limits  Limits
+	started time.Time
+
+	shards    [Slices]*shard
+	confirmer *confirmer
+	outbox    *outbox
+	// place is stored before any shard adopts it (see receiveConfirm).
+	place    atomic.Pointer[position]
+	suspects atomic.Pointer[map[string]bool]
+	count    atomic.Int64
+	tickets  atomic.Uint64
+	// serving has a bit for each slice that this instance owns and has synced.
+	serving atomic.Uint64
+	// handed has a bit for each slice whose owner has synced, on a departing member.
+	handed atomic.Uint64
+	issued atomic.Uint64
+
+	// chainMutex serialises Adopt; it guards chain, adopted and announceDue.
+	chainMutex  sync.Mutex
+	chain       chain
+	adopted     time.Time
+	announceDue time.Time
+
+	// deferMutex guards deferred, the requests of members that have read more of the log.
+	deferMutex sync.Mutex
+	deferred   map[string]SyncRequest
+
+	// suspectMutex serialises Suspect and Restore.
+	suspectMutex sync.Mutex
 }
 
-// New returns a keeper without a view; it answers unknown until it has adopted one.
+// New returns a keeper without a view; until it has adopted one it starts only solo keys.
 func New(self Member, domain string, limits Limits, now time.Time) *Keeper {
-	_ = now
-	return &Keeper{self: self, domain: domain, limits: limits}
-}
-
-// OpenLog tells the keeper the earliest retained offset of the stream of views, before the first Adopt and
-// again whenever the reader had to skip trimmed records.
-func (keeper *Keeper) OpenLog(earliest int64) { _ = earliest }
-
-// Adopt reads one record of the stream of views; records must come in the order of their offsets. A record
-// that is not valid changes nothing.
-func (keeper *Keeper) Adopt(offset int64, view View, now time.Time) ([]Event, []Outgoing) {
-	_, _, _ = offset, view, now
-	return nil, nil
-}
-
-// View returns the number of the current view and the view, or NoView.
-func (keeper *Keeper) View() (int64, View) { return NoView, View{} }
-
-// Submit decides whether the job may start.
-func (keeper *Keeper) Submit(submission Submission, now time.Time) (Decision, []Outgoing) {
-	_, _ = submission, now
-	return Answer{Outcome: dispatcher.NewUnknown("no view")}, nil
+	keeper := &Keeper{self: self, domain: domain, limits: limits, started: now, deferred: map[string]SyncRequest{}}
+	keeper.confirmer = &confirmer{keeper: keeper}
+	keeper.outbox = &outbox{keeper: keeper, trays: map[string]*tray{}}
+	keeper.suspects.Store(&map[string]bool{})
+	for slice := range Slices {
+		keeper.shards[slice] = &shard{
+			keeper: keeper, slice: slice,
+			records: map[string]*record{}, attempts: map[string]*attempt{},
+		}
+		keeper.shards[slice].due.Store(math.MaxInt64)
+	}
+	return keeper
 }
 
-// Refuse releases a refusal of a submission that has not been granted a start: overload, a deadline that
-// passed in the queue, an unknown kind. A pending attempt for the same job ends with it.
-func (keeper *Keeper) Refuse(submission Submission, refusal dispatcher.Refused, now time.Time) (Decision, []Outgoing) {
-	_, _, _ = submission, refusal, now
-	return Answer{Outcome: dispatcher.NewUnknown("no view")}, nil
+// View returns the number of the current view and the view, or NoView; callers must not change its slices.
+func (keeper *Keeper) View() (int64, View) {
+	place := keeper.place.Load()
+	if place == nil {
+		return NoView, View{}
+	}
+	return place.number(), place.current.view
 }
 
-// Cancel settles a job that has not started as cancelled; it stays cancelled even if no confirmation follows.
-func (keeper *Keeper) Cancel(key string, forwarded bool, now time.Time) (Decision, []Outgoing) {
-	_, _, _ = key, forwarded, now
-	return Answer{Outcome: dispatcher.NewUnknown("no view")}, nil
+// Owner returns the owner of a slice in the current view, and whether there is a view.
+func (keeper *Keeper) Owner(slice int) (Member, bool) {
+	place := keeper.place.Load()
+	if place == nil {
+		return Member{}, false
+	}
+	return place.current.owner(slice), true
 }
 
-// Finish stores the outcome of a job whose start was granted.
-func (keeper *Keeper) Finish(key string, outcome dispatcher.Outcome, now time.Time) ([]Event, []Outgoing) {
-	_, _, _ = key, outcome, now
-	return nil, nil
-}
+// Records returns the number of records in the table, both own ones and copies.
+func (keeper *Keeper) Records() int { return int(keeper.count.Load()) }
 
 // Receive handles a message from the member with the given incarnation.
 func (keeper *Keeper) Receive(from string, message Message, now time.Time) ([]Event, []Outgoing) {
-	_, _, _ = from, message, now
-	return nil, nil
+	var effects effects
+	sender := keeper.member(from)
+	switch message := message.(type) {
+	case Record:
+		keeper.withShard(message.Key, func(shard *shard, key Key) { shard.receiveRecord(sender, key, message, now, &effects) })
+	case RecordAck:
+		keeper.withShard(message.Key, func(shard *shard, _ Key) { shard.receiveAck(from, message, &effects) })
+	case RecordRefused:
+		keeper.withShard(message.Key, func(shard *shard, _ Key) { shard.receiveRefused(from, message, now, &effects) })
+	case Withdraw:
+		keeper.withShard(message.Key, func(shard *shard, _ Key) { shard.receiveWithdraw(from, message) })
+	case Confirm:
+		keeper.receiveConfirm(sender, message, &effects)
+	case ConfirmAck:
+		keeper.confirmer.receiveAck(from, message, now, &effects)
+	case ConfirmRefused:
+		keeper.confirmer.receiveRefused(from, message, now)
+	case SyncRequest:
+		keeper.receiveSyncRequest(sender, message, &effects)
+	case SyncResponse:
+		keeper.receiveSyncResponse(from, message, now, &effects)
+	case Synced:
+		keeper.receiveSynced(message)
+	case OutcomeBatch:
+		for _, ended := range message.Outcomes {
+			keeper.withShard(ended.Key, func(shard *shard, key Key) { shard.receiveOutcome(key, ended, now) })
+		}
+		effects.send(sender, OutcomeAck{Sequence: message.Sequence})
+	case OutcomeAck:
+		keeper.outbox.receiveAck(from, message, now)
+	}
+	return effects.events, effects.outgoing
 }
 
-// Expire acts on every deadline up to now: it resends, changes witness, gives up, and drops expired records.
-// The server calls it every few milliseconds.
-func (keeper *Keeper) Expire(now time.Time) ([]Event, []Outgoing) {
-	_ = now
-	return nil, nil
+// withShard runs act under the lock of the key's shard; a key that does not parse is ignored.
+func (keeper *Keeper) withShard(text string, act func(*shard, Key)) {
+	key, err := ParseKey(text)
+	if err != nil {
+		return
+	}
+	shard := keeper.shards[key.slice]
+	shard.mutex.Lock()
+	defer shard.mutex.Unlock()
+	act(shard, key)
 }
 
-// Prefix returns a key prefix for the next job of a caller, ending in a dot.
-func (keeper *Keeper) Prefix(now time.Time) string {
-	_ = now
-	return ""
+// member returns the member with the incarnation, or only the incarnation if the view does not hold it; links
+// are found by incarnation.
+func (keeper *Keeper) member(incarnation string) Member {
+	if place := keeper.place.Load(); place != nil {
+		if member, found := find(place.current.view.Members, incarnation); found {
+			return member
+		}
+		if member, found := find(place.current.view.Departing, incarnation); found {
+			return member
+		}
+	}
+	return Member{Incarnation: incarnation}
 }
 
-// AnonymousKey returns the key of a job that came without one; text must be unique in this incarnation.
-func (keeper *Keeper) AnonymousKey(text string, now time.Time) string {
-	_, _ = text, now
-	return ""
+// others returns the other members of a view, without those suspected unless all are.
+func (keeper *Keeper) others(place *position) []Member {
+	if place == nil {
+		return nil
+	}
+	var others, suspected []Member
+	for _, member := range place.current.view.Members {
+		switch {
+		case member.Incarnation == keeper.self.Incarnation:
+		case keeper.suspected(member.Incarnation):
+			suspected = append(suspected, member)
+		default:
+			others = append(others, member)
+		}
+	}
+	if len(others) == 0 {
+		return suspected
+	}
+	return others
 }
 
-// Suspect makes the keeper prefer other witnesses to the member until Restore.
-func (keeper *Keeper) Suspect(incarnation string) { _ = incarnation }
+// Suspect makes the keeper prefer other members to this one until Restore.
+func (keeper *Keeper) Suspect(incarnation string) { keeper.setSuspect(incarnation, true) }
 
 // Restore revokes a suspicion.
-func (keeper *Keeper) Restore(incarnation string) { _ = incarnation }
-
-// Account says that an incarnation that is in no view any more has adopted a later view or has disappeared
-// from the instance list; slices closed to plain keys open one retention period after the last such one.
-func (keeper *Keeper) Account(incarnation string, now time.Time) { _, _ = incarnation, now }
+func (keeper *Keeper) Restore(incarnation string) { keeper.setSuspect(incarnation, false) }
+
+func (keeper *Keeper) setSuspect(incarnation string, suspected bool) {
+	keeper.suspectMutex.Lock()
+	defer keeper.suspectMutex.Unlock()
+	changed := maps.Clone(*keeper.suspects.Load())
+	if suspected {
+		changed[incarnation] = true
+	} else {
+		delete(changed, incarnation)
+	}
+	keeper.suspects.Store(&changed)
+}
 
-// Silent returns the incarnations that have not answered a sync request in time.
-func (keeper *Keeper) Silent(now time.Time) []string {
-	_ = now
-	return nil
+func (keeper *Keeper) suspected(incarnation string) bool {
+	return (*keeper.suspects.Load())[incarnation]
 }
 
-// Synced says whether every slice that this instance owns is synced.
-func (keeper *Keeper) Synced() bool { return false }
+func (keeper *Keeper) ticket() uint64 { return keeper.tickets.Add(1) }
 
-// HandedOver says, on a departing member, whether every slice has a synced owner.
-func (keeper *Keeper) HandedOver() bool { return false }
+func (keeper *Keeper) full() bool { return keeper.count.Load() >= int64(keeper.limits.MaxRecords) }
--- a/keeper/message.go
+++ b/keeper/message.go
@@ -94,13 +94,14 @@
 	Slice    int    `cbor:"slice"`
 	Sequence uint64 `cbor:"sequence"`
 	// Part counts from 0; Parts is the number of parts of this slice, at least 1.
-	Part    int          `cbor:"part"`
-	Parts   int          `cbor:"parts"`
-	Synced  []SyncedView `cbor:"synced"`
+	Part  int `cbor:"part"`
+	Parts int `cbor:"parts"`
+	// Synced is the last view in which the sender had synced the slice as its owner, nil if there is none.
+	Synced  *SyncedView  `cbor:"synced,omitempty"`
 	Records []SyncRecord `cbor:"records"`
 }
 
-// SyncedView says that the sender had synced the slice as its owner in View.
+// SyncedView is a view in which a member had synced a slice as its owner.
 type SyncedView struct {
 	View  int64 `cbor:"view"`
 	Floor int64 `cbor:"floor"`
@@ -133,8 +134,10 @@
 
 // RecordOutcome is the end of one job, without its results.
 type RecordOutcome struct {
-	Key   string `cbor:"key"`
-	State State  `cbor:"state"`
+	Key      string `cbor:"key"`
+	View     int64  `cbor:"view"`
+	Sequence uint64 `cbor:"sequence"`
+	State    State  `cbor:"state"`
 }
 
 // OutcomeAck acknowledges an OutcomeBatch.
--- /dev/null
+++ b/keeper/naive_test.go
@@ -0,0 +1,77 @@
+package keeper_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+	"github.com/hyssoplift/hyssoplift/keeper"
+)
+
+// naive is the baseline: each instance remembers the keys that it saw, and a caller that hears nothing
+// submits to another one.
+type naive struct {
+	seen   map[string]bool
+	issued int
+	held   map[string]dispatcher.Outcome
+}
+
+func newNaive() *naive {
+	return &naive{seen: map[string]bool{}, held: map[string]dispatcher.Outcome{}}
+}
+
+func (naive *naive) Submit(submission keeper.Submission, _ time.Time) (keeper.Decision, []keeper.Outgoing) {
+	if outcome, found := naive.held[submission.Key]; found {
+		return keeper.Answer{Outcome: outcome}, nil
+	}
+	if naive.seen[submission.Key] {
+		return keeper.Joined{}, nil
+	}
+	naive.seen[submission.Key] = true
+	return keeper.StartNow{}, nil
+}
+
+func (naive *naive) Refuse(submission keeper.Submission, refused dispatcher.Refused, now time.Time) (keeper.Decision, []keeper.Outgoing) {
+	if naive.seen[submission.Key] {
+		return naive.Submit(submission, now)
+	}
+	return keeper.Answer{Outcome: refused}, nil
+}
+
+func (naive *naive) Cancel(key string, _ bool, _ time.Time) (keeper.Decision, []keeper.Outgoing) {
+	if naive.seen[key] {
+		return keeper.TooLate{}, nil
+	}
+	refused := dispatcher.NewRefused(dispatcher.ReasonCancelled, "cancelled", "", time.Time{})
+	naive.seen[key], naive.held[key] = true, refused
+	return keeper.Answer{Outcome: refused}, nil
+}
+
+func (naive *naive) Finish(key string, outcome dispatcher.Outcome, _ time.Time) ([]keeper.Event, []keeper.Outgoing) {
+	naive.held[key] = outcome
+	return []keeper.Event{keeper.OutcomeKnown{Key: key, Outcome: outcome}}, nil
+}
+
+func (naive *naive) Prefix(time.Time) string {
+	naive.issued++
+	return fmt.Sprintf("~%s.0.%d.", domain, naive.issued%keeper.Slices)
+}
+
+func (naive *naive) OpenLog(int64) {}
+
+func (naive *naive) Adopt(int64, keeper.View, time.Time) ([]keeper.Event, []keeper.Outgoing) {
+	return nil, nil
+}
+
+func (naive *naive) View() (int64, keeper.View) { return keeper.NoView, keeper.View{} }
+
+func (naive *naive) Receive(string, keeper.Message, time.Time) ([]keeper.Event, []keeper.Outgoing) {
+	return nil, nil
+}
+
+func (naive *naive) Expire(time.Time) ([]keeper.Event, []keeper.Outgoing) { return nil, nil }
+
+func (naive *naive) Suspect(string)      {}
+func (naive *naive) Restore(string)      {}
+func (naive *naive) Accounted(time.Time) {}
+func (naive *naive) HandedOver() bool    { return true }
