--- a/cmd/hyssoplift/restart_test.go
+++ b/cmd/hyssoplift/restart_test.go
@@ -14,8 +14,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/hyssoplift/hyssoplift/appender"
 )
 
 // balancer sends requests only to instances that were ready when it last looked, as the platform's does.
@@ -89,13 +87,12 @@
 	is := is.New(t)
 	folder := binaries(t)
 	log, runner := standin(t, folder, "log"), standin(t, folder, "runner", "--slots", "64")
-	_, err := appender.New(log).Append(context.Background(), "bundles", fmt.Appendf(nil, testBundle, runner))
-	is.NoErr(err) // publish the bundle
+	keys := publish(t, folder, log, fmt.Sprintf(testBundle, runner))
 	balancer := &balancer{client: &http.Client{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	start := func(name string) *exec.Cmd {
-		address, command := instanceProcess(t, folder, "--failure-domain", "local", "--instance", name, "--log", log, "--balancer-wait", "300")
+		address, command := instanceProcess(t, folder, "--failure-domain", "local", "--instance", name, "--log", log, "--bundle-keys", keys, "--balancer-wait", "300")
 		waitReady(t, address)
 		balancer.add(address)
 		return command
@@ -135,10 +132,9 @@
 	is := is.New(t)
 	folder := binaries(t)
 	log, runner := standin(t, folder, "log"), standin(t, folder, "runner")
-	_, err := appender.New(log).Append(context.Background(), "bundles", fmt.Appendf(nil, testBundle, runner))
-	is.NoErr(err) // publish the bundle
+	keys := publish(t, folder, log, fmt.Sprintf(testBundle, runner))
 	command := exec.Command(folder+"/hyssoplift", "serve", "--listen", "127.0.0.1:0",
-		"--failure-domain", "local", "--instance", "entry-1", "--log", log, "--balancer-wait", "0")
+		"--failure-domain", "local", "--instance", "entry-1", "--log", log, "--bundle-keys", keys, "--balancer-wait", "0")
 	lines := &lineBuffer{}
 	command.Stderr = lines
 	is.NoErr(command.Start())
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -40,24 +40,26 @@
 // startServer returns a server on loopback whose bundle names handler as its only runner.
 func startServer(tb testing.TB, handler http.Handler, logger hclog.Logger) (*Server, string) {
 	tb.Helper()
-	runner, log := httptest.NewServer(handler), httptest.NewServer(emulator.NewLog())
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	runner, records := httptest.NewServer(handler), emulator.NewLog()
+	log := httptest.NewServer(records)
+	record, keys, err := signBundle(fmt.Sprintf(testBundle, runner.Listener.Addr()), nil)
 	if err != nil {
 		tb.Fatal(err)
 	}
-	settings, err := configurer.Read([]string{
-		"--failure-domain=local", "--instance=entry-1",
-		"--log=" + log.Listener.Addr().String(), "--max-body-bytes=4096",
-	}, io.Discard)
+	records.Append(bundler.Stream, record)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		tb.Fatal(err)
 	}
-	bundle, err := bundler.Parse(fmt.Appendf(nil, testBundle, runner.Listener.Addr()))
+	settings, err := configurer.Read([]string{
+		"--failure-domain=local", "--instance=entry-1", "--bundle-keys=" + keys,
+		"--log=" + log.Listener.Addr().String(), "--max-body-bytes=8192",
+	}, io.Discard)
 	if err != nil {
 		tb.Fatal(err)
 	}
 	server := New(settings, listener, logger)
-	server.bundle.Store(bundle)
+	waitFor(tb, server.ready)
 	tb.Cleanup(func() {
 		server.stop()
 		_ = server.http.Close()
@@ -113,7 +115,7 @@
 		status int
 		field  string
 	}{
-		{"body too large", "POST", "/v1/jobs", swap(`1}`, `1,"echo":"`+strings.Repeat("x", 5000)+`"}`), nil, 413, "body"},
+		{"body too large", "POST", "/v1/jobs", swap(`1}`, `1,"echo":"`+strings.Repeat("x", 9000)+`"}`), nil, 413, "body"},
 		{"not JSON", "POST", "/v1/jobs", "{", nil, 400, "body"},
 		{"empty", "POST", "/v1/jobs", "", nil, 400, "body"},
 		{"data after the job", "POST", "/v1/jobs", goodJob + "{}", nil, 400, "body"},
