Drive each connection to a target from the goroutine of its start

Cause: in a profile of one instance under jobs of one task, starting tasks through net/http's client was the largest cost: 41% of the processor time of a request before counting the two goroutines that its transport runs for each connection, and 20% of the allocations.

Change: the starter keeps its own pool, writes the request of net/http in one write and reads the response with net/http in the calling goroutine. An idle connection is looked at without blocking before it is used, so that one which the target has closed costs no unknown outcome; nothing is ever sent twice; a response is bounded with its headers. Redirects are not followed.

Ruled out: counting writes under net/http's transport, which told "not started" for certain but kept its goroutines.

--- a/starter/conn.go
+++ b/starter/conn.go
@@ -1,53 +1,70 @@
 package starter
 
 import (
+	"bufio"
+	"errors"
 	"net"
-	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
 )
 
-// guardedConn counts the writes to a connection and can refuse further ones, to tell for certain that no
-// byte of a request has left or will leave.
-type guardedConn struct {
-	net.Conn
+// errTooLong means that a target's response exceeds maxResponseBytes.
+var errTooLong = eris.New("response is too long")
 
-	mu     sync.Mutex
-	writes int64
-	sealed bool
+// conn is one connection to a target. It carries one start at a time and is driven by the goroutine of that
+// start: the transport of net/http needs two goroutines for each connection, and the hand-overs between them
+// were the largest cost of a start.
+type conn struct {
+	net.Conn
+	raw    syscall.RawConn
+	reader *bufio.Reader
+	// budget is how many bytes of the present response may still be read.
+	budget    int64
+	idleSince time.Time
 }
 
-// Write counts the attempt before any byte can leave.
-func (conn *guardedConn) Write(data []byte) (int, error) {
-	conn.mu.Lock()
-	if conn.sealed {
-		conn.mu.Unlock()
-		return 0, net.ErrClosed
+func newConn(socket net.Conn) (*conn, error) {
+	tcp, ok := socket.(*net.TCPConn)
+	if !ok {
+		return nil, eris.Errorf("connection is a %T, expected TCP", socket)
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, eris.Wrap(err, "looking into a connection")
 	}
-	conn.writes++
-	conn.mu.Unlock()
-	return conn.Conn.Write(data)
+	conn := &conn{Conn: socket, raw: raw}
+	conn.reader = bufio.NewReader(budgetReader{conn})
+	return conn, nil
 }
 
-// attempt is the connection that one start got, with the number of writes before it; a connection carries
-// one request at a time, so later writes on it belong to the start.
-type attempt struct {
-	conn   *guardedConn
-	before int64
-}
+// budgetReader bounds what a target can make the starter read.
+type budgetReader struct{ conn *conn }
 
-func (attempt *attempt) take(conn *guardedConn) {
-	conn.mu.Lock()
-	defer conn.mu.Unlock()
-	attempt.conn, attempt.before = conn, conn.writes
+func (reader budgetReader) Read(data []byte) (int, error) {
+	if reader.conn.budget <= 0 {
+		return 0, errTooLong
+	}
+	data = data[:min(int64(len(data)), reader.conn.budget)]
+	n, err := reader.conn.Conn.Read(data)
+	reader.conn.budget -= int64(n)
+	return n, err
 }
 
-// neverWrites seals the connection and reports whether no byte was written for the start. Without the seal
-// net/http could still write after a deadline has ended the request.
-func (attempt *attempt) neverWrites() bool {
-	if attempt.conn == nil {
-		return true
+// usable reports whether an idle connection is still open as far as this end knows; a start on one that the
+// target has closed would end with its outcome unknown.
+func (conn *conn) usable(now time.Time) bool {
+	if now.Sub(conn.idleSince) >= idleLimit || conn.reader.Buffered() > 0 {
+		return false
 	}
-	attempt.conn.mu.Lock()
-	defer attempt.conn.mu.Unlock()
-	attempt.conn.sealed = true
-	return attempt.conn.writes == attempt.before
+	open := false
+	var one [1]byte
+	err := conn.raw.Read(func(descriptor uintptr) bool {
+		// The socket does not block: without data, which nobody may send now, the read returns EAGAIN.
+		_, err := syscall.Read(int(descriptor), one[:])
+		open = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
 }
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -6,10 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
@@ -22,6 +21,8 @@
 	idleLimit = 5 * time.Second
 	// maxResultBytes bounds the result of one task.
 	maxResultBytes = 1 << 20
+	// maxResponseBytes bounds a response with its headers.
+	maxResponseBytes = maxResultBytes + 64<<10
 	// maxConnections is the number of connections that a runner accepts.
 	maxConnections = 60
 )
@@ -65,65 +66,45 @@
 func (lost Lost) Detail() string { return lost.detail }
 
 // Starter starts tasks on runners.
-type Starter struct{ client *http.Client }
+type Starter struct{ pool *pool }
 
 // New returns a starter with its own pool of connections.
-func New() *Starter {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &guardedConn{Conn: conn}, nil
-		},
-		IdleConnTimeout:     idleLimit,
-		MaxIdleConnsPerHost: maxConnections,
-		MaxConnsPerHost:     maxConnections,
-	}
-	return &Starter{client: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
-}
-
-// refuseRedirect keeps a redirect from starting the task a second time elsewhere.
-func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+func New() *Starter { return &Starter{pool: newPool()} }
 
 // Start runs task on the runner at address and returns what became of it; it starts the task at most once.
 // A non-empty traceParent is passed on.
 func (starter *Starter) Start(ctx context.Context, address, kind, traceParent string, task dispatcher.Task) Result {
-	var attempt attempt
-	trace := &httptrace.ClientTrace{
-		// A connection carries one request at a time, so later writes on it belong to this one.
-		GotConn: func(info httptrace.GotConnInfo) {
-			attempt.take(info.Conn.(*guardedConn))
-		},
+	buffer := buffers.Get().(*bytes.Buffer)
+	defer buffers.Put(buffer)
+	buffer.Reset()
+	request := newRequest(address, kind, traceParent, task.Payload())
+	if err := request.Write(buffer); err != nil {
+		return NotStarted{detail: err.Error()}
 	}
-	request := newRequest(httptrace.WithClientTrace(ctx, trace), address, kind, traceParent, task.Payload())
-	response, err := starter.client.Do(request)
+	conn, err := starter.pool.get(ctx, address)
 	if err != nil {
-		if attempt.neverWrites() {
-			return NotStarted{detail: err.Error()}
-		}
-		return Lost{detail: err.Error()}
+		return NotStarted{detail: err.Error()}
+	}
+	result, reusable := exchange(ctx, conn, request, buffer.Bytes())
+	if reusable {
+		starter.pool.put(address, conn)
+	} else {
+		starter.pool.drop(address, conn)
 	}
-	defer response.Body.Close()
-	return classify(response)
+	return result
 }
 
-// newRequest returns a request that net/http sends at most once: it has no GetBody and no Idempotency-Key
-// header, with either of which net/http may send it again on a stale connection, and its body is not empty.
-func newRequest(ctx context.Context, address, kind, traceParent string, payload []byte) *http.Request {
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// newRequest returns the request that starts a task.
+func newRequest(address, kind, traceParent string, payload []byte) *http.Request {
 	if len(payload) == 0 {
 		payload = []byte("null")
 	}
-	target := &url.URL{Scheme: "http", Host: address, Path: "/run/" + kind, RawPath: "/run/" + url.PathEscape(kind)}
 	request := &http.Request{
 		Method:        http.MethodPost,
-		URL:           target,
+		URL:           &url.URL{Scheme: "http", Host: address, Path: "/run/" + kind, RawPath: "/run/" + url.PathEscape(kind)},
 		Host:          address,
-		Proto:         "HTTP/1.1",
-		ProtoMajor:    1,
-		ProtoMinor:    1,
 		Header:        http.Header{"Content-Type": {"application/json"}},
 		Body:          io.NopCloser(bytes.NewReader(payload)),
 		ContentLength: int64(len(payload)),
@@ -131,24 +112,63 @@
 	if traceParent != "" {
 		request.Header["Traceparent"] = []string{traceParent}
 	}
-	return request.WithContext(ctx)
+	return request
+}
+
+// exchange sends the request once and reads its response; it reports whether the connection may carry another.
+func exchange(ctx context.Context, conn *conn, request *http.Request, encoded []byte) (Result, bool) {
+	if err := ctx.Err(); err != nil {
+		return NotStarted{detail: err.Error()}, true
+	}
+	deadline, _ := ctx.Deadline()
+	if err := conn.SetDeadline(deadline); err != nil {
+		return NotStarted{detail: err.Error()}, false
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	// A connection whose deadline the end of ctx may still move is not used again.
+	ended := func(result Result, reusable bool) (Result, bool) { return result, stop() && reusable }
+	conn.budget = maxResponseBytes
+	if written, err := conn.Write(encoded); err != nil {
+		if written == 0 {
+			return ended(NotStarted{detail: err.Error()}, false)
+		}
+		return ended(Lost{detail: err.Error()}, false)
+	}
+	response, err := readResponse(conn, request)
+	if err != nil {
+		return ended(Lost{detail: err.Error()}, false)
+	}
+	result, whole := classify(response)
+	return ended(result, whole && !response.Close && conn.reader.Buffered() == 0)
+}
+
+// readResponse skips informational responses.
+func readResponse(conn *conn, request *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(conn.reader, request)
+		if err != nil || response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			return response, err
+		}
+	}
 }
 
-func classify(response *http.Response) Result {
+// classify returns what the response says and whether it was read to its end.
+func classify(response *http.Response) (Result, bool) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResultBytes+1))
+	whole := err == nil && len(body) <= maxResultBytes
 	switch {
 	case response.StatusCode == http.StatusServiceUnavailable:
-		return NotStarted{detail: response.Status, leaving: response.Close}
+		return NotStarted{detail: response.Status, leaving: response.Close}, whole
 	case response.StatusCode == http.StatusTooManyRequests:
-		return NotStarted{detail: response.Status}
+		return NotStarted{detail: response.Status}, whole
 	case response.StatusCode != http.StatusOK:
-		return Rejected{detail: response.Status}
+		return Rejected{detail: response.Status}, whole
 	case err != nil:
-		return Lost{detail: err.Error()}
-	case len(body) > maxResultBytes:
-		return Rejected{detail: fmt.Sprintf("result has more than %d bytes", maxResultBytes)}
+		return Lost{detail: err.Error()}, false
+	case !whole:
+		return Rejected{detail: fmt.Sprintf("result has more than %d bytes", maxResultBytes)}, false
 	case !json.Valid(body):
-		return Rejected{detail: "result is not valid JSON"}
+		return Rejected{detail: "result is not valid JSON"}, true
 	}
-	return Success{result: body}
+	return Success{result: body}, true
 }
