--- a/linker/bench_test.go
+++ b/linker/bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
+	"github.com/hyssoplift/hyssoplift/keeper"
 )
 
 // mesh starts count linked nodes of one failure domain.
@@ -67,7 +68,7 @@
 	for _, count := range []int{3, 9, 27} {
 		b.Run(fmt.Sprintf("peers=%d", count), func(b *testing.B) {
 			nodes := mesh(b, count)
-			heartbeat := Heartbeat{View: 123456, BundleVersion: 4711, BundleOffset: 9000, Load: 800, Synced: 7}
+			heartbeat := Heartbeat{View: 123456, BundleVersion: 4711, BundleOffset: 9000, Load: 800, Synced: true}
 			measure(b, nodes, count*(count-1), func() {
 				for _, node := range nodes {
 					node.Broadcast(others(nodes, node), heartbeat)
@@ -88,8 +89,8 @@
 	for _, count := range []int{3, 9, 27} {
 		b.Run(fmt.Sprintf("peers=%d", count), func(b *testing.B) {
 			nodes := mesh(b, count)
-			record := Record{Key: "~hanoi-a.123456.42.order-0123456789abcdef", Digest: dispatcher.Digest{1}, View: 123456, State: "pending"}
-			ack := RecordAck{Key: record.Key, View: record.View}
+			record := keeper.Record{Key: "~hanoi-a.123456.42.order-0123456789abcdef", Digest: dispatcher.Digest{1}, View: 123456, State: keeper.StatePending, Sequence: 1 << 20}
+			ack := keeper.RecordAck{Key: record.Key, View: record.View, Sequence: record.Sequence}
 			exchange := func(message func(int) Message) {
 				for i, node := range nodes {
 					for j := range batch {
@@ -106,8 +107,8 @@
 				}
 			}
 			measure(b, nodes, 2*batch*count, func() {
-				exchange(func(int) Message { return record })
-				exchange(func(int) Message { return ack })
+				exchange(func(int) Message { return KeeperMessage{record} })
+				exchange(func(int) Message { return KeeperMessage{ack} })
 			})
 		})
 	}
--- a/linker/codec.go
+++ b/linker/codec.go
@@ -62,7 +62,11 @@
 
 // encode returns message as a CBOR pair of its name and its body.
 func encode(message Message) ([]byte, error) {
-	body, err := encoding.Marshal(message)
+	var content any = message
+	if message, ok := message.(KeeperMessage); ok {
+		content = message.Message
+	}
+	body, err := encoding.Marshal(content)
 	if err != nil {
 		return nil, eris.Wrap(err, "encoding a message")
 	}
@@ -111,26 +115,6 @@
 		return decodeAs[Hello](data)
 	case "heartbeat":
 		return decodeAs[Heartbeat](data)
-	case "record":
-		return decodeAs[Record](data)
-	case "record-ack":
-		return decodeAs[RecordAck](data)
-	case "record-refused":
-		return decodeAs[RecordRefused](data)
-	case "withdraw":
-		return decodeAs[Withdraw](data)
-	case "confirm":
-		return decodeAs[Confirm](data)
-	case "confirm-ack":
-		return decodeAs[ConfirmAck](data)
-	case "confirm-refused":
-		return decodeAs[ConfirmRefused](data)
-	case "sync-request":
-		return decodeAs[SyncRequest](data)
-	case "sync-response":
-		return decodeAs[SyncResponse](data)
-	case "outcome":
-		return decodeAs[Settlements](data)
 	case "forward":
 		return decodeAs[Forward](data)
 	case "forward-answer":
@@ -150,36 +134,16 @@
 	case "part":
 		return decodeAs[part](data)
 	default:
-		return nil, nil, eris.New("name is not known")
+		return decodeKeeperBody(name, data)
 	}
 }
 
 func messageName(message Message) string {
-	switch message.(type) {
+	switch message := message.(type) {
 	case Hello:
 		return "hello"
 	case Heartbeat:
 		return "heartbeat"
-	case Record:
-		return "record"
-	case RecordAck:
-		return "record-ack"
-	case RecordRefused:
-		return "record-refused"
-	case Withdraw:
-		return "withdraw"
-	case Confirm:
-		return "confirm"
-	case ConfirmAck:
-		return "confirm-ack"
-	case ConfirmRefused:
-		return "confirm-refused"
-	case SyncRequest:
-		return "sync-request"
-	case SyncResponse:
-		return "sync-response"
-	case Settlements:
-		return "outcome"
 	case Forward:
 		return "forward"
 	case ForwardAnswer:
@@ -198,6 +162,8 @@
 		return "bundle-response"
 	case part:
 		return "part"
+	case KeeperMessage:
+		return keeperMessageName(message.Message)
 	default:
 		panic(eris.Errorf("message type %T has no name", message))
 	}
@@ -224,23 +190,9 @@
 func check(message Message) error {
 	switch message := message.(type) {
 	case Hello:
-		return checkTexts(message.Domain, message.Name, message.Incarnation)
+		return checkTexts(message.Domain, message.Name, message.Incarnation, message.Address)
 	case Heartbeat:
 		return checkTexts(message.Suspects...)
-	case Record:
-		return checkTexts(message.Key, message.State)
-	case SyncResponse:
-		for _, record := range message.Records {
-			if err := checkTexts(record.Key, record.State); err != nil {
-				return err
-			}
-		}
-	case Settlements:
-		for _, settled := range message.Settled {
-			if err := checkTexts(settled.Key, settled.State); err != nil {
-				return err
-			}
-		}
 	case Forward:
 		if len(message.Tasks) > dispatcher.MaxTasks {
 			return eris.Errorf("forward has %d tasks", len(message.Tasks))
@@ -250,12 +202,6 @@
 		return checkOutcome(message.Key, &message.Outcome)
 	case LookupAnswer:
 		return checkOutcome(message.Key, message.Outcome)
-	case RecordAck:
-		return checkTexts(message.Key)
-	case RecordRefused:
-		return checkTexts(message.Key)
-	case Withdraw:
-		return checkTexts(message.Key)
 	case Lookup:
 		return checkTexts(message.Key)
 	case Cancel:
--- a/linker/fuzz_test.go
+++ b/linker/fuzz_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"testing"
+
+	"github.com/hyssoplift/hyssoplift/keeper"
 )
 
 // Guards against a frame that crashes the decoder, or that decodes to a message which encodes to something else.
@@ -10,7 +12,7 @@
 	for _, message := range sampleMessages() {
 		f.Add(mustEncode(message))
 	}
-	f.Add(append(mustEncode(Withdraw{Key: "a"}), mustEncode(Confirm{View: 1})...))
+	f.Add(append(mustEncode(withdraw("a", 1)), mustEncode(KeeperMessage{keeper.Confirm{View: 1}})...))
 	f.Add([]byte("\x82\x6csync-request\xa1\x66slices\x9a\xff\xff\xff\xff"))
 	f.Add([]byte("\x82\x65hello\xa2\x67version\x02\x63new\x01"))
 	f.Fuzz(func(t *testing.T, frame []byte) {
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -52,7 +52,8 @@
 
 // Peer is another instance of the own failure domain.
 type Peer struct {
-	Name        string
+	Name string
+	// Incarnation may be empty, as long as only the address is known.
 	Incarnation string
 	Address     string
 }
@@ -103,7 +104,7 @@
 
 	mu      sync.RWMutex
 	closed  bool
-	members map[string]context.CancelFunc
+	members map[Peer]context.CancelFunc
 	// links holds the established links by incarnation; the last one is used for sending.
 	links  map[string][]*link
 	remote map[string]*remoteLink
@@ -111,8 +112,8 @@
 	accepted int
 }
 
-// New returns a linker without links; receive is called for every message other than responses, must not
-// block, and may be called from several goroutines at once.
+// New returns a linker without links; receive is called with the hello of each link that comes up and with
+// every message other than responses, must not block, and may be called from several goroutines at once.
 func New(self Hello, limits Limits, logger hclog.Logger, receive func(from Hello, message Message)) *Linker {
 	self.Version = Version
 	return newLinker(self, limits, logger, receive)
@@ -128,7 +129,7 @@
 		calls:   newCalls(),
 		ctx:     ctx,
 		cancel:  cancel,
-		members: make(map[string]context.CancelFunc),
+		members: make(map[Peer]context.CancelFunc),
 		links:   make(map[string][]*link),
 		remote:  make(map[string]*remoteLink),
 	}
@@ -153,23 +154,23 @@
 	if linker.closed {
 		return
 	}
-	wanted := make(map[string]bool, len(peers))
+	wanted := make(map[Peer]bool, len(peers))
 	for _, peer := range peers {
-		if peer.Incarnation == linker.self.Incarnation {
+		if peer.Incarnation == linker.self.Incarnation || peer.Address == linker.self.Address {
 			continue
 		}
-		wanted[peer.Incarnation] = true
-		if _, ok := linker.members[peer.Incarnation]; ok {
+		wanted[peer] = true
+		if _, ok := linker.members[peer]; ok {
 			continue
 		}
 		ctx, cancel := context.WithCancel(linker.ctx)
-		linker.members[peer.Incarnation] = cancel
+		linker.members[peer] = cancel
 		linker.group.Go(func() { linker.keep(ctx, peer) })
 	}
-	for incarnation, cancel := range linker.members {
-		if !wanted[incarnation] {
+	for peer, cancel := range linker.members {
+		if !wanted[peer] {
 			cancel()
-			delete(linker.members, incarnation)
+			delete(linker.members, peer)
 		}
 	}
 }
@@ -177,6 +178,19 @@
 // Connected reports whether a link to the instance is up.
 func (linker *Linker) Connected(incarnation string) bool { return linker.link(incarnation) != nil }
 
+// Domain returns the incarnations in the failure domain to which a link is up.
+func (linker *Linker) Domain(domain string) []string {
+	linker.mu.RLock()
+	defer linker.mu.RUnlock()
+	incarnations := make([]string, 0, len(linker.links))
+	for incarnation, links := range linker.links {
+		if links[0].remote.Domain == domain {
+			incarnations = append(incarnations, incarnation)
+		}
+	}
+	return incarnations
+}
+
 // Send queues message for the instance; nil means queued, not received.
 func (linker *Linker) Send(incarnation string, message Message) error {
 	link := linker.link(incarnation)
@@ -229,6 +243,21 @@
 	return links[len(links)-1]
 }
 
+// find returns the link to peer, by its address if its incarnation is not known.
+func (linker *Linker) find(peer Peer) *link {
+	if peer.Incarnation != "" {
+		return linker.link(peer.Incarnation)
+	}
+	linker.mu.RLock()
+	defer linker.mu.RUnlock()
+	for _, links := range linker.links {
+		if last := links[len(links)-1]; last.remote.Address == peer.Address {
+			return last
+		}
+	}
+	return nil
+}
+
 // keep holds a link to peer until ctx is done.
 func (linker *Linker) keep(ctx context.Context, peer Peer) {
 	if linker.self.Name > peer.Name {
@@ -236,7 +265,7 @@
 	}
 	delay := firstRedial
 	for ctx.Err() == nil {
-		if existing := linker.link(peer.Incarnation); existing != nil {
+		if existing := linker.find(peer); existing != nil {
 			select {
 			case <-ctx.Done():
 			case <-existing.done:
@@ -277,6 +306,7 @@
 	linker.mu.Lock()
 	linker.links[incarnation] = append(linker.links[incarnation], established)
 	linker.mu.Unlock()
+	linker.receive(established.remote, established.remote)
 	err := established.run(ctx, linker.deliver)
 	linker.mu.Lock()
 	defer linker.mu.Unlock()
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
+	"github.com/hyssoplift/hyssoplift/keeper"
 )
 
 // node is a linker behind a loopback HTTP server.
@@ -39,7 +40,11 @@
 	tb.Helper()
 	node := &node{messages: make(chan Message, 4096)}
 	node.Linker = New(Hello{Domain: domain, Name: name, Incarnation: name + "-1"}, limits, hclog.NewNullLogger(),
-		func(_ Hello, message Message) { node.messages <- message })
+		func(_ Hello, message Message) {
+			if _, hello := message.(Hello); !hello {
+				node.messages <- message
+			}
+		})
 	node.server = httptest.NewServer(node.Linker)
 	tb.Cleanup(func() {
 		node.Close()
@@ -79,18 +84,23 @@
 func sampleMessages() []Message {
 	outcome := EncodeOutcome(dispatcher.NewFailed("cut", []dispatcher.TaskFate{{Name: "t", Fate: dispatcher.Finished, Detail: "d"}}), time.Time{})
 	return []Message{
-		Hello{Version: 1, Domain: "d", Name: "n", Incarnation: "i"},
-		Heartbeat{View: 7, Suspects: []string{"a"}, BundleVersion: 3, Load: 5, Synced: 64},
-		Record{Key: "k", Digest: dispatcher.Digest{1, 2}, View: 7, State: "pending"},
-		RecordAck{Key: "k", View: 7},
-		RecordRefused{Key: "k", View: 7, CurrentView: 8},
-		Withdraw{Key: "k", View: 7},
-		Confirm{View: 7, Sequence: 2},
-		ConfirmAck{View: 7, Sequence: 2},
-		ConfirmRefused{CurrentView: 8, Sequence: 2},
-		SyncRequest{View: 7, Slices: []int{1, 63}},
-		SyncResponse{View: 7, Slices: []int{1}, Records: []Record{{Key: "k"}}, Synced: []SyncedView{{View: 6, Slice: 1}}, More: true},
-		Settlements{Settled: []Settled{{Key: "k", State: "finished", Deadline: 9}}},
+		Hello{Version: 1, Domain: "d", Name: "n", Incarnation: "i", Address: "a:1"},
+		Heartbeat{View: 7, Suspects: []string{"a"}, BundleVersion: 3, Load: 5, Synced: true, Leaving: true},
+		KeeperMessage{keeper.Record{Key: "k", Digest: dispatcher.Digest{1, 2}, View: 7, State: keeper.StatePending, Sequence: 3}},
+		KeeperMessage{keeper.RecordAck{Key: "k", View: 7, Sequence: 3}},
+		KeeperMessage{keeper.RecordRefused{Key: "k", View: 7, Sequence: 3, Current: 8, Full: true}},
+		KeeperMessage{keeper.Withdraw{Key: "k", View: 7, Sequence: 3}},
+		KeeperMessage{keeper.Confirm{View: 7, Sequence: 2}},
+		KeeperMessage{keeper.ConfirmAck{View: 7, Sequence: 2}},
+		KeeperMessage{keeper.ConfirmRefused{Sequence: 2, Current: 8}},
+		KeeperMessage{keeper.SyncRequest{View: 7, Slices: []int{1, 63}, Sequence: 4}},
+		KeeperMessage{keeper.SyncResponse{
+			View: 7, Slice: 1, Sequence: 4, Part: 1, Parts: 2, Synced: &keeper.SyncedView{View: 6, Floor: 2, Closed: true},
+			Records: []keeper.SyncRecord{{Key: "k", State: keeper.StateStarted, Holder: "h"}},
+		}},
+		KeeperMessage{keeper.Synced{View: 7, Slices: []int{3}}},
+		KeeperMessage{keeper.OutcomeBatch{Sequence: 1, Outcomes: []keeper.RecordOutcome{{Key: "k", View: 7, Sequence: 3, State: keeper.StateFinished}}}},
+		KeeperMessage{keeper.OutcomeAck{Sequence: 1}},
 		Forward{ID: 1, Key: "k", Kind: "x", Team: "t", RemainingMS: 10, TraceParent: "p", Tasks: []Task{{Name: "t", Payload: []byte("1")}}},
 		ForwardAnswer{ID: 1, Key: "k", Outcome: outcome},
 		Lookup{ID: 1, Key: "k"},
@@ -132,8 +142,8 @@
 		{"nesting", append(append([]byte{0x82, 0x6c}, "sync-request\xa1\x66slices"...), bytes.Repeat([]byte{0x81}, 100)...)},
 		{"tag", append([]byte{0x82, 0x68}, "withdraw\xa1\x64view\xc1\x01"...)},
 		{"text is cut", append([]byte{0x82, 0x68}, "withdraw\xa1\x63key\x7a\x00\x10\x00\x00ab"...)},
-		{"text is too long", mustEncode(Withdraw{Key: strings.Repeat("k", maxTextBytes+1)})},
-		{"too many elements", mustEncode(SyncRequest{Slices: make([]int, MaxElements+1)})},
+		{"text is too long", mustEncode(withdraw(strings.Repeat("k", maxTextBytes+1), 0))},
+		{"too many elements", mustEncode(KeeperMessage{keeper.SyncRequest{Slices: make([]int, MaxElements+1)}})},
 		{"too many tasks", mustEncode(Forward{Tasks: make([]Task, dispatcher.MaxTasks+1)})},
 	}
 	for _, test := range tests {
@@ -145,6 +155,10 @@
 	}
 }
 
+func withdraw(key string, view int64) Message {
+	return KeeperMessage{keeper.Withdraw{Key: key, View: view}}
+}
+
 func mustEncode(message Message) []byte {
 	encoded, err := encode(message)
 	if err != nil {
@@ -249,11 +263,11 @@
 	before := a.Traffic().FramesSent()
 	var queued [][]byte
 	for view := range int64(100) {
-		queued = append(queued, mustEncode(Withdraw{Key: "k", View: view}))
+		queued = append(queued, mustEncode(withdraw("k", view)))
 	}
 	is.NoErr(link.enqueue(queued...))
 	for view := range int64(100) {
-		is.Equal((<-b.messages).(Withdraw).View, view)
+		is.Equal(<-b.messages, withdraw("k", view))
 	}
 	is.Equal(a.Traffic().FramesSent()-before, int64(1))
 
@@ -305,8 +319,8 @@
 	lost := a.link("b-1")
 	_ = lost.conn.CloseNow()
 	<-lost.done
-	waitFor(t, "the link is restored", func() bool { return a.Send("b-1", Withdraw{Key: "k"}) == nil })
-	is.Equal((<-b.messages).(Withdraw).Key, "k")
+	waitFor(t, "the link is restored", func() bool { return a.Send("b-1", withdraw("k", 1)) == nil })
+	is.Equal(<-b.messages, withdraw("k", 1))
 	a.SetMembers(nil)
 	b.SetMembers(nil)
 	waitFor(t, "the link is dropped", func() bool { return !a.Connected("b-1") && !b.Connected("a-1") })
--- a/linker/message.go
+++ b/linker/message.go
@@ -1,6 +1,9 @@
 package linker
 
-import "github.com/hyssoplift/hyssoplift/dispatcher"
+import (
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+	"github.com/hyssoplift/hyssoplift/keeper"
+)
 
 // Version is the version of the protocol between instances.
 const Version = 1
@@ -11,6 +14,8 @@
 	Domain      string `cbor:"domain"`
 	Name        string `cbor:"name"`
 	Incarnation string `cbor:"incarnation"`
+	// Address is where the instance accepts links.
+	Address string `cbor:"address"`
 }
 
 // Message is one message between instances.
@@ -38,92 +43,14 @@
 	BundleOffset  int64    `cbor:"bundle-offset"`
 	// Load is the number of tasks queued or in flight.
 	Load int64 `cbor:"load"`
-	// Synced is the number of own slices that are synced in View.
-	Synced int64 `cbor:"synced"`
+	// Synced says that the sender serves every slice that it owns in View.
+	Synced bool `cbor:"synced"`
+	// Leaving says that the sender has begun a planned stop.
+	Leaving bool `cbor:"leaving,omitempty"`
 }
 
-// Record is a start record that an owner asks a witness to keep.
-type Record struct {
-	Key    string            `cbor:"key"`
-	Digest dispatcher.Digest `cbor:"digest"`
-	View   int64             `cbor:"view"`
-	State  string            `cbor:"state"`
-	// Deadline is when the record may be dropped, in milliseconds since 1970; 0 means not yet.
-	Deadline int64 `cbor:"deadline,omitempty"`
-}
-
-// RecordAck confirms that the witness keeps the record.
-type RecordAck struct {
-	Key  string `cbor:"key"`
-	View int64  `cbor:"view"`
-}
-
-// RecordRefused says that the witness does not keep the record.
-type RecordRefused struct {
-	Key         string `cbor:"key"`
-	View        int64  `cbor:"view"`
-	CurrentView int64  `cbor:"current-view"`
-}
-
-// Withdraw asks a witness to drop a record whose owner chose another witness.
-type Withdraw struct {
-	Key  string `cbor:"key"`
-	View int64  `cbor:"view"`
-}
-
-// Confirm asks a member whether the sender's view is still the member's view.
-type Confirm struct {
-	View     int64  `cbor:"view"`
-	Sequence uint64 `cbor:"sequence"`
-}
-
-// ConfirmAck says that the member is in the view.
-type ConfirmAck struct {
-	View     int64  `cbor:"view"`
-	Sequence uint64 `cbor:"sequence"`
-}
-
-// ConfirmRefused says that the member is in another view.
-type ConfirmRefused struct {
-	CurrentView int64  `cbor:"current-view"`
-	Sequence    uint64 `cbor:"sequence"`
-}
-
-// SyncRequest asks a member for its records of slices that the sender owns in View.
-type SyncRequest struct {
-	View   int64 `cbor:"view"`
-	Slices []int `cbor:"slices"`
-}
-
-// SyncedView says that the sender had completed sync as owner of Slice in View.
-type SyncedView struct {
-	View  int64 `cbor:"view"`
-	Slice int   `cbor:"slice"`
-	Floor int64 `cbor:"floor"`
-}
-
-// SyncResponse carries records and synced views; a long answer takes several responses.
-type SyncResponse struct {
-	View    int64        `cbor:"view"`
-	Slices  []int        `cbor:"slices"`
-	Records []Record     `cbor:"records,omitempty"`
-	Synced  []SyncedView `cbor:"synced,omitempty"`
-	// More is true on every response of an answer except the last.
-	More bool `cbor:"more,omitempty"`
-}
-
-// Settled is the end of one job, without results.
-type Settled struct {
-	Key   string `cbor:"key"`
-	State string `cbor:"state"`
-	// Deadline is when the record may be dropped, in milliseconds since 1970.
-	Deadline int64 `cbor:"deadline"`
-}
-
-// Settlements is a batch of ends of jobs (message "outcome").
-type Settlements struct {
-	Settled []Settled `cbor:"settled"`
-}
+// KeeperMessage is a message between the keepers of one failure domain.
+type KeeperMessage struct{ Message keeper.Message }
 
 // Task is one task of a forwarded job.
 type Task struct {
@@ -216,16 +143,7 @@
 
 func (Hello) isMessage()          {}
 func (Heartbeat) isMessage()      {}
-func (Record) isMessage()         {}
-func (RecordAck) isMessage()      {}
-func (RecordRefused) isMessage()  {}
-func (Withdraw) isMessage()       {}
-func (Confirm) isMessage()        {}
-func (ConfirmAck) isMessage()     {}
-func (ConfirmRefused) isMessage() {}
-func (SyncRequest) isMessage()    {}
-func (SyncResponse) isMessage()   {}
-func (Settlements) isMessage()    {}
+func (KeeperMessage) isMessage()  {}
 func (Forward) isMessage()        {}
 func (ForwardAnswer) isMessage()  {}
 func (Lookup) isMessage()         {}
