Decide jobs with the keeper, limiter, router and watcher

Cause: the entry instance ran every job that it received on a random target; a resubmission through another instance ran it again.

Change: small controllers around the core packages. decider carries messages and events between the keeper, links and waiting requests, and registers a waiter under the lock under which the keeper decides, so that no event comes between. views reads and appends the stream views-<domain>. membership connects the watcher with list, links and views, renews views, and lets an instance outside a view propose the next one once all its members are gone, because the watcher proposes only for members. scheduler hands out grants of the limiter at targets chosen by the router; a job waits there before its start record, so that a deadline in the queue is a true "not run". Forwards to the owner, to a home failure domain over links on demand, look-ups and cancellations through any instance. A stop hands the slices over and waits for that. An instance that a view has left out stops with an error.

Also: every task that did not start after the start record is answered as failed and not as refused, since a successor could not tell.

Tests: sixteen requests through instances that do not decide the key, and 40 submissions of five keys at once through four instances of two failure domains: each started once, each caller got its own answer.

--- a/cmd/hyssoplift/main_test.go
+++ b/cmd/hyssoplift/main_test.go
@@ -151,6 +151,7 @@
 
 // Guards against a break anywhere on the path between real processes: log, instance, runner and caller.
 func TestJobAcrossProcesses(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	folder := binaries(t)
 	log := standin(t, folder, "log")
--- a/cmd/hyssoplift/restart_test.go
+++ b/cmd/hyssoplift/restart_test.go
@@ -84,23 +84,19 @@
 
 // Guards against a planned stop that cuts a request: every instance restarts in turn under load.
 func TestRollingRestartCutsNothing(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
-	folder := binaries(t)
-	log, runner := standin(t, folder, "log"), standin(t, folder, "runner", "--slots", "64")
-	keys := publish(t, folder, log, fmt.Sprintf(testBundle, runner))
+	cluster := newCluster(t)
 	balancer := &balancer{client: &http.Client{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	start := func(name string) *exec.Cmd {
-		address, command := instanceProcess(t, folder, "--failure-domain", "local", "--instance", name, "--log", log, "--bundle-keys", keys, "--balancer-wait", "300")
-		waitReady(t, address)
-		balancer.add(address)
-		return command
-	}
-	var instances []*exec.Cmd
-	for i := range 3 {
-		instances = append(instances, start(fmt.Sprintf("entry-%d", i+1)))
+	start := func(i int) *member {
+		member := cluster.start(fmt.Sprintf("entry-%d", i), "--balancer-wait", "300")
+		balancer.add(member.address)
+		return member
 	}
+	members := []*member{start(1), start(2), start(3)}
+	cluster.await(members...)
 	var group sync.WaitGroup
 	group.Go(func() { balancer.watch(ctx) })
 	var answered atomic.Int64
@@ -115,11 +111,12 @@
 			}
 		})
 	}
-	for i, old := range instances {
+	for i, old := range members {
 		before := answered.Load()
-		is.NoErr(old.Process.Signal(syscall.SIGTERM))
-		is.NoErr(old.Wait()) // exit status 0
-		start(fmt.Sprintf("entry-%d", i+1))
+		is.NoErr(old.command.Process.Signal(syscall.SIGTERM))
+		is.NoErr(old.command.Wait()) // exit status 0
+		members[i] = start(i + 1)
+		cluster.await(members...)
 		is.True(answered.Load() > before) // the others served meanwhile
 	}
 	cancel()
@@ -129,6 +126,7 @@
 
 // Guards against a stop that hangs, or that gives up silently, when a task does not end.
 func TestSecondSignalSaysWhatWasLeft(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	folder := binaries(t)
 	log, runner := standin(t, folder, "log"), standin(t, folder, "runner")
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -43,7 +43,13 @@
 	logger := newLogger(stderr)
 	server := server.New(settings, listener, logger)
 	logger.Info("instance started", "listen", listener.Addr().String())
-	<-ctx.Done()
+	excluded := false
+	select {
+	case <-ctx.Done():
+	case <-server.Excluded():
+		excluded = true
+		logger.Error("a view has left this instance out; it stops, and the platform starts another")
+	}
 	now := time.Now()
 	logger.Info("instance stopping")
 	stopCtx, cancel := context.WithDeadline(context.Background(), settings.Deadline("stop-timeout", now))
@@ -55,5 +61,8 @@
 		return err
 	}
 	logger.Info("instance stopped")
+	if excluded {
+		return eris.New("a view has left this instance out")
+	}
 	return nil
 }
--- a/server/bundles.go
+++ b/server/bundles.go
@@ -66,7 +66,7 @@
 			"bundle-version", event.Record.Version, "verdict", string(event.Verdict), "reason", event.Reason)
 	}
 	composer.Compose(func(bundle *bundler.Bundle) {
-		server.bundle.Store(bundle)
+		server.install(bundle)
 		server.logger.Info("bundle in force", "bundle-version", bundle.Version(), "part-version", bundle.PartVersion())
 	})
 }
--- a/server/dispatch.go
+++ b/server/dispatch.go
@@ -2,116 +2,156 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
-	"sync"
 	"time"
 
-	"github.com/hyssoplift/hyssoplift/bundler"
 	"github.com/hyssoplift/hyssoplift/dispatcher"
+	"github.com/hyssoplift/hyssoplift/router"
 	"github.com/hyssoplift/hyssoplift/starter"
 )
 
-// retryAfter is when a retry may help after a refusal without a better estimate.
-const retryAfter = time.Second
+// retryDelay spaces attempts to find a target for a task that was refused by one.
+const retryDelay = 5 * time.Millisecond
 
-// vet checks the job against the request's bundle and returns the refusal, if there is one.
-func (server *Server) vet(exchange *exchange) (dispatcher.Refused, bool) {
-	job := exchange.job
-	if exchange.bundle == nil {
-		return dispatcher.NewRefused(dispatcher.ReasonUnavailable, "no bundle is in force yet", "", time.Now().Add(retryAfter)), false
-	}
-	kind, ok := exchange.bundle.Kind(job.Kind())
-	if !ok {
-		return dispatcher.NewRefused(dispatcher.ReasonUnknownKind, "kind: the bundle in force has no such kind", "kind", time.Time{}), false
+// taskEnd is the end of one task.
+type taskEnd struct {
+	index  int
+	result starter.Result
+}
+
+// run starts every task of the job once, as the scheduler grants them, and returns the whole answer. The
+// first grant has been taken from the queue before the start record was written.
+func (server *Server) run(ctx context.Context, request *request, job *queued, first granted) dispatcher.Outcome {
+	defer server.scheduler.leave(job)
+	tasks := request.job.Tasks()
+	results := make([]starter.Result, len(tasks))
+	if len(tasks) == 1 {
+		results[0] = server.startTask(ctx, request, tasks[0], first)
+		return server.combine(request.job, results)
 	}
-	if _, ok := exchange.bundle.Team(job.Team()); !ok {
-		return dispatcher.NewRefused(dispatcher.ReasonUnknownKind, "team: the bundle in force has no such team", "team", time.Time{}), false
+	ends := make(chan taskEnd, len(tasks))
+	started, ended, failed := 0, 0, false
+	start := func(granted granted) {
+		index := started
+		started++
+		go func() { ends <- taskEnd{index, server.startTask(ctx, request, tasks[index], granted)} }()
 	}
-	if len(job.Tasks()) > kind.MaxTasks() {
-		detail := fmt.Sprintf("tasks: got %d tasks, the kind allows at most %d", len(job.Tasks()), kind.MaxTasks())
-		return dispatcher.NewRefused(dispatcher.ReasonImpossible, detail, "tasks", time.Time{}), false
+	start(first)
+	for ended < started || !failed && started < len(tasks) {
+		grants := job.grants
+		if failed || started == len(tasks) {
+			grants = nil
+		}
+		select {
+		case granted := <-grants:
+			start(granted)
+		case end := <-ends:
+			ended++
+			results[end.index] = end.result
+			if _, ok := end.result.(starter.Success); !ok && !failed {
+				// The answer cannot become complete, so the remaining tasks would run for nothing.
+				failed = true
+				server.scheduler.limiter.Drop(job.ticket)
+			}
+		case <-job.expired:
+			failed = true
+		case <-ctx.Done():
+			if !failed {
+				failed = true
+				server.scheduler.limiter.Drop(job.ticket)
+			}
+			// Tasks in flight end with ctx; waiting for them keeps the answer whole.
+			for ; ended < started; ended++ {
+				end := <-ends
+				results[end.index] = end.result
+			}
+		}
 	}
-	exchange.kind = kind
-	return dispatcher.Refused{}, true
+	return server.combine(request.job, results)
 }
 
-// dispatch runs the job and answers with its outcome.
-func (server *Server) dispatch(exchange *exchange) {
-	if refused, ok := server.vet(exchange); !ok {
-		exchange.answer(refused)
-		return
+// startTask starts one task at the granted target, and at another one if it provably did not start there and
+// the retry budget allows it.
+func (server *Server) startTask(ctx context.Context, request *request, task dispatcher.Task, granted granted) starter.Result {
+	for {
+		result := server.starter.Start(ctx, granted.choice.Address(), request.kind.Name(), request.traceParent, task)
+		refused, ok := result.(starter.NotStarted)
+		if !ok || ctx.Err() != nil || !server.scheduler.limiter.Retry(time.Now()) {
+			server.scheduler.release(granted, routerResult(result))
+			server.scheduler.pump(time.Now())
+			return result
+		}
+		server.meter.retries.Inc()
+		granted.router.Done(granted.choice, router.NewNotStarted(refused.Leaving()), time.Now())
+		if !server.pickAgain(ctx, request.kind.Name(), &granted) {
+			server.scheduler.limiter.Release(granted.grant, time.Now())
+			server.scheduler.pump(time.Now())
+			return result
+		}
 	}
-	// The job goes on when its caller has gone, so that a resubmission finds the answer.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(exchange.request.Context()), exchange.job.Deadline())
-	defer cancel()
-	exchange.answer(server.run(ctx, exchange))
 }
 
-// run starts every task of the job once and returns the whole answer.
-func (server *Server) run(ctx context.Context, exchange *exchange) dispatcher.Outcome {
-	targets := server.targets(exchange.bundle, exchange.kind)
-	if len(targets) == 0 {
-		return dispatcher.NewRefused(dispatcher.ReasonUnavailable, "the failure domain has no target for the kind", "kind", time.Time{})
-	}
-	tasks := exchange.job.Tasks()
-	results := make([]starter.Result, len(tasks))
-	var group sync.WaitGroup
-	for i, task := range tasks {
-		target := targets[rand.IntN(len(targets))]
-		start := func() {
-			results[i] = server.starter.Start(ctx, target.Address(), exchange.kind.Name(), exchange.traceParent, task)
-		}
-		if i == len(tasks)-1 {
-			// The last task needs no goroutine of its own.
-			start()
-			break
+// pickAgain waits for another target for a task that keeps its grant.
+func (server *Server) pickAgain(ctx context.Context, kind string, granted *granted) bool {
+	for ctx.Err() == nil {
+		chosen, choice, ok := server.scheduler.routers.Load().pick(kind, time.Now())
+		if ok {
+			granted.router, granted.choice = chosen, choice
+			return true
 		}
-		group.Go(start)
+		sleep(ctx, retryDelay)
 	}
-	group.Wait()
-	return server.combine(exchange.job, results)
+	return false
 }
 
-func (server *Server) targets(bundle *bundler.Bundle, kind bundler.Kind) []bundler.Target {
-	var targets []bundler.Target
-	for _, target := range bundle.Targets() {
-		if target.FailureDomain() == server.settings.Text("failure-domain") && target.Service() == kind.Service() {
-			targets = append(targets, target)
-		}
+func routerResult(result starter.Result) router.Result {
+	switch result := result.(type) {
+	case starter.Success:
+		return router.NewFinished(0)
+	case starter.Rejected:
+		return router.Failed{}
+	case starter.NotStarted:
+		return router.NewNotStarted(result.Leaving())
+	default:
+		return router.Lost{}
 	}
-	return targets
 }
 
-// combine returns a complete answer if every task succeeded, and otherwise a failed or refused one without results.
+// combine returns a complete answer if every task succeeded, and otherwise a failed one without results. It
+// is failed as well if no task started: after the start record a successor could not tell. A task without a
+// result was not started.
 func (server *Server) combine(job dispatcher.Job, results []starter.Result) dispatcher.Outcome {
 	finished := make([]dispatcher.TaskResult, 0, len(results))
-	fates := make([]dispatcher.TaskFate, 0, len(results))
-	started := false
 	for i, result := range results {
-		name := job.Tasks()[i].Name()
-		fate := dispatcher.TaskFate{Name: name}
+		if success, ok := result.(starter.Success); ok {
+			finished = append(finished, dispatcher.TaskResult{Name: job.Tasks()[i].Name(), Result: success.Result()})
+		}
+	}
+	server.meter.fates[dispatcher.Finished].Add(len(finished))
+	if len(finished) == len(results) {
+		return dispatcher.NewComplete(finished)
+	}
+	fates := notStarted(job)
+	for i, result := range results {
 		switch result := result.(type) {
 		case starter.Success:
-			finished = append(finished, dispatcher.TaskResult{Name: name, Result: result.Result()})
-			fate.Fate = dispatcher.Finished
+			fates[i].Fate = dispatcher.Finished
+			continue
 		case starter.NotStarted:
-			fate.Fate, fate.Detail = dispatcher.NotStarted, result.Detail()
+			fates[i].Detail = result.Detail()
 		case starter.Rejected:
-			fate.Fate, fate.Detail = dispatcher.TaskFailed, result.Detail()
+			fates[i].Fate, fates[i].Detail = dispatcher.TaskFailed, result.Detail()
 		case starter.Lost:
-			fate.Fate, fate.Detail = dispatcher.OutcomeUnknown, result.Detail()
+			fates[i].Fate, fates[i].Detail = dispatcher.OutcomeUnknown, result.Detail()
 		}
-		server.meter.fates[fate.Fate].Inc()
-		started = started || fate.Fate != dispatcher.NotStarted
-		fates = append(fates, fate)
+		server.meter.fates[fates[i].Fate].Inc()
 	}
-	switch {
-	case len(finished) == len(results):
-		return dispatcher.NewComplete(finished)
-	case !started:
-		return dispatcher.NewRefused(dispatcher.ReasonUnavailable, "no target could be reached", "", time.Now().Add(retryAfter))
-	default:
-		return dispatcher.NewFailed("not every task finished", fates)
+	return dispatcher.NewFailed("not every task finished", fates)
+}
+
+func notStarted(job dispatcher.Job) []dispatcher.TaskFate {
+	fates := make([]dispatcher.TaskFate, len(job.Tasks()))
+	for i, task := range job.Tasks() {
+		fates[i] = dispatcher.TaskFate{Name: task.Name(), Fate: dispatcher.NotStarted}
 	}
+	return fates
 }
--- a/server/drain.go
+++ b/server/drain.go
@@ -8,10 +8,16 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/hyssoplift/hyssoplift/keeper"
 )
 
-// maxNamed bounds the jobs that are named when a stop leaves them behind.
-const maxNamed = 20
+const (
+	// maxNamed bounds the jobs that are named when a stop leaves them behind.
+	maxNamed = 20
+	// drainInterval is how often a stop looks whether it is done.
+	drainInterval = 20 * time.Millisecond
+)
 
 // drain knows the jobs in flight and leads the instance out of service.
 type drain struct {
@@ -73,18 +79,18 @@
 	return len(drain.jobs), keys
 }
 
-// Shutdown makes the instance not ready, keeps serving until balancerWait, hands over its slices, finishes
-// what is in flight and returns; when ctx is done first, it returns an error that says what was left.
+// Shutdown makes the instance not ready, keeps serving until balancerWait, finishes what is in flight, hands
+// its slices over and returns; when ctx is done first, it returns an error that says what was left.
 func (server *Server) Shutdown(ctx context.Context, balancerWait time.Time) error {
 	defer server.stop()
+	defer server.linker.Close()
 	server.drain.start()
-	timer := time.NewTimer(time.Until(balancerWait))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	server.membership.leave()
+	sleep(ctx, time.Until(balancerWait))
 	err := server.http.Shutdown(ctx)
+	for ctx.Err() == nil && (server.drain.inFlight() > 0 || !server.handedOver()) {
+		sleep(ctx, drainInterval)
+	}
 	if count, keys := server.drain.left(); count > 0 {
 		server.logger.Error("stopped with jobs in flight", "count", count, "jobs", keys)
 		_ = server.http.Close()
@@ -94,9 +100,26 @@
 		_ = server.http.Close()
 		return eris.Wrap(err, "stopped with requests in flight")
 	}
+	if !server.handedOver() {
+		return eris.New("stopped before the other members had taken over the slices")
+	}
+	// The last ends of jobs are on their way to their witnesses.
+	sleep(ctx, 2*outcomeInterval)
 	return nil
 }
 
+// handedOver says that no other instance needs this one: it is in no view, alone, or every slice has a new owner.
+func (server *Server) handedOver() bool {
+	number, view := server.keeper.View()
+	if _, member := view.Member(server.self.Incarnation); member {
+		return len(view.Members) == 1
+	}
+	departing := slices.ContainsFunc(view.Departing, func(member keeper.Member) bool {
+		return member.Incarnation == server.self.Incarnation
+	})
+	return number == keeper.NoView || !departing || server.keeper.HandedOver()
+}
+
 // trackJobs makes a planned stop wait for the job, also when its caller has gone.
 func (server *Server) trackJobs(next handler) handler {
 	return func(exchange *exchange) {
@@ -114,4 +137,19 @@
 	writeProblem(exchange, problem{status: http.StatusServiceUnavailable, kind: "not-ready", title: "The instance is not ready", notRun: true, retryIn: time.Second})
 }
 
-func (server *Server) ready() bool { return !server.drain.started() && server.bundle.Load() != nil }
+// ready says that the balancer may send requests: a bundle is in force, and the instance serves its slices
+// or reaches one that does.
+func (server *Server) ready() bool {
+	if server.drain.started() || server.bundle.Load() == nil {
+		return false
+	}
+	number, view := server.keeper.View()
+	if number == keeper.NoView {
+		// Jobs without a key, and those under solo keys, need no view.
+		return time.Since(server.started) > viewPatience
+	}
+	if _, member := view.Member(server.self.Incarnation); member {
+		return server.keeper.Synced()
+	}
+	return slices.ContainsFunc(view.Members, func(member keeper.Member) bool { return server.linker.Connected(member.Incarnation) })
+}
--- a/server/filter.go
+++ b/server/filter.go
@@ -15,10 +15,12 @@
 	"github.com/hyssoplift/hyssoplift/bundler"
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 	"github.com/hyssoplift/hyssoplift/encoder"
+	"github.com/hyssoplift/hyssoplift/keeper"
 )
 
 const (
 	keyHeader         = "Idempotency-Key"
+	prefixHeader      = "Hyssoplift-Key-Prefix"
 	traceParentHeader = "Traceparent"
 )
 
@@ -34,7 +36,6 @@
 	traceParent string
 	job         dispatcher.Job
 	bundle      *bundler.Bundle
-	kind        bundler.Kind
 	outcome     string
 }
 
@@ -146,6 +147,7 @@
 // setHeaders adds the headers that every response carries.
 func (server *Server) setHeaders(next handler) handler {
 	return func(exchange *exchange) {
+		exchange.Header().Set(prefixHeader, server.keyPrefix())
 		if server.drain.started() {
 			// Callers that keep connections open move to another instance while this one still answers.
 			exchange.Header().Set("Connection", "close")
@@ -211,6 +213,12 @@
 			exchange.refuse(dispatcher.ReasonInvalid, fault.Field(), fault.Error())
 			return
 		}
+		if job.Key() != "" {
+			if _, err := keeper.ParseKey(job.Key()); err != nil {
+				exchange.refuse(dispatcher.ReasonInvalid, keyHeader, err.Error())
+				return
+			}
+		}
 		// The decoder has copied what the job keeps, so the buffer may be used again.
 		exchange.body = nil
 		exchange.job, exchange.key = job, job.Key()
--- a/server/meter.go
+++ b/server/meter.go
@@ -14,6 +14,7 @@
 	set      *metrics.Set
 	panics   *metrics.Counter
 	requests map[string]*metrics.Counter
+	forwards map[string]*metrics.Counter
 	fates    map[dispatcher.Fate]*metrics.Counter
 	retries  *metrics.Counter
 	took     *metrics.Histogram
@@ -28,11 +29,13 @@
 		set:      set,
 		panics:   set.NewCounter("hyssoplift_panics_total"),
 		requests: make(map[string]*metrics.Counter),
+		forwards: make(map[string]*metrics.Counter),
 		fates:    make(map[dispatcher.Fate]*metrics.Counter),
 		retries:  set.NewCounter("hyssoplift_task_retries_total"),
 		took:     set.NewHistogram("hyssoplift_request_seconds"),
 	}
 	for _, name := range outcomeNames {
+		meter.forwards[name] = set.NewCounter(`hyssoplift_forwards_served_total{outcome="` + name + `"}`)
 		meter.requests[name] = set.NewCounter(`hyssoplift_requests_total{outcome="` + name + `"}`)
 	}
 	for _, fate := range []dispatcher.Fate{dispatcher.NotStarted, dispatcher.OutcomeUnknown, dispatcher.Finished, dispatcher.TaskFailed} {
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -33,6 +33,10 @@
 service = demo
 repeatable = true
 max-tasks = 2
+[kind spoke-check]
+run-ms = 1
+service = demo
+repeatable = true
 [team demo]
 max-in-flight = 100000
 `
@@ -62,6 +66,7 @@
 	waitFor(tb, server.ready)
 	tb.Cleanup(func() {
 		server.stop()
+		server.linker.Close()
 		_ = server.http.Close()
 		runner.CloseClientConnections()
 		runner.Close()
