--- a/server/bundles_test.go
+++ b/server/bundles_test.go
@@ -113,11 +113,11 @@
 	is.True(ok && refused.Reason() == dispatcher.ReasonUnknownKind) // the next one sees the new bundle
 }
 
-func waitFor(t *testing.T, condition func() bool) {
-	t.Helper()
+func waitFor(tb testing.TB, condition func() bool) {
+	tb.Helper()
 	for deadline := time.Now().Add(30 * time.Second); !condition(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatal("the condition did not come about")
+			tb.Fatal("the condition did not come about")
 		}
 	}
 }
