--- a/keeper/adopt.go
+++ b/keeper/adopt.go
@@ -8,12 +8,7 @@
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 )
 
-const (
-	detailMoved = "the slice has another owner now"
-	// lostRetentions is how many retention periods the record of a plain key is kept when its holder is gone:
-	// the job may still run for up to one, and the period counts from its end.
-	lostRetentions = 2
-)
+const detailMoved = "the slice has another owner now"
 
 // OpenLog tells the keeper the earliest retained offset of the stream of views, before the first Adopt and
 // again whenever the reader had to skip trimmed records.
@@ -165,18 +160,54 @@
 	case key.form == IssuedKey && key.number < shard.place.current.expiryFloor && shard.attempts[text] == nil:
 		shard.drop(text)
 	case key.form == PlainKey && stored.expires == 0:
-		shard.expireLater(key, now.Add(lostRetentions*shard.keeper.limits.Retention))
+		shard.expireLater(key, now.Add(shard.keeper.limits.past()))
 	}
 }
 
-// Accounted says that every incarnation outside the current view has adopted it or has disappeared from the
-// instance list; slices closed to plain keys open one retention period after the first such call.
-func (keeper *Keeper) Accounted(now time.Time) {
+// past returns the time after which a start of a plain key that cannot be seen any more is outside the
+// promise: its job may have run for MaxRun, and the retention counts from its end.
+func (limits Limits) past() time.Duration { return limits.MaxRun + limits.Retention }
+
+// accountedView is a view in which no lower one was served any more from a time on.
+type accountedView struct {
+	view int64
+	at   time.Time
+}
+
+// Accounted says that every incarnation on the instance list has adopted the view with this number, the
+// current one. Slices closed to plain keys open after the longest run and one retention period.
+func (keeper *Keeper) Accounted(view int64, now time.Time) {
+	if view == NoView || view != keeper.place.Load().number() {
+		return
+	}
+	keeper.accountMutex.Lock()
+	if last := len(keeper.accounted) - 1; last < 0 || keeper.accounted[last].view != view {
+		keeper.accounted = append(keeper.accounted, accountedView{view, now})
+	}
+	keeper.accountMutex.Unlock()
 	for _, shard := range keeper.shards {
 		shard.mutex.Lock()
-		if shard.synced && shard.closed && shard.opens.IsZero() {
-			shard.opens = now.Add(shard.keeper.limits.Retention)
+		if shard.synced && shard.closed && shard.opens.IsZero() && shard.place.number() == view {
+			shard.opens = now.Add(keeper.limits.past())
 		}
 		shard.mutex.Unlock()
 	}
 }
+
+// horizon returns the latest view before which no start of a plain key is still protected, or NoView.
+func (keeper *Keeper) horizon(now time.Time) int64 {
+	keeper.accountMutex.Lock()
+	defer keeper.accountMutex.Unlock()
+	horizon := NoView
+	for len(keeper.accounted) > 0 && !now.Before(keeper.accounted[0].at.Add(keeper.limits.past())) {
+		horizon = keeper.accounted[0].view
+		if len(keeper.accounted) == 1 {
+			break
+		}
+		if now.Before(keeper.accounted[1].at.Add(keeper.limits.past())) {
+			break
+		}
+		keeper.accounted = keeper.accounted[1:]
+	}
+	return horizon
+}
--- a/keeper/cancel.go
+++ b/keeper/cancel.go
@@ -54,8 +54,9 @@
 	pending.tickets = append(pending.tickets, ticket)
 	pending.tried, pending.tries, pending.fulls = nil, 0, 0
 	if !shard.request(pending, stored, now, effects) {
-		shard.abandon(pending, stored)
-		shard.loseAttempt(pending, detailNoWitness, false, effects)
+		// The next Expire ends the attempt and tells its waiters.
+		pending.deadline = now
+		shard.wake(now)
 	}
 	return AwaitWitness{Ticket: ticket}
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -17,6 +17,8 @@
 	MaxRecords int
 	// Retention is how long the answer to a plain key is kept, and the interval between renewals of the view.
 	Retention time.Duration
+	// MaxRun is the longest time from a start record to the end of its job.
+	MaxRun time.Duration
 	// AckTimeout is how long one witness, or one confirming member, may take to answer.
 	AckTimeout time.Duration
 	// SyncTimeout is how long a member may take to answer a sync request before it is sent again and the
@@ -57,6 +59,10 @@
 	deferMutex sync.Mutex
 	deferred   map[string]SyncRequest
 
+	// accountMutex guards accounted, the views that every live incarnation is known to have adopted.
+	accountMutex sync.Mutex
+	accounted    []accountedView
+
 	// suspectMutex serialises Suspect and Restore.
 	suspectMutex sync.Mutex
 }
--- a/keeper/naive_test.go
+++ b/keeper/naive_test.go
@@ -71,7 +71,7 @@
 
 func (naive *naive) Expire(time.Time) ([]keeper.Event, []keeper.Outgoing) { return nil, nil }
 
-func (naive *naive) Suspect(string)      {}
-func (naive *naive) Restore(string)      {}
-func (naive *naive) Accounted(time.Time) {}
-func (naive *naive) HandedOver() bool    { return true }
+func (naive *naive) Suspect(string)             {}
+func (naive *naive) Restore(string)             {}
+func (naive *naive) Accounted(int64, time.Time) {}
+func (naive *naive) HandedOver() bool           { return true }
--- a/keeper/node_test.go
+++ b/keeper/node_test.go
@@ -23,7 +23,7 @@
 	Prefix(now time.Time) string
 	Suspect(incarnation string)
 	Restore(incarnation string)
-	Accounted(now time.Time)
+	Accounted(view int64, now time.Time)
 	HandedOver() bool
 }
 
@@ -250,9 +250,7 @@
 			continue
 		}
 		if otherNumber, _ := other.decider.View(); otherNumber < number {
-			if _, member := view.Member(other.member.Incarnation); !member {
-				accounted = false
-			}
+			accounted = false
 		}
 	}
 	for _, other := range world.slots {
@@ -263,8 +261,8 @@
 		node.decider.Restore(other.member.Incarnation)
 		seen = append(seen, other.member)
 	}
-	if accounted && number != keeper.NoView {
-		node.decider.Accounted(world.now)
+	if accounted {
+		node.decider.Accounted(number, world.now)
 	}
 	if world.chance(0.15) {
 		node.proposeFrom(number, view, seen)
@@ -283,7 +281,7 @@
 		}
 		return
 	}
-	if len(seen) > 1 && world.chance(0.1) {
+	if len(seen) > 1 && !world.careful && world.chance(0.1) {
 		// A wrong suspicion: safety must not depend on the watcher.
 		lost := world.IntN(len(seen))
 		seen = slices.Delete(seen, lost, lost+1)
--- /dev/null
+++ b/keeper/protocol_test.go
@@ -0,0 +1,231 @@
+package keeper_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+	"github.com/hyssoplift/hyssoplift/keeper"
+)
+
+// trio returns three keepers in view 0, the first one, and a key of a slice that it owns.
+func trio() (*group, *keeper.Keeper, keeper.Submission) {
+	group := newGroup(3)
+	owner := group.keepers[group.members[0].Incarnation]
+	return group, owner, keeper.Submission{Key: owner.Prefix(group.now) + "job", Digest: dispatcher.Digest{1}, Deadline: group.now.Add(time.Minute)}
+}
+
+// asked returns the record in outgoing messages and its addressee.
+func asked(outgoing []keeper.Outgoing) (keeper.Record, string) {
+	for _, sent := range outgoing {
+		if record, isRecord := sent.Message.(keeper.Record); isRecord {
+			return record, sent.To.Incarnation
+		}
+	}
+	return keeper.Record{}, ""
+}
+
+// TestLateMessagesOfAnEarlierAttempt guards against an acknowledgement or a withdrawal that is overtaken by a
+// second attempt with the same witness: the start would be granted without a copy, or lose its copy.
+func TestLateMessagesOfAnEarlierAttempt(t *testing.T) {
+	is := is.New(t)
+	group, owner, submission := trio()
+	self := group.members[0].Incarnation
+	_, outgoing := owner.Submit(submission, group.now)
+	first, witness := asked(outgoing)
+	var second keeper.Record
+	var to string
+	for to != witness {
+		group.now = group.now.Add(25 * time.Millisecond)
+		_, outgoing = owner.Expire(group.now)
+		second, to = asked(outgoing)
+		is.True(to != "") // the first witness must be asked a second time
+	}
+	events, _ := owner.Receive(witness, keeper.RecordAck{Key: first.Key, View: first.View, Sequence: first.Sequence}, group.now)
+	is.Equal(len(events), 0) // the acknowledged attempt has been withdrawn
+	_, acks := group.keepers[witness].Receive(self, second, group.now)
+	group.keepers[witness].Receive(self, keeper.Withdraw{Key: first.Key, View: first.View, Sequence: first.Sequence}, group.now)
+	is.Equal(group.keepers[witness].Records(), 1) // a late withdrawal must not remove the second copy
+	events, _ = owner.Receive(witness, acks[0].Message, group.now)
+	is.Equal(len(events), 1)
+	_, acks = group.keepers[witness].Receive(self, first, group.now)
+	_, refused := acks[0].Message.(keeper.RecordRefused)
+	is.True(refused) // the first record is older than the stored one
+}
+
+// TestCancellationIsFinal guards against a start after a cancellation whose acknowledgement was lost: the copy
+// at the witness would make a successor answer "not run" for a job that ran.
+func TestCancellationIsFinal(t *testing.T) {
+	is := is.New(t)
+	group, owner, submission := trio()
+	owner.Cancel(submission.Key, false, group.now)
+	for range 10 {
+		group.now = group.now.Add(25 * time.Millisecond)
+		owner.Expire(group.now)
+	}
+	decision, outgoing := owner.Submit(submission, group.now)
+	record, _ := asked(outgoing)
+	is.Equal(record.State, keeper.StateCancelled)
+	_, waits := decision.(keeper.AwaitWitness)
+	is.True(waits) // an unconfirmed cancellation must not be told
+}
+
+// TestLaterViewDoesNotAnswerSync guards against a member that has dropped expired records in a later view and
+// answers an owner that still counts on them.
+func TestLaterViewDoesNotAnswerSync(t *testing.T) {
+	is := is.New(t)
+	group, _, _ := trio()
+	member := group.keepers[group.members[1].Incarnation]
+	member.Adopt(1, keeper.View{Prev: 0, Members: group.members}, group.now)
+	var every []int
+	for slice := range keeper.Slices {
+		every = append(every, slice)
+	}
+	_, outgoing := member.Receive(group.members[0].Incarnation, keeper.SyncRequest{View: 0, Slices: every, Sequence: 1}, group.now)
+	is.Equal(len(outgoing), 0)
+	_, outgoing = member.Receive(group.members[0].Incarnation, keeper.SyncRequest{View: 2, Slices: every, Sequence: 2}, group.now)
+	is.Equal(len(outgoing), 0) // not before the view is adopted
+	_, outgoing = member.Adopt(2, keeper.View{Prev: 1, Members: group.members}, group.now)
+	is.True(len(outgoing) > 0) // the kept request is answered
+}
+
+// TestChain guards against an accepted view that another reader ignores.
+func TestChain(t *testing.T) {
+	members := benchMembers(3)
+	type entry struct {
+		offset int64
+		view   keeper.View
+	}
+	view := func(offset, prev int64) entry { return entry{offset, keeper.View{Prev: prev, Members: members}} }
+	reset := entry{8, keeper.View{Prev: 2, Members: members, Reset: true}}
+	for _, test := range []struct {
+		name     string
+		earliest int64
+		log      []entry
+		want     int64
+	}{
+		{"first view of an untrimmed log", 0, []entry{view(0, keeper.NoView)}, 0},
+		{"second proposal for one view", 0, []entry{view(0, keeper.NoView), view(1, 0), view(2, 0)}, 1},
+		{"follower of an ignored view", 0, []entry{view(0, keeper.NoView), view(1, 0), view(2, 0), view(3, 2)}, 1},
+		{"repeated record", 0, []entry{view(0, keeper.NoView), view(1, 0), view(1, 0)}, 1},
+		{"trimmed log with one view", 5, []entry{view(6, 3)}, keeper.NoView},
+		{"trimmed log with a view that a later one names", 5, []entry{view(6, 3), view(7, 3), view(9, 6)}, 9},
+		{"trimmed log with a loser", 5, []entry{view(6, 3), view(7, 3), view(9, 7)}, 9},
+		{"reset", 5, []entry{view(6, 3), reset, view(9, 6), view(10, 8)}, 10},
+		{"later reset", 0, []entry{view(0, keeper.NoView), reset, {9, reset.view}}, 9},
+		{"view without members", 0, []entry{{0, keeper.View{Prev: keeper.NoView}}}, keeper.NoView},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			reader := keeper.New(members[0], "d", benchLimits(), time.Unix(1000, 0))
+			reader.OpenLog(test.earliest)
+			for _, entry := range test.log {
+				reader.Adopt(entry.offset, entry.view, time.Unix(1000, 0))
+			}
+			number, _ := reader.View()
+			is.Equal(number, test.want)
+		})
+	}
+}
+
+// TestParseKey guards against two readings of one key, and against a forged key that stops the process.
+func TestParseKey(t *testing.T) {
+	for _, test := range []struct {
+		text string
+		form keeper.KeyForm
+		bad  bool
+	}{
+		{"order-1", keeper.PlainKey, false},
+		{"~hanoi-a.12.63.order.1", keeper.IssuedKey, false},
+		{"~hanoi-a.n1-5.solo-0.order", keeper.SoloKey, false},
+		{"", 0, true},
+		{"~", 0, true},
+		{"~hanoi-a.12.64.order", 0, true},
+		{"~hanoi-a.012.6.order", 0, true},
+		{"~hanoi-a.-1.6.order", 0, true},
+		{"~hanoi-a.1.6.", 0, true},
+		{"~hanoi-a.1.solo-x.order", 0, true},
+	} {
+		t.Run(fmt.Sprintf("%q", test.text), func(t *testing.T) {
+			is := is.New(t)
+			key, err := keeper.ParseKey(test.text)
+			is.Equal(err != nil, test.bad)
+			is.True(test.bad || key.Form() == test.form && key.Slice() >= 0 && key.Slice() < keeper.Slices)
+		})
+	}
+}
+
+// TestMessagesPerJob guards against a protocol that needs more than two messages before a start.
+func TestMessagesPerJob(t *testing.T) {
+	is := is.New(t)
+	group, owner, submission := trio()
+	_, outgoing := owner.Submit(submission, group.now)
+	is.Equal(len(outgoing), 1)
+	_, replies := group.keepers[outgoing[0].To.Incarnation].Receive(group.members[0].Incarnation, outgoing[0].Message, group.now)
+	is.Equal(len(replies), 1)
+	events, outgoing := owner.Receive(outgoing[0].To.Incarnation, replies[0].Message, group.now)
+	is.Equal(len(events), 1)
+	is.Equal(len(outgoing), 0)
+}
+
+// TestConfirmationsAreBatched guards against one confirmation per refusal under overload.
+func TestConfirmationsAreBatched(t *testing.T) {
+	is := is.New(t)
+	group, owner, submission := trio()
+	refused := dispatcher.NewRefused(dispatcher.ReasonOverload, "full", "", time.Time{})
+	var outgoing []keeper.Outgoing
+	for number := range 100 {
+		submission.Key = fmt.Sprint(owner.Prefix(group.now), number)
+		_, sent := owner.Refuse(submission, refused, group.now)
+		outgoing = append(outgoing, sent...)
+	}
+	is.Equal(len(outgoing), 1)
+	confirmed := 0
+	for len(outgoing) > 0 {
+		member := outgoing[0].To.Incarnation
+		_, replies := group.keepers[member].Receive(group.members[0].Incarnation, outgoing[0].Message, group.now)
+		var events []keeper.Event
+		events, outgoing = owner.Receive(member, replies[0].Message, group.now)
+		confirmed += len(events)
+	}
+	is.Equal(confirmed, 100)
+}
+
+// TestPlainKeysAfterLongHistory guards against a crash that closes slices to plain keys only because the views
+// before the kept ones, or before a replaced member, are unknown: no start in them is protected any more.
+func TestPlainKeysAfterLongHistory(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		wait time.Duration
+		open bool
+	}{{"accounted long ago", 21 * time.Minute, true}, {"accounted lately", 15 * time.Minute, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			group, _, _ := trio()
+			for offset := range int64(70) {
+				group.adopt(offset+1, keeper.View{Prev: offset, Members: group.members})
+			}
+			for _, member := range group.members {
+				group.keepers[member.Incarnation].Accounted(70, group.now)
+			}
+			group.now = group.now.Add(test.wait)
+			delete(group.keepers, group.members[0].Incarnation)
+			group.members = group.members[1:]
+			group.adopt(71, keeper.View{Prev: 70, Members: group.members})
+			opened := true
+			for number := range 200 {
+				key := fmt.Sprint("plain-", number)
+				parsed, err := keeper.ParseKey(key)
+				is.NoErr(err)
+				owner, _ := group.keepers[group.members[0].Incarnation].Owner(parsed.Slice())
+				decision, _ := group.keepers[owner.Incarnation].Submit(keeper.Submission{Key: key}, group.now)
+				_, waits := decision.(keeper.AwaitWitness)
+				opened = opened && waits
+			}
+			is.Equal(opened, test.open)
+		})
+	}
+}
--- a/keeper/refuse.go
+++ b/keeper/refuse.go
@@ -205,18 +205,15 @@
 		if err != nil {
 			continue
 		}
-		decision, again := keeper.shards[key.slice].refuse(key, earlier.submission, earlier.refused, now, effects)
-		answer, answered := decision.(Answer)
+		again, outcome := keeper.shards[key.slice].refuseAgain(key, earlier, now)
 		switch {
 		case again != nil && again.exempt:
-			earlier.decided = now
-			earlier.confirmed(effects)
+			again.confirmed(effects)
 		case again != nil:
-			again.tickets = append(again.tickets, earlier.tickets...)
 			keeper.confirmer.requeue(again, now, effects)
-		case answered:
+		case outcome != nil:
 			for _, ticket := range earlier.tickets {
-				effects.emit(AnswerFound{Key: earlier.submission.Key, Ticket: ticket, Outcome: answer.Outcome})
+				effects.emit(AnswerFound{Key: earlier.submission.Key, Ticket: ticket, Outcome: outcome})
 			}
 		default:
 			earlier.unconfirmed(effects)
@@ -224,6 +221,28 @@
 	}
 }
 
+// refuseAgain returns the refusal decided in the current view, or the outcome that replaces it, or neither. It
+// joins no attempt and starts none: the server knows only the tickets of the earlier decision.
+func (shard *shard) refuseAgain(key Key, earlier *refusal, now time.Time) (*refusal, dispatcher.Outcome) {
+	shard.mutex.Lock()
+	defer shard.mutex.Unlock()
+	stored := shard.records[key.text]
+	switch {
+	case stored != nil && stored.outcome != nil && stored.digest == earlier.submission.Digest:
+		return nil, stored.outcome
+	case shard.standingDecision(key, true) != nil:
+		return nil, nil
+	case stored != nil && stored.state == StateCancelled && stored.confirmed:
+		return nil, cancelledOutcome()
+	case stored == nil && shard.doubt(key, now) == "":
+		return shard.refusal(key, earlier.submission, earlier.refused, earlier.tickets, now), nil
+	case stored != nil && stored.state >= StateStarted && stored.digest != earlier.submission.Digest:
+		return shard.refusal(key, earlier.submission, earlier.refused, earlier.tickets, now), nil
+	default:
+		return nil, nil
+	}
+}
+
 func (confirmer *confirmer) requeue(again *refusal, now time.Time, effects *effects) {
 	confirmer.mutex.Lock()
 	defer confirmer.mutex.Unlock()
--- a/keeper/sync.go
+++ b/keeper/sync.go
@@ -209,7 +209,7 @@
 	}
 	answered := shard.syncing.answered
 	answered[shard.self()] = shard.last
-	floor, closed := shard.place.floor(shard.slice, answered)
+	floor, closed := shard.place.floor(shard.slice, answered, shard.keeper.horizon(now))
 	shard.syncing = nil
 	shard.resolve(answered, now)
 	shard.serve(max(floor, shard.place.current.expiryFloor), closed)
@@ -250,8 +250,10 @@
 
 // floor walks the views back from the current one and returns the lowest view from which every start of the
 // slice is known, and whether earlier starts may be lost (custody loss). answered holds the members that
-// have adopted the current view, with the last view in which each had synced the slice.
-func (place *position) floor(slice int, answered map[string]*SyncedView) (int64, bool) {
+// have adopted the current view, with the last view in which each had synced the slice. A loss below the
+// horizon concerns no plain key any more; without this, every crash of an owner whose slice has a longer
+// history than the kept one would close the slice.
+func (place *position) floor(slice int, answered map[string]*SyncedView, horizon int64) (int64, bool) {
 	after := place.current
 	for i := len(place.before) - 1; after.origin == follows && i >= 0; i-- {
 		view := place.before[i]
@@ -261,14 +263,14 @@
 		case ownerAnswered && synced != nil && synced.View == view.number:
 			return synced.Floor, synced.Closed
 		case !ownerAnswered && !view.witnessesAnswered(owner, answered):
-			return after.number, true
+			return after.number, after.number > horizon
 		}
 		after = view
 	}
 	if after.origin == first {
 		return 0, false
 	}
-	return after.number, true
+	return after.number, after.number > horizon
 }
 
 // witnessesAnswered says that the view had other members than its owner and that all have answered: one of
--- a/keeper/world_test.go
+++ b/keeper/world_test.go
@@ -73,6 +73,8 @@
 	cuts     map[[2]int]bool
 	logCuts  map[int]bool
 	lossy    bool
+	// careful keeps the watchers from wrong suspicions.
+	careful bool
 	// strike is called at each point; it may kill or freeze the node.
 	strike  func(point, *node)
 	history []checker.Event
@@ -87,7 +89,7 @@
 		every: map[string]*node{}, renewal: map[int64]int64{}, appended: map[int64]time.Time{},
 		cuts: map[[2]int]bool{}, logCuts: map[int]bool{}, strike: func(point, *node) {},
 		limits: keeper.Limits{
-			MaxRecords: 10000, Retention: retention, AckTimeout: 20 * time.Millisecond,
+			MaxRecords: 10000, Retention: retention, MaxRun: 2 * time.Second, AckTimeout: 20 * time.Millisecond,
 			SyncTimeout: 300 * time.Millisecond, OutcomeInterval: 100 * time.Millisecond,
 		},
 	}
