Keep plain keys of an unaccounted holder that has left

An owner froze between record and start, was left out of the view, and started the job on resuming; its witness, the successor, had dropped the copy of the plain key in the meantime and started the job again.

Ruled out: a longer fixed delay. A frozen holder can start at any later time.

Change: such a copy is kept until every incarnation is accounted for and the longest run and the retention have passed since.

--- a/keeper/adopt.go
+++ b/keeper/adopt.go
@@ -149,7 +149,9 @@
 	}
 }
 
-// age drops the record of an issued key below the expiry-floor, and lets that of a plain key expire.
+// age drops the record of an issued key below the expiry-floor, and lets that of a plain key expire. A holder
+// that is not accounted for may still start the job, however long it has been silent; until then its plain keys
+// stay.
 func (shard *shard) age(text string, stored *record, now time.Time) {
 	if !shard.settled(stored) {
 		return
@@ -159,6 +161,8 @@
 	case err != nil:
 	case key.form == IssuedKey && key.number < shard.place.current.expiryFloor && shard.attempts[text] == nil:
 		shard.drop(text)
+	case key.form == PlainKey && stored.expires == 0 && stored.state < StateFinished && stored.state != StateCancelled:
+		shard.lost = true
 	case key.form == PlainKey && stored.expires == 0:
 		shard.expireLater(key, now.Add(shard.keeper.limits.past()))
 	}
@@ -175,7 +179,8 @@
 }
 
 // Accounted says that every incarnation on the instance list has adopted the view with this number, the
-// current one. Slices closed to plain keys open after the longest run and one retention period.
+// current one. After the longest run and one retention period, closed slices open to plain keys, and plain keys
+// of instances that have left are forgotten.
 func (keeper *Keeper) Accounted(view int64, now time.Time) {
 	if view == NoView || view != keeper.place.Load().number() {
 		return
@@ -186,11 +191,28 @@
 	}
 	keeper.accountMutex.Unlock()
 	for _, shard := range keeper.shards {
-		shard.mutex.Lock()
-		if shard.synced && shard.closed && shard.opens.IsZero() && shard.place.number() == view {
-			shard.opens = now.Add(keeper.limits.past())
+		shard.account(view, now)
+	}
+}
+
+func (shard *shard) account(view int64, now time.Time) {
+	shard.mutex.Lock()
+	defer shard.mutex.Unlock()
+	if shard.place.number() != view {
+		return
+	}
+	if shard.synced && shard.closed && shard.opens.IsZero() {
+		shard.opens = now.Add(shard.keeper.limits.past())
+	}
+	if !shard.lost {
+		return
+	}
+	shard.lost = false
+	for text, stored := range shard.records {
+		key, err := ParseKey(text)
+		if err == nil && key.form == PlainKey && stored.expires == 0 && shard.gone(stored.holder) {
+			shard.expireLater(key, now.Add(shard.keeper.limits.past()))
 		}
-		shard.mutex.Unlock()
 	}
 }
 
--- a/keeper/schedule_test.go
+++ b/keeper/schedule_test.go
@@ -272,6 +272,21 @@
 	}
 }
 
+// TestSeeds guards against the return of faults that random schedules have found.
+func TestSeeds(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		seed uint64
+	}{
+		{"plain key forgotten while its holder is frozen between record and start", 2960},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(len(runSchedule(test.seed, false).judge()), 0)
+		})
+	}
+}
+
 // describe lists the events of the first key for which a world broke a promise.
 func describe(world *world, promise checker.Promise) string {
 	var lines []string
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -64,6 +64,8 @@
 	// excluded incarnations are accounted for.
 	closed bool
 	opens  time.Time
+	// lost says that the holder of a plain key's record has left and is not accounted for.
+	lost bool
 	// last is the last view in which this instance had synced the slice as its owner. The floor walk meets
 	// it before any earlier one, so no more are kept.
 	last    *SyncedView
