--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -308,6 +308,26 @@
 	}
 }
 
+// Guards against a bundle that changes weights or limits and leaves the queue as it was.
+func TestConfigure(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	limiter := New(Config{WastedMessageWeight: 1})
+	large, _ := limiter.Admit(NewJob("check", "open", 100, now.Add(3*time.Second)), now).(Run)
+	small, _ := limiter.Admit(NewJob("check", "open", 2, now.Add(9*time.Second)), now).(Queued)
+	pick := func(string) bool { return true }
+	grant, _ := limiter.Next(now, pick)
+	is.Equal(grant.Ticket(), large.Ticket()) // a step of 2 s keeps the deadlines apart
+	limiter.Configure(Config{ResponseTimeWeight: 1})
+	grant, _ = limiter.Next(now, pick)
+	is.Equal(grant.Ticket(), small.Ticket()) // a step of 10 s lets the small job pass
+	limiter.Configure(Config{TeamQuotas: map[string]int{"open": 3}})
+	_, third := limiter.Next(now, pick)
+	_, fourth := limiter.Next(now, pick)
+	is.True(third)
+	is.True(!fourth) // the new quota holds for the tasks in flight
+}
+
 // BenchmarkQueue measures one Admit with its Next and Release when 4,000 jobs wait.
 func BenchmarkQueue(b *testing.B) {
 	limiter, now := New(Config{MaxQueued: 5000}), time.Unix(1000, 0)
--- a/router/borrow_test.go
+++ b/router/borrow_test.go
@@ -77,3 +77,48 @@
 	now = finish(router, longs, now, time.Second, 0)
 	is.Equal(len(fill(router, "long", now)), 1) // also when the kind is known to be long
 }
+
+// Guards against a view change that leaves slots unused or lets an instance exceed its smaller share.
+func TestSetShare(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	router := New(Config{Share: NewShare([]float64{1, 1}, 0), KeepShare: true})
+	router.Update([]Target{NewTarget("runner", "address", 8, false)}, now)
+	choices := fill(router, "check", now)
+	is.Equal(len(choices), 4)
+	router.SetShare(NewShare([]float64{1}, 0))
+	choices = append(choices, fill(router, "check", now)...)
+	is.Equal(len(choices), 8) // alone in the view
+	router.SetShare(NewShare([]float64{1, 1, 1, 1}, 2))
+	finish(router, choices[:6], now, time.Second, 0)
+	is.Equal(len(fill(router, "check", now)), 0) // two tasks are a quarter of the slots
+	finish(router, choices[6:7], now, time.Second, 0)
+	is.Equal(len(fill(router, "check", now)), 1)
+}
+
+// Guards against weights of the bundle that change nothing.
+func TestWeightsSetEjection(t *testing.T) {
+	is := is.New(t)
+	for _, test := range []struct {
+		responseTime, wasted float64
+		failures             int
+	}{{1, 0, 4}, {3, 1, 3}, {1, 3, 2}, {0, 1, 2}, {0, 0, 3}} {
+		now := time.Unix(1000, 0)
+		router := New(Config{Policy: RoundRobin{}})
+		router.SetWeights(test.responseTime, test.wasted)
+		router.Update(snapshot(10, 1), now)
+		failures := 0
+		for router.Ejected() == 0 {
+			choice, ok := router.Pick("check", now)
+			is.True(ok)
+			now = now.Add(time.Millisecond)
+			if choice.Name() == "runner-00003" {
+				failures++
+				router.Done(choice, Failed{}, now)
+				continue
+			}
+			router.Done(choice, NewFinished(time.Millisecond), now)
+		}
+		is.Equal(failures, test.failures)
+	}
+}
