Count answers for the burn report at the instance that the caller asked

Cause: the entry instance served the burn report but recorded no answers.

Ruled out: counting at the key's owner (it does not know whether the answer reached the caller) and counting wherever an answer is written (a resubmission through another instance would count twice).

Change: the owner grants the count to the first instance that forwards the key; the forward carries its origin and the answer says whether it counts. An answer is recorded after it was written without an error to a caller that is still there. Unknown outcomes are unclaimed, because a resubmission may bring the known one. Objectives come from the bundle in force.

Conclusion: each request of the test counts once.

--- a/linker/codec.go
+++ b/linker/codec.go
@@ -197,7 +197,7 @@
 		if len(message.Tasks) > dispatcher.MaxTasks {
 			return eris.Errorf("forward has %d tasks", len(message.Tasks))
 		}
-		return checkTexts(message.Key, message.Kind, message.Team, message.TraceParent)
+		return checkTexts(message.Key, message.Kind, message.Team, message.TraceParent, message.Origin)
 	case ForwardAnswer:
 		return checkOutcome(message.Key, &message.Outcome)
 	case LookupAnswer:
--- a/linker/message.go
+++ b/linker/message.go
@@ -67,7 +67,9 @@
 	// RemainingMS is the time until the deadline in milliseconds; clocks of instances may differ.
 	RemainingMS int64  `cbor:"remaining-ms"`
 	TraceParent string `cbor:"traceparent,omitempty"`
-	Tasks       []Task `cbor:"tasks"`
+	// Origin is the incarnation that the caller sent the job to.
+	Origin string `cbor:"origin,omitempty"`
+	Tasks  []Task `cbor:"tasks"`
 }
 
 // ForwardAnswer carries the outcome of a forwarded job.
@@ -75,6 +77,8 @@
 	ID      uint64  `cbor:"id"`
 	Key     string  `cbor:"key"`
 	Outcome Outcome `cbor:"outcome"`
+	// Counts grants the count of the request in the burn report to the forward's origin.
+	Counts bool `cbor:"counts,omitempty"`
 }
 
 // Outcome is the wire form of a dispatcher.Outcome.
--- /dev/null
+++ b/server/burn.go
@@ -0,0 +1,72 @@
+package server
+
+import (
+	"time"
+
+	"github.com/hyssoplift/hyssoplift/accountant"
+	"github.com/hyssoplift/hyssoplift/bundler"
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+	"github.com/hyssoplift/hyssoplift/reporter"
+)
+
+// maxBurnSeries bounds the pairs of kind and team that one instance counts separately in one minute.
+const maxBurnSeries = 1200
+
+// newAccountant returns the accountant that appends this instance's counts to the log.
+func (server *Server) newAccountant(retention time.Duration, maxRecords int) *accountant.Accountant {
+	return accountant.New(reporter.Config{
+		Domain:      server.domain(),
+		Instance:    server.self.Name,
+		Incarnation: server.self.Incarnation,
+		Retention:   retention,
+		MaxClaims:   maxRecords,
+		MaxSeries:   maxBurnSeries,
+	}, server.log, server.logger)
+}
+
+// setObjectives measures answers against the objectives of bundle from now on.
+func (server *Server) setObjectives(bundle *bundler.Bundle) {
+	objectives := make(map[string]reporter.Objective)
+	for _, kind := range bundle.Kinds() {
+		stated, ok := bundle.Objective(kind.Name())
+		if !ok {
+			continue
+		}
+		objective, err := reporter.NewObjective(stated.Within(), stated.TargetPercent())
+		if err != nil {
+			server.logger.Error("objective ignored", "kind", kind.Name(), "error", err.Error())
+			continue
+		}
+		objectives[kind.Name()] = objective
+	}
+	server.accountant.SetObjectives(objectives)
+}
+
+// countAnswer counts an answer that was written to its caller. An unknown outcome may be followed by a known one
+// when the caller resubmits, so it is counted as unclaimed.
+func (server *Server) countAnswer(exchange *exchange, request *request, outcome dispatcher.Outcome) {
+	if exchange.writeErr != nil || exchange.request.Context().Err() != nil {
+		return
+	}
+	now := time.Now()
+	grant := request.grant
+	if _, unknown := outcome.(dispatcher.Unknown); unknown {
+		grant = reporter.Unasked
+	}
+	server.accountant.Record(reporter.NewAnswer(exchange.job, outcome, now.Sub(exchange.received), grant), now)
+}
+
+// grantCount reports whether the instance that the caller sent the request to may count it.
+func (server *Server) grantCount(request *request) bool {
+	if request.grant != reporter.Own {
+		// The owner was another instance, which has decided.
+		return request.grant == reporter.Granted
+	}
+	return request.origin != "" && server.accountant.Grant(request.job.Key(), request.origin, time.Now())
+}
+
+// handleBurn answers with the burn report.
+func (server *Server) handleBurn() handler {
+	burn := accountant.Handler(server.log)
+	return func(exchange *exchange) { burn.ServeHTTP(exchange, exchange.request) }
+}
--- /dev/null
+++ b/server/burn_test.go
@@ -0,0 +1,50 @@
+package server
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssoplift/hyssoplift/emulator"
+	"github.com/hyssoplift/hyssoplift/reporter"
+)
+
+// Guards against a resubmission, or an answer through another instance, that counts a request twice, and against an
+// answer that is not counted at all.
+func TestResubmissionsCountOnce(t *testing.T) {
+	is := is.New(t)
+	servers, bases := startDomains(t, emulator.NewRunner(8, 1))
+	prefix := send(t, http.MethodGet, bases[0]+"/v1/key-prefix", "").header.Get(prefixHeader)
+	submit := func(at int, key, body string) {
+		send(t, http.MethodPost, bases[at]+"/v1/jobs", body, keyHeader, key)
+	}
+	for _, at := range []int{1, 0, 1, 2, 3, 3} {
+		submit(at, prefix+"first", goodJob)
+	}
+	for _, at := range []int{3, 2, 0} {
+		submit(at, prefix+"second", goodJob)
+	}
+	submit(2, prefix+"third", `{"kind":"other","team":"demo","tasks":[{"name":"a","payload":{}}]}`)
+
+	ledger := reporter.NewLedger()
+	ledger.SetComplete(true)
+	now := time.Now().Add(time.Minute)
+	for _, server := range servers {
+		// An answer is counted after it was written, so the caller may have it a little earlier.
+		waitFor(t, func() bool { return server.drain.inFlight() == 0 })
+		if batch, ok := server.accountant.Batch(now, true); ok {
+			ledger.Add(batch, now)
+		}
+	}
+	counts := make(map[string]uint64)
+	// A report ends some minutes before its time, to leave instances time to append.
+	for _, row := range ledger.Report(now.Add(5 * time.Minute)).Rows {
+		if row.Team == "" {
+			counts[row.Kind] = row.Burns[len(row.Burns)-1].Answers
+		}
+	}
+	is.Equal(counts["loop-check"], uint64(2)) // two requests, however often and wherever submitted
+	is.Equal(counts["other"], uint64(1))      // a refusal counts once
+}
--- a/server/cluster_test.go
+++ b/server/cluster_test.go
@@ -45,8 +45,8 @@
 max-in-flight = 1000
 `
 
-// startDomains returns the base URLs of three instances in failure domain ahd and one in srt, all settled.
-func startDomains(t *testing.T, runner http.Handler) []string {
+// startDomains returns three instances in failure domain ahd and one in srt, all settled, and their base URLs.
+func startDomains(t *testing.T, runner http.Handler) ([]*Server, []string) {
 	t.Helper()
 	records, list := emulator.NewLog(), emulator.NewList(0)
 	target, log, instances := httptest.NewServer(runner), httptest.NewServer(records), httptest.NewServer(list)
@@ -91,7 +91,7 @@
 			return server.ready() && len(view.Members) == []int{3, 3, 3, 1}[i]
 		})
 	}
-	return bases
+	return servers, bases
 }
 
 // Guards against a job that runs twice, is answered differently by different instances, or cannot be found
@@ -99,7 +99,7 @@
 func TestAnyInstanceServesAnyKey(t *testing.T) {
 	is := is.New(t)
 	runner := emulator.NewRunner(64, 1)
-	bases := startDomains(t, runner)
+	_, bases := startDomains(t, runner)
 	body := func(kind, echo string) string {
 		return fmt.Sprintf(`{"kind":%q,"team":"demo","tasks":[{"name":"a","payload":{"run-ms":50,"echo":%q}}]}`, kind, echo)
 	}
--- a/server/drain.go
+++ b/server/drain.go
@@ -105,6 +105,10 @@
 	}
 	// The last ends of jobs are on their way to their witnesses.
 	sleep(ctx, 2*outcomeInterval)
+	if err := server.accountant.Close(ctx); err != nil {
+		// The report shows the last minutes as missing; that is no reason to fail the stop.
+		server.logger.Warn("last burn counts not appended", "error", eris.ToString(err, false))
+	}
 	return nil
 }
 
--- a/server/filter.go
+++ b/server/filter.go
@@ -37,6 +37,8 @@
 	job         dispatcher.Job
 	bundle      *bundler.Bundle
 	outcome     string
+	// writeErr is the first error of a write to the caller.
+	writeErr error
 }
 
 // WriteHeader notes the status and sends it.
@@ -52,7 +54,11 @@
 	if exchange.status == 0 {
 		exchange.status = http.StatusOK
 	}
-	return exchange.ResponseWriter.Write(data)
+	n, err := exchange.ResponseWriter.Write(data)
+	if exchange.writeErr == nil {
+		exchange.writeErr = err
+	}
+	return n, err
 }
 
 // answer writes outcome for the exchange's key.
--- a/server/forward.go
+++ b/server/forward.go
@@ -11,6 +11,7 @@
 	"github.com/hyssoplift/hyssoplift/keeper"
 	"github.com/hyssoplift/hyssoplift/linker"
 	"github.com/hyssoplift/hyssoplift/lister"
+	"github.com/hyssoplift/hyssoplift/reporter"
 )
 
 // answerGrace is how long after the deadline the owner's answer may still arrive: the owner answers a job
@@ -43,7 +44,7 @@
 func (server *Server) forward(ctx context.Context, request *request, to keeper.Member) dispatcher.Outcome {
 	ctx, cancel := context.WithDeadline(ctx, request.job.Deadline().Add(answerGrace))
 	defer cancel()
-	response, err := server.linker.Call(ctx, to.Incarnation, encodeForward(request))
+	response, err := server.linker.Call(ctx, to.Incarnation, server.encodeForward(request))
 	return server.forwarded(request, response, err)
 }
 
@@ -51,7 +52,7 @@
 func (server *Server) forwardDomain(ctx context.Context, request *request, domain string) dispatcher.Outcome {
 	ctx, cancel := context.WithDeadline(ctx, request.job.Deadline().Add(answerGrace))
 	defer cancel()
-	response, err := server.callDomain(ctx, domain, encodeForward(request))
+	response, err := server.callDomain(ctx, domain, server.encodeForward(request))
 	return server.forwarded(request, response, err)
 }
 
@@ -76,8 +77,12 @@
 	return server.linker.CallRemote(ctx, live[rand.IntN(len(live))].Address, request)
 }
 
-func encodeForward(request *request) linker.Forward {
+func (server *Server) encodeForward(request *request) linker.Forward {
 	job := request.job
+	origin := request.origin
+	if origin == "" {
+		origin = server.self.Incarnation
+	}
 	tasks := make([]linker.Task, len(job.Tasks()))
 	for i, task := range job.Tasks() {
 		tasks[i] = linker.Task{Name: task.Name(), Payload: task.Payload()}
@@ -88,6 +93,7 @@
 		Team:        job.Team(),
 		RemainingMS: max(time.Until(job.Deadline()).Milliseconds(), 0),
 		TraceParent: request.traceParent,
+		Origin:      origin,
 		Tasks:       tasks,
 	}
 }
@@ -95,10 +101,16 @@
 func (server *Server) forwarded(request *request, response linker.Response, err error) dispatcher.Outcome {
 	if err == nil {
 		var outcome dispatcher.Outcome
-		if outcome, err = linker.DecodeOutcome(response.(linker.ForwardAnswer).Outcome, time.Now()); err == nil {
+		answer := response.(linker.ForwardAnswer)
+		if outcome, err = linker.DecodeOutcome(answer.Outcome, time.Now()); err == nil {
+			request.grant = reporter.Denied
+			if answer.Counts {
+				request.grant = reporter.Granted
+			}
 			return outcome
 		}
 	}
+	request.grant = reporter.Unasked
 	server.logger.Warn("forward without an answer", "job", request.job.Key(), "error", eris.ToString(err, false))
 	return dispatcher.NewUnknown("the instance that decides this key gave no answer; retry")
 }
@@ -118,10 +130,13 @@
 		traceParent: forward.TraceParent,
 		forwarded:   from.Domain == server.domain(),
 		foreign:     from.Domain != server.domain(),
+		origin:      forward.Origin,
 	}
 	outcome := server.resolve(context.Background(), request)
 	server.meter.forwards[outcomeName(outcome)].Inc()
-	answer := linker.ForwardAnswer{ID: forward.ID, Key: forward.Key, Outcome: linker.EncodeOutcome(outcome, time.Now())}
+	answer := linker.ForwardAnswer{
+		ID: forward.ID, Key: forward.Key, Outcome: linker.EncodeOutcome(outcome, time.Now()), Counts: server.grantCount(request),
+	}
 	err := server.linker.Send(from.Incarnation, answer)
 	if _, complete := outcome.(dispatcher.Complete); complete && err != nil {
 		// An answer above the links' bound cannot be sent; the sender learns at least that the tasks finished.
--- a/server/server.go
+++ b/server/server.go
@@ -55,6 +55,7 @@
 	scheduler  *scheduler
 	views      *views
 	membership *membership
+	accountant *accountant.Accountant
 	http       *http.Server
 	bundle     atomic.Pointer[bundler.Bundle]
 	anonymous  atomic.Uint64
@@ -108,6 +109,7 @@
 		OutcomeInterval: outcomeInterval,
 	}
 	server.keeper = keeper.New(server.self, server.domain(), limits, server.started)
+	server.accountant = server.newAccountant(retention, limits.MaxRecords)
 	hello := linker.Hello{Domain: server.domain(), Name: server.self.Name, Incarnation: server.self.Incarnation, Address: server.self.Address}
 	server.linker = linker.New(hello, linker.DefaultLimits(), logger, server.receive)
 	server.decider = newDecider(ctx, server.keeper, server.linker, logger)
@@ -131,6 +133,7 @@
 // install puts a bundle in force.
 func (server *Server) install(bundle *bundler.Bundle) {
 	server.scheduler.configure(bundle, time.Now())
+	server.setObjectives(bundle)
 	server.bundle.Store(bundle)
 }
 
@@ -173,8 +176,7 @@
 	mux.Handle("/healthz", methods{http.MethodGet: outer(func(exchange *exchange) { exchange.WriteHeader(http.StatusNoContent) })})
 	mux.Handle("/readyz", methods{http.MethodGet: outer(server.handleReady)})
 	mux.Handle("/metrics", methods{http.MethodGet: outer(func(exchange *exchange) { server.meter.write(exchange) })})
-	burn := accountant.Handler(server.log)
-	mux.Handle("/v1/burn", methods{http.MethodGet: outer(func(exchange *exchange) { burn.ServeHTTP(exchange, exchange.request) })})
+	mux.Handle("/v1/burn", methods{http.MethodGet: outer(server.handleBurn())})
 	notFound := outer(server.handleNotFound)
 	mux.HandleFunc("/", func(writer http.ResponseWriter, request *http.Request) {
 		notFound(&exchange{ResponseWriter: writer, request: request, received: time.Now()})
--- a/server/submit.go
+++ b/server/submit.go
@@ -11,6 +11,7 @@
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 	"github.com/hyssoplift/hyssoplift/keeper"
 	"github.com/hyssoplift/hyssoplift/limiter"
+	"github.com/hyssoplift/hyssoplift/reporter"
 	"github.com/hyssoplift/hyssoplift/router"
 )
 
@@ -27,6 +28,10 @@
 	forwarded bool
 	// foreign says that an instance of another failure domain forwarded the job.
 	foreign bool
+	// origin is the incarnation that the caller sent the job to, if it is not this one.
+	origin string
+	// grant says whether this instance is to count the answer; forwarding sets it.
+	grant reporter.Grant
 }
 
 // submit decides and runs the caller's job and answers with its outcome.
@@ -37,7 +42,10 @@
 	}
 	// The job goes on when its caller has gone, so that a resubmission finds the answer.
 	ctx := context.WithoutCancel(exchange.request.Context())
-	exchange.answer(server.resolve(ctx, &request{job: exchange.job, bundle: exchange.bundle, traceParent: exchange.traceParent}))
+	request := &request{job: exchange.job, bundle: exchange.bundle, traceParent: exchange.traceParent}
+	outcome := server.resolve(ctx, request)
+	exchange.answer(outcome)
+	server.countAnswer(exchange, request, outcome)
 }
 
 // vet checks the job against the request's bundle and returns the refusal, if there is one.
@@ -81,6 +89,7 @@
 
 // attempt decides the job once; a nil outcome means that it must be submitted again.
 func (server *Server) attempt(ctx context.Context, request *request) dispatcher.Outcome {
+	request.grant = reporter.Own
 	if outcome := server.forwardPlain(ctx, request); outcome != nil {
 		return outcome
 	}
