Wait for a hand-over and ask the holder of a forwarded job

Cause: a request that met a slice in hand-over was answered unknown at once, and one that was forwarded to the new owner was not passed on to the live instance that ran the job.

Change: the decision NotYet tells the server to ask again for a short while; Forward with Held also answers a forwarded submission. Keys are parsed without a slice of fields.

Ruled out: passing a forwarded request on to another owner. Two instances with different views could pass it back and forth.

--- a/keeper/decision.go
+++ b/keeper/decision.go
@@ -43,10 +43,15 @@
 // task has this fate, Finished or OutcomeUnknown.
 type AnswerLost struct{ Fate dispatcher.Fate }
 
+// NotYet means that the slice is being handed over, or that this instance has to read the log first. Nothing is
+// stored: the same call, repeated after a few milliseconds, may decide; otherwise the answer is Outcome.
+type NotYet struct{ Outcome dispatcher.Unknown }
+
 // Forward means that another instance decides, or holds the answer.
 type Forward struct {
 	To Member
-	// Held says that To is not the owner but ran the job.
+	// Held says that To is not the owner but ran the job, or issued its solo key; a submission that was
+	// forwarded to the owner is forwarded once more to such an instance.
 	Held bool
 }
 
@@ -62,6 +67,7 @@
 func (Joined) isDecision()            {}
 func (Answer) isDecision()            {}
 func (AnswerLost) isDecision()        {}
+func (NotYet) isDecision()            {}
 func (Forward) isDecision()           {}
 func (ForwardDomain) isDecision()     {}
 func (TooLate) isDecision()           {}
--- a/keeper/key.go
+++ b/keeper/key.go
@@ -46,23 +46,25 @@
 	if !strings.HasPrefix(text, issuedMark) {
 		return Key{text: text, form: PlainKey, slice: sliceOf(text)}, nil
 	}
-	fields := strings.SplitN(text[len(issuedMark):], ".", 4)
-	if len(fields) != 4 || fields[0] == "" || fields[1] == "" || fields[3] == "" {
+	domain, rest, _ := strings.Cut(text[len(issuedMark):], ".")
+	issuer, rest, _ := strings.Cut(rest, ".")
+	part, suffix, _ := strings.Cut(rest, ".")
+	if domain == "" || issuer == "" || suffix == "" {
 		return Key{}, eris.New("key begins with ~ but is not an issued key: want ~domain.epoch.slice.text")
 	}
-	key := Key{text: text, domain: fields[0]}
-	if generation, found := strings.CutPrefix(fields[2], soloMark); found {
+	key := Key{text: text, domain: domain}
+	if generation, found := strings.CutPrefix(part, soloMark); found {
 		number, ok := parseNumber(generation)
 		if !ok {
 			return Key{}, eris.Errorf("key has the generation %q, want a number", generation)
 		}
-		key.form, key.incarnation, key.number, key.slice = SoloKey, fields[1], number, sliceOf(text)
+		key.form, key.incarnation, key.number, key.slice = SoloKey, issuer, number, sliceOf(text)
 		return key, nil
 	}
-	epoch, epochValid := parseNumber(fields[1])
-	slice, sliceValid := parseNumber(fields[2])
+	epoch, epochValid := parseNumber(issuer)
+	slice, sliceValid := parseNumber(part)
 	if !epochValid || !sliceValid || slice >= Slices {
-		return Key{}, eris.Errorf("key has the epoch %q and the slice %q, want a number and 0 to %d", fields[1], fields[2], Slices-1)
+		return Key{}, eris.Errorf("key has the epoch %q and the slice %q, want a number and 0 to %d", issuer, part, Slices-1)
 	}
 	key.form, key.number, key.slice = IssuedKey, epoch, int(slice)
 	return key, nil
--- a/keeper/submit.go
+++ b/keeper/submit.go
@@ -125,13 +125,13 @@
 	case shard.place == nil:
 		return unknown(detailNoView)
 	case key.Epoch() > shard.place.number():
-		return unknown(detailBehind)
+		return NotYet{Outcome: dispatcher.NewUnknown(detailBehind)}
 	case !shard.owns() && forwarded:
 		return unknown(detailNotOwner)
 	case !shard.owns():
 		return Forward{To: shard.owner()}
 	case !shard.synced:
-		return unknown(detailNotSynced)
+		return NotYet{Outcome: dispatcher.NewUnknown(detailNotSynced)}
 	default:
 		return nil
 	}
@@ -198,7 +198,7 @@
 	case known.holder == shard.self():
 		return Joined{}
 	}
-	if holder, found := shard.live(known.holder); found && !submission.Forwarded {
+	if holder, found := shard.live(known.holder); found {
 		return Forward{To: holder, Held: true}
 	}
 	if known.state == StateFinished {
