Answer from a cancellation only where it still proves something

A cancellation that no witness had acknowledged stayed at its owner; after the slice had had another owner, who ran the job and was lost, it was answered from in a view without other members.

Ruled out: dropping an unacknowledged cancellation. Its copy at a witness would become a false refusal when the same owner starts the job.

Change: an unacknowledged cancellation counts only where a job without a record would be fresh. A refusal from the cancelled record of a plain key takes a confirmation, and a record that is due to be dropped does not count.

--- a/keeper/adopt.go
+++ b/keeper/adopt.go
@@ -101,7 +101,7 @@
 		}
 		attempt.tried, attempt.tries, attempt.fulls = nil, 0, 0
 		switch {
-		case stored.state == StatePending && shard.doubt(key, now) != "":
+		case shard.doubt(key, now) != "":
 			shard.abandon(attempt, stored)
 			shard.loseAttempt(attempt, shard.doubt(key, now), false, effects)
 		case shard.alone():
--- a/keeper/refuse.go
+++ b/keeper/refuse.go
@@ -38,7 +38,7 @@
 func (shard *shard) refuse(key Key, submission Submission, refused dispatcher.Refused, now time.Time, effects *effects) (Decision, *refusal) {
 	shard.mutex.Lock()
 	defer shard.mutex.Unlock()
-	stored, pending := shard.records[key.text], shard.attempts[key.text]
+	stored, pending := shard.lookUp(key, now), shard.attempts[key.text]
 	if pending != nil && stored.state == StatePending && stored.digest == submission.Digest {
 		shard.withdraw(pending, stored, effects)
 		shard.abandon(pending, stored)
@@ -226,14 +226,16 @@
 func (shard *shard) refuseAgain(key Key, earlier *refusal, now time.Time) (*refusal, dispatcher.Outcome) {
 	shard.mutex.Lock()
 	defer shard.mutex.Unlock()
-	stored := shard.records[key.text]
+	stored := shard.lookUp(key, now)
 	switch {
 	case stored != nil && stored.outcome != nil && stored.digest == earlier.submission.Digest:
 		return nil, stored.outcome
 	case shard.standingDecision(key, true) != nil:
 		return nil, nil
-	case stored != nil && stored.state == StateCancelled && stored.confirmed:
+	case stored != nil && stored.state == StateCancelled && stored.confirmed && key.form != PlainKey:
 		return nil, cancelledOutcome()
+	case stored != nil && stored.state == StateCancelled && stored.confirmed:
+		return shard.refusal(key, earlier.submission, earlier.refused, earlier.tickets, now), nil
 	case stored == nil && shard.doubt(key, now) == "":
 		return shard.refusal(key, earlier.submission, earlier.refused, earlier.tickets, now), nil
 	case stored != nil && stored.state >= StateStarted && stored.digest != earlier.submission.Digest:
--- a/keeper/schedule_test.go
+++ b/keeper/schedule_test.go
@@ -280,7 +280,10 @@
 func TestSeeds(t *testing.T) {
 	is := is.New(t)
 	for _, seed := range []uint64{
-		2960, // a plain key was forgotten while its holder was frozen between record and start
+		// A cancellation without an acknowledgement was answered from after its slice had had another owner.
+		16560, 17116, 20392,
+		18224, // the cancelled record of a plain key was answered from after its retention
+		2960,  // a plain key was forgotten while its holder was frozen between record and start
 	} {
 		is.Equal(len(runSchedule(seed, false).judge()), 0)
 	}
--- a/keeper/submit.go
+++ b/keeper/submit.go
@@ -100,7 +100,7 @@
 
 // judge looks the key up and says what is known; an empty verdict means that the job is fresh here.
 func (shard *shard) judge(key Key, submission Submission, now time.Time, effects *effects) verdict {
-	known := shard.records[key.text]
+	known := shard.lookUp(key, now)
 	if known != nil && known.holder == shard.self() && known.state >= StateStarted {
 		// The holder answers for its own job whoever owns the slice now.
 		return shard.recall(key, known, submission, effects, now)
@@ -117,6 +117,16 @@
 	return verdict{}
 }
 
+// lookUp returns the record of the key; one that is due to be dropped does not count, however late Expire runs.
+func (shard *shard) lookUp(key Key, now time.Time) *record {
+	known := shard.records[key.text]
+	if known != nil && known.expires != 0 && known.expires <= now.UnixNano() && shard.attempts[key.text] == nil {
+		shard.drop(key.text)
+		return nil
+	}
+	return known
+}
+
 // standingDecision returns the decision on a key that this instance cannot decide in its view, if so.
 func (shard *shard) standingDecision(key Key, forwarded bool) Decision {
 	switch {
@@ -179,6 +189,11 @@
 		refusal := dispatcher.NewRefused(dispatcher.ReasonKeyConflict, detailConflict, "Idempotency-Key", time.Time{})
 		return verdict{refusal: &refusal}
 	}
+	if known.state == StateCancelled && known.confirmed && key.form == PlainKey {
+		// A successor may have dropped its copy and started the job again, so that a paused owner has to ask.
+		refusal := cancelledOutcome()
+		return verdict{refusal: &refusal}
+	}
 	if pending := shard.attempts[key.text]; pending != nil {
 		ticket := shard.keeper.ticket()
 		pending.tickets = append(pending.tickets, ticket)
@@ -191,6 +206,9 @@
 	switch {
 	case known.state == StateCancelled && known.confirmed:
 		return Answer{Outcome: cancelledOutcome()}
+	case known.state == StateCancelled && shard.doubt(key, now) != "":
+		// Without an acknowledgement a successor may have started the job, and its record may be lost.
+		return unknown(shard.doubt(key, now))
 	case known.state == StateCancelled:
 		return shard.replicate(key, submission, known, now, effects)
 	case known.outcome != nil:
