--- a/router/router.go
+++ b/router/router.go
@@ -14,8 +14,10 @@
 	mu        sync.Mutex
 	random    *rand.PCG
 	targets   map[string]*target
-	own       list // targets with room within the share
-	lent      list // targets with room beyond the share only
+	snapshot  []*target // the targets in the order of the last snapshot, so that a seed gives the same choices
+	version   uint32    // number of the last snapshot
+	own       list      // targets with room within the share
+	lent      list      // targets with room beyond the share only
 	ejected   []*target
 	trialAt   int64 // earliest time at which a trial is due
 	turn      uint64
@@ -54,17 +56,20 @@
 	router.mu.Lock()
 	defer router.mu.Unlock()
 	nanos := now.UnixNano()
-	seen := make(map[string]bool, len(targets))
-	for _, snapshot := range targets {
-		seen[snapshot.name] = true
-		known, ok := router.targets[snapshot.name]
+	router.version++
+	before := router.snapshot
+	router.snapshot = make([]*target, 0, len(targets))
+	for _, listed := range targets {
+		known, ok := router.targets[listed.name]
 		if !ok {
 			known = newTarget()
-			router.targets[snapshot.name] = known
+			router.targets[listed.name] = known
 		}
-		known.Target = snapshot
-		known.share = router.config.Share.of(snapshot)
-		if snapshot.leaving {
+		router.snapshot = append(router.snapshot, known)
+		known.version = router.version
+		known.Target = listed
+		known.share = router.config.Share.of(listed)
+		if listed.leaving {
 			known.leavingUntil = never
 			router.restore(known) // an ejected target would get trials
 		} else if known.leavingUntil == never || known.leavingUntil <= nanos {
@@ -72,12 +77,12 @@
 		}
 		router.place(known)
 	}
-	for name, known := range router.targets {
-		if !seen[name] {
+	for _, known := range before {
+		if known.version != router.version {
 			known.gone = true
 			router.restore(known)
 			router.place(known)
-			delete(router.targets, name)
+			delete(router.targets, known.name)
 		}
 	}
 	for len(router.ejected) > router.maxEjected() {
@@ -92,7 +97,7 @@
 	router.mu.Lock()
 	defer router.mu.Unlock()
 	router.config.Share = share
-	for _, target := range router.targets {
+	for _, target := range router.snapshot {
 		target.share = share.of(target.Target)
 		router.place(target)
 	}
--- a/router/target.go
+++ b/router/target.go
@@ -46,6 +46,7 @@
 	share     int32
 	available int32   // share while the target may get work, else 0
 	extra     float32 // slots beyond the share that may be borrowed
+	version   uint32  // last snapshot that shows the target
 	state     state
 	gone      bool
 	trial     bool // a trial is in flight
