Run the tasks of worker services under leases

Cause: the entry instance sent every task to runners; services of workers parsed but were not served.

Ruled out: polling the usage of every worker (more messages than the refusals that it avoids) and retrying after a lost answer to a start (the worker is asked for the state instead).

Change: a place is a router's choice or room on a worker, and grants, retries and give-backs work alike for both. A kind that fits no worker is refused at once. Workers that fail three tasks in a row are closed for a while.

--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 	"github.com/hyssoplift/hyssoplift/placer"
@@ -86,7 +87,7 @@
 	if status.State == Finished {
 		return placer.NewDone(status.Peak)
 	}
-	return placer.Unstarted{}
+	return placer.Failed{}
 }
 
 // Leaser runs tasks on workers.
@@ -135,6 +136,25 @@
 	return leaser.follow(ctx, base, first)
 }
 
+// Usage returns what runs on the worker at address, as the worker reports it.
+func (leaser *Leaser) Usage(ctx context.Context, address string) (UsageReport, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/usage", nil)
+	if err != nil {
+		return UsageReport{}, eris.Wrap(err, "preparing a usage request")
+	}
+	response, err := leaser.client.Do(request)
+	if err != nil {
+		return UsageReport{}, eris.Wrap(err, "asking for usage")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return UsageReport{}, eris.Errorf("the worker answered %s", response.Status)
+	}
+	var report UsageReport
+	err = json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&report)
+	return report, eris.Wrap(err, "decoding usage")
+}
+
 // follow renews the lease until the worker reports an end. After a lost answer to the start it asks for the
 // state instead of starting again: the worker may know the lease.
 func (leaser *Leaser) follow(ctx context.Context, base string, last answer) Ending {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -68,11 +68,15 @@
 // Guarded means that the worker throttled, checkpointed or stopped the task for exceeding its size.
 type Guarded struct{ peak Size }
 
-// Unstarted means that the task gave no information on its size.
+// Failed means that the task failed on its worker for another reason than its size.
+type Failed struct{}
+
+// Unstarted means that the task gave no information on its size or its worker.
 type Unstarted struct{}
 
 func (Done) isEnding()      {}
 func (Guarded) isEnding()   {}
+func (Failed) isEnding()    {}
 func (Unstarted) isEnding() {}
 
 // NewDone returns an ending with the given peak usage.
@@ -85,11 +89,23 @@
 type seat struct {
 	Worker
 	reserved Size
-	foreign  Size
-	closed   bool
+	// foreign is the usage of other instances' tasks, as last reported, until foreignEnd.
+	foreign    Size
+	foreignEnd time.Time
+	// closedEnd is when the worker gets tasks again; failures counts those in a row.
+	closedEnd time.Time
+	failures  int
+}
+
+func (seat *seat) room(now time.Time) Size {
+	room := seat.total.subtract(seat.reserved)
+	if now.Before(seat.foreignEnd) {
+		room = room.subtract(seat.foreign)
+	}
+	return room
 }
 
-func (seat *seat) room() Size { return seat.total.subtract(seat.reserved).subtract(seat.foreign) }
+func (seat *seat) closed(now time.Time) bool { return now.Before(seat.closedEnd) }
 
 // reservation is room held for one task.
 type reservation struct {
@@ -107,6 +123,7 @@
 	reservations map[uint64]reservation
 	lastID       uint64
 	largest      Size
+	lastRacks    map[string]string
 	racks        map[string]span
 	random       *rand.Rand
 }
@@ -123,6 +140,7 @@
 		random:       random,
 		byName:       make(map[string]*seat),
 		estimates:    make(map[string]*sizeEstimate),
+		lastRacks:    make(map[string]string),
 		reservations: make(map[uint64]reservation),
 	}
 }
@@ -138,7 +156,8 @@
 	for _, worker := range workers {
 		entry := &seat{Worker: worker}
 		if previous := old[worker.name]; previous != nil {
-			entry.reserved, entry.foreign, entry.closed = previous.reserved, previous.foreign, previous.closed
+			*entry = *previous
+			entry.Worker = worker
 		}
 		placer.byName[worker.name] = entry
 		placer.seats = append(placer.seats, entry)
@@ -159,79 +178,95 @@
 	}
 }
 
-// Report takes a worker's usage report; usage beyond the own reservations is held to be other instances'.
-func (placer *Placer) Report(worker string, usage Usage, now time.Time, expiry time.Time) {
+// Report takes a worker's usage, which holds until end; usage beyond the own reservations is held to be other
+// instances'. Later than end it would describe tasks that have long ended.
+func (placer *Placer) Report(worker string, used Size, end time.Time) {
 	placer.mu.Lock()
 	defer placer.mu.Unlock()
-	entry := placer.byName[worker]
-	// A report older than its expiry describes tasks that have long ended.
-	if entry == nil || now.After(expiry) {
-		return
+	if entry := placer.byName[worker]; entry != nil {
+		entry.foreign, entry.foreignEnd = used.subtract(entry.reserved).Maximum(Size{}), end
 	}
-	entry.foreign = usage.used.subtract(entry.reserved).Maximum(Size{})
 }
 
-// Close stops placing tasks on a worker that is leaving or fails what it starts.
-func (placer *Placer) Close(worker string) { placer.setClosed(worker, true) }
-
-// Open allows placing tasks on a worker again.
-func (placer *Placer) Open(worker string) { placer.setClosed(worker, false) }
-
-func (placer *Placer) setClosed(worker string, closed bool) {
+// Close keeps new tasks from a worker until end.
+func (placer *Placer) Close(worker string, end time.Time) {
 	placer.mu.Lock()
 	defer placer.mu.Unlock()
 	if entry := placer.byName[worker]; entry != nil {
-		entry.closed = closed
+		entry.closedEnd = end
 	}
 }
 
 // Place reserves room for one task of kind; nearRack, if not empty, is preferred, because a job whose tasks
 // share a rack is lost to the failure of fewer racks.
-func (placer *Placer) Place(kind string, declared Size, nearRack string) Verdict {
+func (placer *Placer) Place(kind string, declared Size, nearRack string, now time.Time) Verdict {
 	placer.mu.Lock()
 	defer placer.mu.Unlock()
 	request := placer.estimate(kind).request(declared)
-	best, fitsIdle := placer.choose(request, nearRack)
-	if best == nil && !fitsIdle {
+	if declared.Fits(placer.largest) {
+		// What was learned beyond the largest worker cannot be had; the guard decides about such a task.
+		request = request.minimum(placer.largest)
+	}
+	best := placer.choose(request, nearRack, now)
+	if best == nil && !placer.fitsIdle(request) {
 		return Impossible{largest: placer.largest}
 	}
 	if best == nil {
 		return Full{}
 	}
 	best.reserved = best.reserved.add(request)
+	placer.lastRacks[kind] = best.rack
 	placer.lastID++
 	placer.reservations[placer.lastID] = reservation{worker: best.name, kind: kind, granted: request}
 	return Placed{worker: best.Worker, granted: request, id: placer.lastID}
 }
 
-// choose returns an open worker that has room, and whether any worker would fit the request if idle. It looks
-// at the near rack first, then at a sample, and at all workers only if neither has room.
-func (placer *Placer) choose(request Size, nearRack string) (best *seat, fitsIdle bool) {
+// LastRack returns the rack where the last task of kind was placed, or an empty string.
+func (placer *Placer) LastRack(kind string) string {
+	placer.mu.Lock()
+	defer placer.mu.Unlock()
+	return placer.lastRacks[kind]
+}
+
+// Possible reports whether a task of the declared size fits on any worker that is idle.
+func (placer *Placer) Possible(declared Size) bool {
+	placer.mu.Lock()
+	defer placer.mu.Unlock()
+	return placer.fitsIdle(declared)
+}
+
+func (placer *Placer) fitsIdle(request Size) bool {
+	return slices.ContainsFunc(placer.seats, func(seat *seat) bool { return request.Fits(seat.total) })
+}
+
+// choose returns an open worker that has room, or nil. It looks at the near rack first, then at a sample, and
+// at all workers only if neither has room.
+func (placer *Placer) choose(request Size, nearRack string, now time.Time) *seat {
 	near := placer.racks[nearRack]
-	if best = freest(nil, placer.seats[near.low:near.high], request); best != nil {
-		return best, true
+	best := freest(nil, placer.seats[near.low:near.high], request, now)
+	if best != nil {
+		return best
 	}
 	if len(placer.seats) > sampleSize {
 		for range sampleSize {
 			i := placer.random.IntN(len(placer.seats))
-			best = freest(best, placer.seats[i:i+1], request)
+			best = freest(best, placer.seats[i:i+1], request, now)
 		}
 		if best != nil {
-			return best, true
+			return best
 		}
 	}
-	fitsIdle = slices.ContainsFunc(placer.seats, func(seat *seat) bool { return request.Fits(seat.total) })
-	return freest(nil, placer.seats, request), fitsIdle
+	return freest(nil, placer.seats, request, now)
 }
 
 // freest returns the open worker with the largest free share among best and those of seats that have room.
-func freest(best *seat, seats []*seat, request Size) *seat {
+func freest(best *seat, seats []*seat, request Size, now time.Time) *seat {
 	for _, seat := range seats {
-		room := seat.room()
-		if seat.closed || !request.Fits(room) {
+		room := seat.room(now)
+		if seat.closed(now) || !request.Fits(room) {
 			continue
 		}
-		if best == nil || freeShare(seat, room) > freeShare(best, best.room()) {
+		if best == nil || freeShare(seat, room) > freeShare(best, best.room(now)) {
 			best = seat
 		}
 	}
@@ -244,7 +279,7 @@
 }
 
 // End releases the room of a placed task and learns from how it ended; a second call has no effect.
-func (placer *Placer) End(placed Placed, ending Ending) {
+func (placer *Placer) End(placed Placed, ending Ending, now time.Time) {
 	placer.mu.Lock()
 	defer placer.mu.Unlock()
 	held, ok := placer.reservations[placed.id]
@@ -252,18 +287,49 @@
 		return
 	}
 	delete(placer.reservations, placed.id)
-	if entry := placer.byName[held.worker]; entry != nil {
-		entry.reserved = entry.reserved.subtract(held.granted)
+	entry := placer.byName[held.worker]
+	if entry == nil {
+		entry = &seat{}
 	}
+	entry.reserved = entry.reserved.subtract(held.granted)
 	switch ending := ending.(type) {
 	case Done:
+		entry.failures = 0
 		placer.estimate(held.kind).observe(ending.peak)
 	case Guarded:
 		placer.estimate(held.kind).guard(held.granted, ending.peak)
+	case Failed:
+		placer.countFailure(entry, now)
 	case Unstarted:
 	}
 }
 
+const (
+	// failuresToClose is the number of failures in a row after which a worker is held to fail all that it starts.
+	failuresToClose = 3
+	// closeTime is how long such a worker gets nothing; afterwards one more failure closes it again.
+	closeTime = 10 * time.Second
+	// maxClosedPercent bounds the workers closed at once: beyond it the tasks are more likely at fault.
+	maxClosedPercent = 30
+)
+
+// countFailure closes a worker that fails task after task, so that its fast failures do not attract work.
+func (placer *Placer) countFailure(entry *seat, now time.Time) {
+	entry.failures++
+	if entry.failures < failuresToClose {
+		return
+	}
+	closed := 0
+	for _, seat := range placer.seats {
+		if seat.closed(now) {
+			closed++
+		}
+	}
+	if (closed+1)*100 <= maxClosedPercent*len(placer.seats) {
+		entry.closedEnd = now.Add(closeTime)
+	}
+}
+
 // estimate returns the learned size of kind; the caller holds placer.mu.
 func (placer *Placer) estimate(kind string) *sizeEstimate {
 	estimate := placer.estimates[kind]
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -35,8 +35,8 @@
 			i := random.IntN(len(held))
 			placed := held[i]
 			held = append(held[:i], held[i+1:]...)
-			subject.End(placed, placer.Unstarted{})
-			subject.End(placed, placer.Unstarted{})
+			subject.End(placed, placer.Unstarted{}, start)
+			subject.End(placed, placer.Unstarted{}, start)
 			size := used[placed.Worker().Name()]
 			size.MilliCores -= placed.Granted().MilliCores
 			size.MemoryMB -= placed.Granted().MemoryMB
@@ -44,7 +44,7 @@
 			continue
 		}
 		request := placer.Size{MilliCores: 1000 * (1 + random.Int64N(16)), MemoryMB: 1024 * (1 + random.Int64N(64))}
-		switch verdict := subject.Place("plan", request, "").(type) {
+		switch verdict := subject.Place("plan", request, "", start).(type) {
 		case placer.Placed:
 			held = append(held, verdict)
 			size := used[verdict.Worker().Name()]
@@ -85,9 +85,9 @@
 			subject := placer.New(rand.New(rand.NewPCG(3, 4)))
 			subject.Update(fleet(1, 1, total))
 			if test.closed {
-				subject.Close("worker-000")
+				subject.Close("worker-000", start.Add(time.Second))
 			}
-			is.Equal(fmt.Sprintf("%T", subject.Place("plan", test.request, "")), test.want)
+			is.Equal(fmt.Sprintf("%T", subject.Place("plan", test.request, "", start)), test.want)
 		})
 	}
 }
@@ -98,17 +98,17 @@
 	subject := placer.New(rand.New(rand.NewPCG(3, 4)))
 	subject.Update(fleet(4, 2, placer.Size{MilliCores: 32_000, MemoryMB: 131_072}))
 	place := func(kind string, declared placer.Size) placer.Placed {
-		placed, ok := subject.Place(kind, declared, "").(placer.Placed)
+		placed, ok := subject.Place(kind, declared, "", start).(placer.Placed)
 		is.True(ok)
 		return placed
 	}
 	small := placer.Size{MilliCores: 1000, MemoryMB: 1000}
-	subject.End(place("understated", small), placer.NewGuarded(placer.Size{MilliCores: 1000, MemoryMB: 4000}))
+	subject.End(place("understated", small), placer.NewGuarded(placer.Size{MilliCores: 1000, MemoryMB: 4000}), start)
 	is.True(place("understated", small).Granted().MemoryMB >= 4000) // the next lease is large enough
 
 	large := placer.Size{MilliCores: 16_000, MemoryMB: 65_536}
 	for range 20 {
-		subject.End(place("overstated", large), placer.NewDone(small))
+		subject.End(place("overstated", large), placer.NewDone(small), start)
 	}
 	is.Equal(place("overstated", large).Granted(), placer.Size{MilliCores: 1200, MemoryMB: 1200})
 }
@@ -119,19 +119,48 @@
 	subject := placer.New(rand.New(rand.NewPCG(3, 4)))
 	subject.Update(fleet(1, 1, placer.Size{MilliCores: 4000, MemoryMB: 4000}))
 	request := placer.Size{MilliCores: 2000, MemoryMB: 2000}
-	busy := placer.NewUsage(placer.Size{MilliCores: 3000, MemoryMB: 3000}, start)
-	subject.Report("worker-000", busy, start.Add(time.Minute), start.Add(time.Second))
-	_, ok := subject.Place("plan", request, "").(placer.Placed)
+	busy := placer.Size{MilliCores: 3000, MemoryMB: 3000}
+	subject.Report("worker-000", busy, start)
+	_, ok := subject.Place("plan", request, "", start).(placer.Placed)
 	is.True(ok) // an expired report says nothing
-	subject.Report("worker-000", busy, start, start.Add(time.Second))
-	_, ok = subject.Place("plan", request, "").(placer.Full)
+	subject.Report("worker-000", busy, start.Add(time.Second))
+	_, ok = subject.Place("plan", request, "", start).(placer.Full)
 	is.True(ok) // the own 2000 and another instance's 1000 leave 1000
 }
 
-// BenchmarkRackLoss counts the jobs that the loss of one rack hits, with and without rack preference.
+// Guards against fast failures that attract work, and against closing so many workers that none is left.
+func TestFailingWorkersAreClosed(t *testing.T) {
+	is := is.New(t)
+	subject := placer.New(rand.New(rand.NewPCG(3, 4)))
+	subject.Update(fleet(10, 5, placer.Size{MilliCores: 4000, MemoryMB: 4000}))
+	small := placer.Size{MilliCores: 100, MemoryMB: 100}
+	run := func(failing func(name string) bool, now time.Time) map[string]int {
+		starts := make(map[string]int)
+		for range 500 {
+			placed := subject.Place("plan", small, "", now).(placer.Placed)
+			starts[placed.Worker().Name()]++
+			if failing(placed.Worker().Name()) {
+				subject.End(placed, placer.Failed{}, now)
+				continue
+			}
+			subject.End(placed, placer.NewDone(small), now)
+		}
+		return starts
+	}
+	two := func(name string) bool { return name < "worker-002" }
+	starts := run(two, start)
+	is.True(starts["worker-000"] <= 3 && starts["worker-001"] <= 3) // closed after three failures
+	starts = run(two, start.Add(20*time.Second))
+	is.True(starts["worker-000"] <= 1 && starts["worker-001"] <= 1) // one trial after the pause
+	starts = run(func(string) bool { return true }, start.Add(time.Hour))
+	is.True(len(starts) >= 7) // at most 30% are closed
+}
+
+// BenchmarkRackLoss counts the jobs that the loss of one rack hits, without rack preference, with
+// that of the job's last task, and with that of the kind's.
 func BenchmarkRackLoss(b *testing.B) {
-	for _, near := range []bool{false, true} {
-		b.Run(fmt.Sprintf("near=%v", near), func(b *testing.B) {
+	for _, near := range []string{"none", "job", "kind"} {
+		b.Run("near="+near, func(b *testing.B) {
 			hit := 0
 			for b.Loop() {
 				hit = jobsHit(near)
@@ -142,16 +171,19 @@
 }
 
 // jobsHit places 60 jobs of 1 to 20 tasks on 48 workers in racks of 8 and returns how many use the first rack.
-func jobsHit(near bool) int {
+func jobsHit(near string) int {
 	random := rand.New(rand.NewPCG(5, 6))
 	subject := placer.New(rand.New(rand.NewPCG(3, 4)))
 	subject.Update(fleet(48, 8, placer.Size{MilliCores: 32_000, MemoryMB: 131_072}))
 	hit := 0
 	for range 60 {
 		rack, uses := "", false
+		if near == "kind" {
+			rack = subject.LastRack("plan")
+		}
 		for range 1 + random.IntN(20) {
-			placed := subject.Place("plan", placer.Size{MilliCores: 1000, MemoryMB: 1000}, rack).(placer.Placed)
-			if near {
+			placed := subject.Place("plan", placer.Size{MilliCores: 1000, MemoryMB: 1000}, rack, start).(placer.Placed)
+			if near != "none" {
 				rack = placed.Worker().Rack()
 			}
 			uses = uses || placed.Worker().Rack() == "rack-000"
@@ -170,8 +202,8 @@
 			subject.Update(fleet(count, 8, placer.Size{MilliCores: 32_000, MemoryMB: 131_072}))
 			b.ReportAllocs()
 			for b.Loop() {
-				placed := subject.Place("plan", placer.Size{MilliCores: 1000, MemoryMB: 1000}, "").(placer.Placed)
-				subject.End(placed, placer.Unstarted{})
+				placed := subject.Place("plan", placer.Size{MilliCores: 1000, MemoryMB: 1000}, "", start).(placer.Placed)
+				subject.End(placed, placer.Unstarted{}, start)
 			}
 		})
 	}
--- a/placer/size.go
+++ b/placer/size.go
@@ -1,7 +1,5 @@
 package placer
 
-import "time"
-
 // Size is what a task needs or a worker has.
 type Size struct {
 	// MilliCores is processor time in thousandths of a core.
@@ -30,6 +28,10 @@
 	return Size{max(size.MilliCores, other.MilliCores), max(size.MemoryMB, other.MemoryMB), max(size.Accelerators, other.Accelerators)}
 }
 
+func (size Size) minimum(other Size) Size {
+	return Size{min(size.MilliCores, other.MilliCores), min(size.MemoryMB, other.MemoryMB), min(size.Accelerators, other.Accelerators)}
+}
+
 // scale multiplies the divisible dimensions by percent/100; accelerators are whole.
 func (size Size) scale(percent int64) Size {
 	return Size{size.MilliCores * percent / 100, size.MemoryMB * percent / 100, size.Accelerators}
@@ -79,12 +81,3 @@
 	}
 	return learned
 }
-
-// Usage is a worker's report of what runs on it.
-type Usage struct {
-	used Size
-	at   time.Time
-}
-
-// NewUsage returns a report that used was in use at the time at.
-func NewUsage(used Size, at time.Time) Usage { return Usage{used: used, at: at} }
--- a/server/dispatch.go
+++ b/server/dispatch.go
@@ -73,15 +73,15 @@
 // the retry budget allows it.
 func (server *Server) startTask(ctx context.Context, request *request, task dispatcher.Task, granted granted) starter.Result {
 	for {
-		result := server.starter.Start(ctx, granted.choice.Address(), request.kind.Name(), request.traceParent, task)
-		refused, ok := result.(starter.NotStarted)
-		if !ok || ctx.Err() != nil || !server.scheduler.limiter.Retry(time.Now()) {
-			server.scheduler.release(granted, routerResult(result))
+		result, learned, size := server.startAt(ctx, request, task, granted.place)
+		_, refused := result.(starter.NotStarted)
+		if !refused || ctx.Err() != nil || !server.scheduler.limiter.Retry(time.Now()) {
+			server.scheduler.release(granted, learned, size)
 			server.scheduler.pump(time.Now())
 			return result
 		}
 		server.meter.retries.Inc()
-		granted.router.Done(granted.choice, router.NewNotStarted(refused.Leaving()), time.Now())
+		endPlace(granted.place, learned, size, time.Now())
 		if !server.pickAgain(ctx, request.kind.Name(), &granted) {
 			server.scheduler.limiter.Release(granted.grant, time.Now())
 			server.scheduler.pump(time.Now())
@@ -93,9 +93,9 @@
 // pickAgain waits for another target for a task that keeps its grant.
 func (server *Server) pickAgain(ctx context.Context, kind string, granted *granted) bool {
 	for ctx.Err() == nil {
-		chosen, choice, ok := server.scheduler.routers.Load().pick(kind, time.Now())
+		chosen, ok := server.scheduler.routers.Load().pick(kind, time.Now())
 		if ok {
-			granted.router, granted.choice = chosen, choice
+			granted.place = chosen
 			return true
 		}
 		sleep(ctx, retryDelay)
--- a/server/scheduler.go
+++ b/server/scheduler.go
@@ -11,6 +11,7 @@
 	"github.com/hyssoplift/hyssoplift/bundler"
 	"github.com/hyssoplift/hyssoplift/keeper"
 	"github.com/hyssoplift/hyssoplift/limiter"
+	"github.com/hyssoplift/hyssoplift/placer"
 	"github.com/hyssoplift/hyssoplift/router"
 )
 
@@ -20,9 +21,8 @@
 
 // granted is the permission to start one task at a chosen target.
 type granted struct {
-	grant  limiter.Grant
-	router *router.Router
-	choice router.Choice
+	grant limiter.Grant
+	place place
 }
 
 // queued is a job that the limiter has admitted.
@@ -46,10 +46,11 @@
 	members []keeper.Member
 }
 
-// routing is an immutable snapshot of one router per service, and of the service of each kind.
+// routing is an immutable snapshot of one router or fleet of workers per service, and of the service of each kind.
 type routing struct {
 	bundle   *bundler.Bundle
 	services map[string]*router.Router
+	fleets   map[string]*workers
 }
 
 // newScheduler returns a scheduler that follows deadlines until ctx is done.
@@ -82,33 +83,54 @@
 	scheduler.mu.Lock()
 	defer scheduler.mu.Unlock()
 	before := scheduler.routers.Load()
-	next := &routing{bundle: bundle, services: make(map[string]*router.Router)}
-	targets := make(map[string][]router.Target)
+	next := &routing{bundle: bundle, services: make(map[string]*router.Router), fleets: make(map[string]*workers)}
+	targets := make(map[string][]bundler.Target)
 	for _, target := range bundle.Targets() {
 		if target.FailureDomain() == scheduler.domain {
-			targets[target.Service()] = append(targets[target.Service()], router.NewTarget(target.Name(), target.Address(), target.Slots(), false))
+			targets[target.Service()] = append(targets[target.Service()], target)
 		}
 	}
-	share := scheduler.share()
-	for service, list := range targets {
-		chosen := before.services[service]
-		if chosen == nil {
-			seed := fnv.New64a()
-			_, _ = seed.Write([]byte(scheduler.self + service))
-			chosen = router.New(router.Config{
-				Seed:                seed.Sum64(),
-				Share:               share,
-				ResponseTimeWeight:  float64(bundle.Policy().ResponseTimeWeight()),
-				WastedMessageWeight: float64(bundle.Policy().WastedMessageWeight()),
-			})
+	for name, list := range targets {
+		service, _ := bundle.Service(name)
+		if service.Protocol() == bundler.ProtocolWorker {
+			fleet := before.fleets[name]
+			if fleet == nil {
+				fleet = newWorkers(scheduler.seed(name))
+			}
+			next.fleets[name] = fleet.update(list)
+			continue
 		}
-		chosen.Update(list, now)
-		next.services[service] = chosen
+		next.services[name] = scheduler.updateRouter(before.services[name], bundle, name, list, now)
 	}
 	scheduler.routers.Store(next)
 	scheduler.limiter.Configure(limits(bundle))
 }
 
+// updateRouter gives the service's router its targets; it makes the router if there is none.
+func (scheduler *scheduler) updateRouter(chosen *router.Router, bundle *bundler.Bundle, service string, list []bundler.Target, now time.Time) *router.Router {
+	if chosen == nil {
+		chosen = router.New(router.Config{
+			Seed:                scheduler.seed(service),
+			Share:               scheduler.share(),
+			ResponseTimeWeight:  float64(bundle.Policy().ResponseTimeWeight()),
+			WastedMessageWeight: float64(bundle.Policy().WastedMessageWeight()),
+		})
+	}
+	targets := make([]router.Target, len(list))
+	for i, target := range list {
+		targets[i] = router.NewTarget(target.Name(), target.Address(), target.Slots(), false)
+	}
+	chosen.Update(targets, now)
+	return chosen
+}
+
+// seed differs between instances, so that they do not choose in step.
+func (scheduler *scheduler) seed(service string) uint64 {
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(scheduler.self + service))
+	return seed.Sum64()
+}
+
 // limits returns the limits of the bundle's kinds and teams.
 func limits(bundle *bundler.Bundle) limiter.Config {
 	config := limiter.Config{Kinds: make(map[string]limiter.Kind), TeamQuotas: make(map[string]int)}
@@ -149,7 +171,14 @@
 
 // hasTarget reports whether the failure domain has a target of the service.
 func (scheduler *scheduler) hasTarget(service string) bool {
-	return scheduler.routers.Load().services[service] != nil
+	routing := scheduler.routers.Load()
+	return routing.services[service] != nil || routing.fleets[service] != nil
+}
+
+// possible reports whether a task of the kind fits on any worker of its service; runners take every task.
+func (scheduler *scheduler) possible(kind bundler.Kind) bool {
+	fleet := scheduler.routers.Load().fleets[kind.Service()]
+	return fleet == nil || fleet.placer.Possible(kind.Size())
 }
 
 // admit asks the limiter for the job; the refusal is nil if the job waits for its grants.
@@ -180,7 +209,7 @@
 		var next granted
 		grant, ok := scheduler.limiter.Next(now, func(kind string) bool {
 			var found bool
-			next.router, next.choice, found = routing.pick(kind, now)
+			next.place, found = routing.pick(kind, now)
 			return found
 		})
 		if !ok {
@@ -194,23 +223,29 @@
 		}
 		scheduler.mu.Unlock()
 		if job == nil {
-			scheduler.release(next, router.Unused{})
+			scheduler.giveBack(next)
 		}
 	}
 }
 
-// pick chooses a target for a task of the kind.
-func (routing *routing) pick(kind string, now time.Time) (*router.Router, router.Choice, bool) {
+// pick chooses a place for a task of the kind.
+func (routing *routing) pick(kind string, now time.Time) (place, bool) {
 	if routing.bundle == nil {
-		return nil, router.Choice{}, false
+		return nil, false
 	}
 	found, ok := routing.bundle.Kind(kind)
+	if !ok {
+		return nil, false
+	}
+	if fleet := routing.fleets[found.Service()]; fleet != nil {
+		return fleet.place(found, now)
+	}
 	chosen := routing.services[found.Service()]
-	if !ok || chosen == nil {
-		return nil, router.Choice{}, false
+	if chosen == nil {
+		return nil, false
 	}
 	choice, ok := chosen.Pick(kind, now)
-	return chosen, choice, ok
+	return runnerPlace{router: chosen, choice: choice}, ok
 }
 
 // expire tells jobs whose deadline passed in the queue.
@@ -225,12 +260,17 @@
 }
 
 // release ends one granted task.
-func (scheduler *scheduler) release(granted granted, result router.Result) {
+func (scheduler *scheduler) release(granted granted, result router.Result, size placer.Ending) {
 	now := time.Now()
-	granted.router.Done(granted.choice, result, now)
+	endPlace(granted.place, result, size, now)
 	scheduler.limiter.Release(granted.grant, now)
 }
 
+// giveBack ends a grant whose task was not started.
+func (scheduler *scheduler) giveBack(unused granted) {
+	scheduler.release(unused, router.Unused{}, placer.Unstarted{})
+}
+
 // leave takes the job out: what was not granted is dropped, and grants that were not used are given back.
 func (scheduler *scheduler) leave(job *queued) {
 	scheduler.limiter.Drop(job.ticket)
@@ -240,7 +280,7 @@
 	for {
 		select {
 		case unused := <-job.grants:
-			scheduler.release(unused, router.Unused{})
+			scheduler.giveBack(unused)
 			continue
 		default:
 		}
--- a/server/server.go
+++ b/server/server.go
@@ -17,6 +17,7 @@
 	"github.com/hyssoplift/hyssoplift/bundler"
 	"github.com/hyssoplift/hyssoplift/configurer"
 	"github.com/hyssoplift/hyssoplift/keeper"
+	"github.com/hyssoplift/hyssoplift/leaser"
 	"github.com/hyssoplift/hyssoplift/linker"
 	"github.com/hyssoplift/hyssoplift/lister"
 	"github.com/hyssoplift/hyssoplift/starter"
@@ -47,6 +48,7 @@
 	lister     *lister.Lister
 	domains    *domains
 	starter    *starter.Starter
+	leaser     *leaser.Leaser
 	meter      *meter
 	drain      *drain
 	linker     *linker.Linker
@@ -78,6 +80,7 @@
 		logger:  logger,
 		log:     appender.New(settings.Text("log")),
 		starter: starter.New(),
+		leaser:  leaser.New(),
 		drain:   newDrain(),
 		stop:    stop,
 	}
--- a/server/submit.go
+++ b/server/submit.go
@@ -12,7 +12,6 @@
 	"github.com/hyssoplift/hyssoplift/keeper"
 	"github.com/hyssoplift/hyssoplift/limiter"
 	"github.com/hyssoplift/hyssoplift/reporter"
-	"github.com/hyssoplift/hyssoplift/router"
 )
 
 // retryAfter is when a retry may help after a refusal without a better estimate.
@@ -100,6 +99,10 @@
 		detail := "kind: the failure domain has no target for the kind"
 		return server.refuse(ctx, request, *newRefusal(dispatcher.ReasonUnavailable, "kind", detail, time.Now().Add(retryAfter)))
 	}
+	if !server.scheduler.possible(request.kind) {
+		detail := "kind: its size is larger than any worker of the failure domain"
+		return server.refuse(ctx, request, *newRefusal(dispatcher.ReasonImpossible, "kind", detail, time.Time{}))
+	}
 	if !server.isFresh(request) {
 		// Another instance decides, or the answer is known or on its way: the job needs no place in the queue.
 		return server.decide(ctx, request, nil, granted{})
@@ -141,7 +144,7 @@
 		return server.runGranted(ctx, request, job, first)
 	}
 	if job != nil {
-		server.scheduler.release(first, router.Unused{})
+		server.scheduler.giveBack(first)
 		server.scheduler.leave(job)
 	}
 	return outcome()
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -50,6 +50,20 @@
 func (Rejected) isResult()   {}
 func (Lost) isResult()       {}
 
+// NewSuccess returns a success with result, a JSON value.
+func NewSuccess(result json.RawMessage) Success { return Success{result: result} }
+
+// NewNotStarted returns a start that provably did not happen; leaving means that the target takes no more work.
+func NewNotStarted(detail string, leaving bool) NotStarted {
+	return NotStarted{detail: detail, leaving: leaving}
+}
+
+// NewRejected returns an error that the target reported.
+func NewRejected(detail string) Rejected { return Rejected{detail: detail} }
+
+// NewLost returns a start without a known result.
+func NewLost(detail string) Lost { return Lost{detail: detail} }
+
 // Result returns the JSON value that the target returned.
 func (success Success) Result() json.RawMessage { return success.result }
 
