--- a/keeper/lookup.go
+++ b/keeper/lookup.go
@@ -7,8 +7,9 @@
 
 func (NoRecord) isDecision() {}
 
-// Lookup returns what is known of a key, without changing anything: Answer, AnswerLost, Joined while the job
-// is pending or running here, Forward, ForwardDomain or NoRecord; no event follows.
+// Lookup returns what is known of a key, without starting anything: Answer, AnswerLost, Joined while the job
+// is pending or running here, Forward, ForwardDomain, NotYet
+// or NoRecord; no event follows.
 func (keeper *Keeper) Lookup(text string, forwarded bool, now time.Time) Decision {
 	key, decision := keeper.parse(text, forwarded)
 	if decision != nil {
@@ -20,7 +21,7 @@
 func (shard *shard) lookup(key Key, forwarded bool, now time.Time) Decision {
 	shard.mutex.Lock()
 	defer shard.mutex.Unlock()
-	known := shard.records[key.text]
+	known := shard.lookUp(key, now)
 	own := known != nil && known.holder == shard.self() && known.state >= StateStarted
 	if !own {
 		if decision := shard.standingDecision(key, forwarded); decision != nil {
@@ -35,6 +36,9 @@
 		return NoRecord{}
 	case shard.attempts[key.text] != nil, known.state == StateCancelled && !known.confirmed:
 		return Joined{}
+	case known.state == StateCancelled && key.form == PlainKey:
+		// After the retention period a successor may have run the key again, and a look-up confirms nothing.
+		return unknown(detailUnconfirmed)
 	default:
 		var effects effects
 		return shard.recallSettled(key, known, Submission{Key: key.text, Digest: known.digest, Forwarded: forwarded}, &effects, now)
--- a/server/inquire.go
+++ b/server/inquire.go
@@ -77,6 +77,8 @@
 		return stateAnswered, decision.Outcome
 	case keeper.AnswerLost:
 		return stateAnswered, dispatcher.NewFailed("the job started and its answer is lost", nil)
+	case keeper.NotYet:
+		return stateAnswered, decision.Outcome
 	case keeper.Joined:
 		return stateRunning, nil
 	case keeper.NoRecord:
@@ -145,16 +147,22 @@
 	var response linker.Response
 	var err error
 	decision := server.atHome(key, forwarded || foreign)
-	if decision == nil {
+	for patience := time.Now().Add(notYetPatience); decision == nil; {
 		decision, waiter = server.decider.decide(key, func() (keeper.Decision, []keeper.Outgoing) {
 			return server.keeper.Cancel(key, forwarded, time.Now())
 		})
+		if _, early := decision.(keeper.NotYet); early && time.Now().Before(patience) {
+			decision = nil
+			sleep(ctx, notYetDelay)
+		}
 	}
 	switch decision := decision.(type) {
 	case keeper.Answer:
 		return cancelResult(decision.Outcome)
 	case keeper.TooLate, keeper.AnswerLost:
 		return resultTooLate
+	case keeper.NotYet:
+		return resultUnknown
 	case keeper.AwaitWitness, keeper.AwaitConfirmation, keeper.Joined:
 		deadline, _ := ctx.Deadline()
 		if event, ok := server.decider.wait(waiter, deadline.Add(-decisionGrace)); ok {
@@ -193,6 +201,8 @@
 	switch event := event.(type) {
 	case keeper.CancelConfirmed:
 		return resultCancelled
+	case keeper.RefusalConfirmed:
+		return cancelResult(event.Refusal)
 	case keeper.OutcomeKnown:
 		return cancelResult(event.Outcome)
 	case keeper.AnswerFound:
--- a/server/membership.go
+++ b/server/membership.go
@@ -28,6 +28,12 @@
 	maxMet = 4096
 )
 
+// heard is the last heartbeat of an instance.
+type heard struct {
+	at   time.Time
+	view int64
+}
+
 // membership connects the watcher with the list, the links, the views and the keeper.
 type membership struct {
 	self      watcher.Member
@@ -47,12 +53,14 @@
 	mu sync.Mutex
 	// met holds the latest hello from each address of the own failure domain.
 	met    map[string]linker.Hello
-	heard  map[string]time.Time
+	heard  map[string]heard
 	listed []lister.Instance
 	read   bool
 	// goneSince is since when no member of the view is listed or heard, or zero.
 	goneSince time.Time
 	suspected map[string]bool
+	// accounted is the last view that every listed instance had adopted.
+	accounted int64
 }
 
 // run follows the membership until ctx is done.
@@ -70,6 +78,7 @@
 				membership.sendHeartbeat(now)
 			}
 			membership.followSuspicion(now)
+			membership.account(now)
 			membership.propose(ctx, now)
 			if membership.watcher.Excluded() {
 				close(membership.excluded)
@@ -154,9 +163,9 @@
 	}
 	membership.mu.Lock()
 	if len(membership.heard) >= maxMet {
-		maps.DeleteFunc(membership.heard, func(_ string, at time.Time) bool { return now.Sub(at) >= watcher.SuspicionPeriod })
+		maps.DeleteFunc(membership.heard, func(_ string, last heard) bool { return now.Sub(last.at) >= watcher.SuspicionPeriod })
 	}
-	membership.heard[from.Incarnation] = now
+	membership.heard[from.Incarnation] = heard{at: now, view: heartbeat.View}
 	membership.mu.Unlock()
 	membership.watcher.Hear(watcher.Heartbeat{From: asMember(from), View: heartbeat.View, Suspects: suspects, Leaving: heartbeat.Leaving}, now)
 }
@@ -244,6 +253,25 @@
 	}
 }
 
+// account tells the keeper when every listed instance has adopted the view in force, so that no earlier owner
+// can start anything any more.
+func (membership *membership) account(now time.Time) {
+	number, _ := membership.keeper.View()
+	membership.mu.Lock()
+	adopted := membership.read && !slices.ContainsFunc(membership.listed, func(instance lister.Instance) bool {
+		if instance.Address == membership.self.Address {
+			return false
+		}
+		last, heard := membership.heard[membership.met[instance.Address].Incarnation]
+		return !heard || last.view < number
+	})
+	membership.mu.Unlock()
+	if adopted && number > membership.accounted {
+		membership.accounted = number
+		membership.keeper.Accounted(number, now)
+	}
+}
+
 // propose appends the next view if one is due.
 func (membership *membership) propose(ctx context.Context, now time.Time) {
 	caughtUp, trimmed := membership.views.state()
@@ -277,8 +305,8 @@
 func (membership *membership) someoneHasView(now time.Time) bool {
 	membership.mu.Lock()
 	defer membership.mu.Unlock()
-	for _, at := range membership.heard {
-		if now.Sub(at) < watcher.SuspicionPeriod {
+	for _, last := range membership.heard {
+		if now.Sub(last.at) < watcher.SuspicionPeriod {
 			return true
 		}
 	}
@@ -319,7 +347,7 @@
 	}
 	for address, hello := range membership.met {
 		listed := slices.ContainsFunc(membership.listed, func(instance lister.Instance) bool { return instance.Address == address })
-		if listed && now.Sub(membership.heard[hello.Incarnation]) < watcher.SuspicionPeriod {
+		if listed && now.Sub(membership.heard[hello.Incarnation].at) < watcher.SuspicionPeriod {
 			self = append(self, keeperMembers(asMember(hello))...)
 		}
 	}
@@ -329,7 +357,7 @@
 // anyLeft says that a member of the view is still listed, or was heard lately. The caller holds membership.mu.
 func (membership *membership) anyLeft(view keeper.View, now time.Time) bool {
 	return slices.ContainsFunc(slices.Concat(view.Members, view.Departing), func(member keeper.Member) bool {
-		if at, ok := membership.heard[member.Incarnation]; ok && now.Sub(at) < watcher.SuspicionPeriod {
+		if last, ok := membership.heard[member.Incarnation]; ok && now.Sub(last.at) < watcher.SuspicionPeriod {
 			return true
 		}
 		return slices.ContainsFunc(membership.listed, func(instance lister.Instance) bool {
--- a/server/server.go
+++ b/server/server.go
@@ -15,6 +15,7 @@
 	"github.com/hyssoplift/hyssoplift/appender"
 	"github.com/hyssoplift/hyssoplift/bundler"
 	"github.com/hyssoplift/hyssoplift/configurer"
+	"github.com/hyssoplift/hyssoplift/encoder"
 	"github.com/hyssoplift/hyssoplift/keeper"
 	"github.com/hyssoplift/hyssoplift/linker"
 	"github.com/hyssoplift/hyssoplift/lister"
@@ -102,6 +103,7 @@
 	limits := keeper.Limits{
 		MaxRecords:      int(settings.Count("max-records")),
 		Retention:       retention,
+		MaxRun:          encoder.MaxTimeout + decisionGrace,
 		AckTimeout:      ackTimeout,
 		SyncTimeout:     syncTimeout,
 		OutcomeInterval: outcomeInterval,
@@ -120,7 +122,8 @@
 		self: self, domain: server.domain(), watcher: watcher.New(self, server.started), linker: server.linker,
 		keeper: server.keeper, views: server.views, lister: server.lister, retention: retention, logger: logger,
 		status: server.fillHeartbeat, excluded: make(chan struct{}),
-		met: make(map[string]linker.Hello), heard: make(map[string]time.Time), suspected: make(map[string]bool),
+		met: make(map[string]linker.Hello), heard: make(map[string]heard), suspected: make(map[string]bool),
+		accounted: keeper.NoView,
 	}
 	go func() { server.views.follow(ctx) }()
 	go func() { server.membership.followList(ctx) }()
