--- a/server/submit.go
+++ b/server/submit.go
@@ -14,6 +14,13 @@
 	"github.com/hyssoplift/hyssoplift/reporter"
 )
 
+const (
+	// notYetPatience covers a hand-over of slices, which takes a few round trips and a read of the log.
+	notYetPatience = time.Second
+	// notYetDelay spaces questions to a keeper that cannot decide yet.
+	notYetDelay = 5 * time.Millisecond
+)
+
 // retryAfter is when a retry may help after a refusal without a better estimate.
 const retryAfter = time.Second
 
@@ -31,6 +38,8 @@
 	origin string
 	// grant says whether this instance is to count the answer; forwarding sets it.
 	grant reporter.Grant
+	// patience is until when a decision that is not possible yet is asked for again; zero before the first.
+	patience time.Time
 }
 
 // submit decides and runs the caller's job and answers with its outcome.
@@ -194,6 +203,8 @@
 		return answer(decision.Outcome)
 	case keeper.AnswerLost:
 		return answer(lostAnswer(request.job, decision.Fate))
+	case keeper.NotYet:
+		return !startGranted, func() dispatcher.Outcome { return request.pause(ctx, decision.Outcome) }
 	case keeper.Forward:
 		return !startGranted, func() dispatcher.Outcome { return server.forward(ctx, request, decision.To) }
 	case keeper.ForwardDomain:
@@ -211,6 +222,19 @@
 	}
 }
 
+// pause waits before the job is submitted again; it returns the outcome once the patience has ended.
+func (request *request) pause(ctx context.Context, outcome dispatcher.Unknown) dispatcher.Outcome {
+	now := time.Now()
+	if request.patience.IsZero() {
+		request.patience = now.Add(notYetPatience)
+	}
+	if now.After(request.patience) || now.After(request.job.Deadline()) {
+		return outcome
+	}
+	sleep(ctx, notYetDelay)
+	return nil
+}
+
 // await waits for the end of a job that another request runs.
 func (server *Server) await(request *request, waiter *waiter) dispatcher.Outcome {
 	event, ok := server.decider.wait(waiter, request.job.Deadline())
