Start burn reports from hourly sums

It now starts from hourly sums on stream burn-hours and reads only the minutes after the last sum, at most an hour and a half.

Ways to keep two sums of one hour apart that were weighed: - A sum per clock hour, and the one with more minutes wins. Late minutes would need corrections of old hours, and of two sums that each know a minute the other lacks neither is right. - A sum per instance and hour. Exact, but 162 times the records and most of the size of the minute records. - A chain as views have it, in which a sum names the one before. Exact, but one damaged or trimmed sum cuts off all later ones. - Chosen: a sum stands for a range of offsets of stream burn, and counts if it begins at or after the end of what the reader has. Gaps are read as minute records, so a damaged sum costs time and no data. A sum lists the minutes of each incarnation, and one that repeats a counted minute is left out as a whole and its records are read, so summers need not agree. Sums in stream burn itself were ruled out: the log is read by offset only, so a reader could not leave out the minute records between them. Slots of ten minutes would be smaller, but the windows of up to six hours need minutes, and a reader would have to read six hours of records.

The turn follows bundle renewals: the hash of the hour and the instance is a time in the first half hour. A sum whose append's answer was lost is looked for before it is appended again; a summer that lost the race reads all sums again.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -14,7 +14,6 @@
 )
 
 const (
-	burnStream = "burn"
 	// appendTimeout leaves room for a slow log within the minute.
 	appendTimeout = 20 * time.Second
 	// appendSpread is the part of a minute over which instances spread their appends: all at the same second
@@ -22,7 +21,8 @@
 	appendSpread = 30 * time.Second
 )
 
-// Accountant counts the answers of one instance and appends them to the log every minute.
+// Accountant counts the answers of one instance and appends them to the log every minute; at its turn it also appends
+// the hourly sums of the records of all instances.
 type Accountant struct {
 	*reporter.Reporter
 	log    *appender.Appender
@@ -45,9 +45,23 @@
 			accountant.flush(ctx, time.Now(), false)
 		}
 	})
+	hourly := newHourly(log, config.Domain, config.Instance)
+	accountant.done.Go(func() {
+		for sleepUntil(ctx, time.Now().Truncate(time.Minute).Add(time.Minute+offset)) {
+			accountant.sum(ctx, hourly, time.Now())
+		}
+	})
 	return accountant
 }
 
+func (accountant *Accountant) sum(ctx context.Context, hourly *hourly, now time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, sumTimeout)
+	defer cancel()
+	if err := hourly.run(ctx, now); err != nil && ctx.Err() != context.Canceled {
+		accountant.logger.Warn("hourly burn sum not appended", "error", eris.ToString(err, false))
+	}
+}
+
 // Close appends what is left with a final mark, and returns an error if that failed by the deadline of ctx; no answer
 // may be recorded afterwards.
 func (accountant *Accountant) Close(ctx context.Context) error {
--- a/accountant/reader.go
+++ b/accountant/reader.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/hyssoplift/hyssoplift/appender"
 	"github.com/hyssoplift/hyssoplift/reporter"
 )
@@ -20,27 +18,24 @@
 	followInterval = 10 * time.Second
 )
 
-// Reader puts reports together from the stream burn. It reads only when a report is asked for, and then only what is
+// Reader puts reports together from the hourly sums and the minute records after them. It reads only when a report is asked for, and then only what is
 // new, so that instances that nobody asks spend nothing on it. Its memory is that of one ledger and one page of the log.
 type Reader struct {
-	log *appender.Appender
-
 	mu     sync.Mutex
-	ledger *reporter.Ledger
-	next   int64
-	begun  bool
+	cursor cursor
+	summed bool // the hourly sums have been read
 }
 
 // NewReader returns a reader of the burn records in log.
 func NewReader(log *appender.Appender) *Reader {
-	return &Reader{log: log, ledger: reporter.NewLedger()}
+	return &Reader{cursor: cursor{log: log, ledger: reporter.NewLedger()}}
 }
 
 // SetObjective sets the objective of a kind for which no record brings one.
 func (reader *Reader) SetObjective(kind string, objective reporter.Objective) {
 	reader.mu.Lock()
 	defer reader.mu.Unlock()
-	reader.ledger.SetObjective(kind, objective)
+	reader.cursor.ledger.SetObjective(kind, objective)
 }
 
 // Report reads what is new in the log and returns the report at now. After an error the report holds only what was read
@@ -49,8 +44,8 @@
 	reader.mu.Lock()
 	defer reader.mu.Unlock()
 	err := reader.readOn(ctx, now)
-	reader.ledger.Forget(now)
-	return reader.ledger.Report(now), err
+	reader.cursor.ledger.Forget(now)
+	return reader.cursor.ledger.Report(now), err
 }
 
 // advance adds what is new in the log, without a report.
@@ -58,34 +53,19 @@
 	reader.mu.Lock()
 	defer reader.mu.Unlock()
 	err := reader.readOn(ctx, now)
-	reader.ledger.Forget(now)
+	reader.cursor.ledger.Forget(now)
 	return err
 }
 
-// readOn adds all new records to the ledger; the caller holds reader.mu.
+// readOn adds all new records to the ledger, at first the hourly sums; the caller holds reader.mu.
 func (reader *Reader) readOn(ctx context.Context, now time.Time) error {
-	for {
-		page, err := reader.log.Read(ctx, burnStream, reader.next, 0)
-		if err != nil {
-			return eris.Wrap(err, "reading burn records")
-		}
-		if !reader.begun {
-			reader.begun = true
-			reader.ledger.SetComplete(page.Earliest == 0)
-		}
-		if len(page.Records) == 0 {
-			return nil
-		}
-		for _, record := range page.Records {
-			reader.next = record.Offset + 1
-			batch, err := reporter.Decode(record.Data)
-			if err != nil {
-				reader.ledger.AddUnreadable()
-				continue
-			}
-			reader.ledger.Add(batch, now)
+	if !reader.summed {
+		if err := reader.cursor.readSums(ctx, now); err != nil {
+			return err
 		}
+		reader.summed = true
 	}
+	return reader.cursor.readMinutes(ctx, now, toEnd)
 }
 
 // Handler answers GET /v1/burn from log: JSON, or with ?format=text or ?format=html a table or a page.
--- a/reporter/bench_test.go
+++ b/reporter/bench_test.go
@@ -142,3 +142,80 @@
 		}
 	})
 }
+
+// benchSum returns the record of one hour of ten instances, whose records begin at offset from.
+func benchSum(b *testing.B, names []Series, from int64, hour time.Time) []byte {
+	summer := NewSummer()
+	summer.Begin(from)
+	for i := range 60 {
+		minutes := benchMinute(benchReporter(), names, testStart).minutes
+		minutes[0].minute = minuteOf(hour) + minute(i)
+		for instance := range 10 {
+			batch := Batch{domain: "local", instance: fmt.Sprint(instance), incarnation: fmt.Sprintf("run-%d", instance), minutes: minutes}
+			data, err := batch.Encode()
+			if err != nil {
+				b.Fatal(err)
+			}
+			summer.AddRecord(from+int64(i*10+instance), data, hour.Add(time.Hour))
+		}
+	}
+	sum, _ := summer.Cut(hour)
+	data, err := sum.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	return data
+}
+
+// BenchmarkSum decodes the sum of one hour and adds it to a ledger, three days of different hours in turn.
+func BenchmarkSum(b *testing.B) {
+	benchSeries(b, func(b *testing.B, names []Series) {
+		data := benchSum(b, names, 0, testStart)
+		ledger, i := NewLedger(), 0
+		for b.Loop() {
+			sum, err := DecodeSum(data)
+			if err != nil {
+				b.Fatal(err)
+			}
+			shift := minute(i * 60)
+			for run := range sum.runs {
+				for at := range sum.runs[run].minutes {
+					sum.runs[run].minutes[at] += shift
+				}
+			}
+			for at := range sum.minutes {
+				sum.minutes[at].minute += shift
+			}
+			if i++; !ledger.AddSum(sum, testStart.Add(time.Duration(i)*time.Hour)) {
+				b.Fatal("the sum was left out")
+			}
+		}
+		b.ReportMetric(float64(len(data)), "wire-B/op")
+	})
+}
+
+// BenchmarkSummer adds one minute record to a sum; held-B is the memory of the sum of an hour.
+func BenchmarkSummer(b *testing.B) {
+	benchSeries(b, func(b *testing.B, names []Series) {
+		batch := benchMinute(benchReporter(), names, testStart)
+		before := heapBytes()
+		summer, i := NewSummer(), 0
+		data := make([][]byte, 60)
+		for at := range data {
+			batch.minutes[0].minute = minuteOf(testStart) + minute(at)
+			data[at], _ = batch.Encode()
+		}
+		for b.Loop() {
+			if i%60 == 0 {
+				clear(summer.incarnations) // so that no minute is skipped as known
+				if i%9_720 == 0 {
+					summer.Begin(0)
+				}
+			}
+			summer.AddRecord(int64(i), data[i%60], testStart.Add(time.Hour))
+			i++
+		}
+		b.ReportMetric(heapBytes()-before, "held-B")
+		runtime.KeepAlive(summer)
+	})
+}
--- a/reporter/coverage.go
+++ b/reporter/coverage.go
@@ -40,6 +40,12 @@
 	return added
 }
 
+// has reports whether a minute within the ring is covered.
+func (coverage *coverage) has(at minute) bool {
+	return at <= coverage.last && at > coverage.last-coverageSlots &&
+		coverage.bits[at%coverageSlots/wordBits]>>(at%wordBits)&1 == 1
+}
+
 // count returns how many minutes from from to before to are covered.
 func (coverage *coverage) count(from, to minute) int64 {
 	from, to = max(from, coverage.first, coverage.last-coverageSlots+1), min(to, coverage.last+1)
--- a/reporter/doc.go
+++ b/reporter/doc.go
@@ -27,4 +27,9 @@
 // start of the next incarnation of the same instance, or to the end of the report. Minutes without a record are
 // missing. An incarnation of which no record ever reached the log is not known to have run, and answers to
 // malformed requests, which have no kind, are not counted.
+//
+// # Hourly sums
+//
+// A Sum stands for a run of consecutive records of the log and lists the minutes of each incarnation that it holds. A
+// Ledger takes a sum only as a whole and only if it has counted none of these minutes.
 package reporter
--- a/reporter/ledger.go
+++ b/reporter/ledger.go
@@ -93,6 +93,7 @@
 	incarnations map[string]*coverage
 	unreadable   int
 	complete     bool
+	coverageOnly bool // counts are left out, as a Summer needs only the coverage
 }
 
 // NewLedger returns an empty ledger.
@@ -146,6 +147,9 @@
 
 // count adds the rows of one minute.
 func (ledger *Ledger) count(closed closedMinute) {
+	if ledger.coverageOnly {
+		return
+	}
 	for _, row := range closed.rows {
 		ledger.history(row.series.named()).add(closed.minute, row.counts)
 	}
