--- a/server/scheduler.go
+++ b/server/scheduler.go
@@ -95,13 +95,9 @@
 		if chosen == nil {
 			seed := fnv.New64a()
 			_, _ = seed.Write([]byte(scheduler.self + service))
-			chosen = router.New(router.Config{
-				Seed:                seed.Sum64(),
-				Share:               share,
-				ResponseTimeWeight:  float64(bundle.Policy().ResponseTimeWeight()),
-				WastedMessageWeight: float64(bundle.Policy().WastedMessageWeight()),
-			})
+			chosen = router.New(router.Config{Seed: seed.Sum64(), Share: share})
 		}
+		chosen.SetWeights(float64(bundle.Policy().ResponseTimeWeight()), float64(bundle.Policy().WastedMessageWeight()))
 		chosen.Update(list, now)
 		next.services[service] = chosen
 	}
@@ -111,7 +107,12 @@
 
 // limits returns the limits of the bundle's kinds and teams.
 func limits(bundle *bundler.Bundle) limiter.Config {
-	config := limiter.Config{Kinds: make(map[string]limiter.Kind), TeamQuotas: make(map[string]int)}
+	config := limiter.Config{
+		Kinds:               make(map[string]limiter.Kind),
+		TeamQuotas:          make(map[string]int),
+		ResponseTimeWeight:  float64(bundle.Policy().ResponseTimeWeight()),
+		WastedMessageWeight: float64(bundle.Policy().WastedMessageWeight()),
+	}
 	for _, kind := range bundle.Kinds() {
 		config.Kinds[kind.Name()] = limiter.Kind{MaxTasks: kind.MaxTasks(), MaxInFlight: kind.MaxInFlight(), RunTime: kind.RunTime()}
 	}
