--- a/server/scheduler.go
+++ b/server/scheduler.go
@@ -109,13 +109,9 @@
 // updateRouter gives the service's router its targets; it makes the router if there is none.
 func (scheduler *scheduler) updateRouter(chosen *router.Router, bundle *bundler.Bundle, service string, list []bundler.Target, now time.Time) *router.Router {
 	if chosen == nil {
-		chosen = router.New(router.Config{
-			Seed:                scheduler.seed(service),
-			Share:               scheduler.share(),
-			ResponseTimeWeight:  float64(bundle.Policy().ResponseTimeWeight()),
-			WastedMessageWeight: float64(bundle.Policy().WastedMessageWeight()),
-		})
+		chosen = router.New(router.Config{Seed: scheduler.seed(service), Share: scheduler.share()})
 	}
+	chosen.SetWeights(float64(bundle.Policy().ResponseTimeWeight()), float64(bundle.Policy().WastedMessageWeight()))
 	targets := make([]router.Target, len(list))
 	for i, target := range list {
 		targets[i] = router.NewTarget(target.Name(), target.Address(), target.Slots(), false)
@@ -133,7 +129,12 @@
 
 // limits returns the limits of the bundle's kinds and teams.
 func limits(bundle *bundler.Bundle) limiter.Config {
-	config := limiter.Config{Kinds: make(map[string]limiter.Kind), TeamQuotas: make(map[string]int)}
+	config := limiter.Config{
+		Kinds:               make(map[string]limiter.Kind),
+		TeamQuotas:          make(map[string]int),
+		ResponseTimeWeight:  float64(bundle.Policy().ResponseTimeWeight()),
+		WastedMessageWeight: float64(bundle.Policy().WastedMessageWeight()),
+	}
 	for _, kind := range bundle.Kinds() {
 		config.Kinds[kind.Name()] = limiter.Kind{MaxTasks: kind.MaxTasks(), MaxInFlight: kind.MaxInFlight(), RunTime: kind.RunTime()}
 	}
