Take the bundle from peers while the log cannot be read

Cause: an instance that started while the log was down had no bundle and refused every job, and one that was cut off from the log alone stayed with its old bundle, although its peers had a newer one.

Ruled out: announcing bundles in every heartbeat and pushing them (messages without use while the log works).

Change: when a read of a bundle stream fails, and at most every 2 s, the instance asks one peer of its failure domain and, for the common part, one instance of another for a record after its own. The record is taken only if its signatures prove it and its offset is higher.

A stale peer can only give what is proved and newer.

--- a/linker/codec.go
+++ b/linker/codec.go
@@ -200,6 +200,8 @@
 		return checkTexts(message.Key, message.Kind, message.Team, message.TraceParent, message.Origin)
 	case ForwardAnswer:
 		return checkOutcome(message.Key, &message.Outcome)
+	case BundleRequest:
+		return checkTexts(message.Stream)
 	case LookupAnswer:
 		return checkOutcome(message.Key, message.Outcome)
 	case Lookup:
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -107,8 +107,8 @@
 		LookupAnswer{ID: 1, Key: "k", State: "running", Outcome: &outcome},
 		Cancel{ID: 1, Key: "k"},
 		CancelAnswer{ID: 1, Key: "k", Result: "too-late"},
-		BundleRequest{ID: 1, Version: 4, Digest: []byte{1}},
-		BundleResponse{ID: 1, Offset: 4, Text: []byte("b")},
+		BundleRequest{ID: 1, Stream: "bundles", After: -1},
+		BundleResponse{ID: 1, Offset: 4, Through: 5, Record: []byte("b")},
 		part{Last: true, Data: []byte{1}},
 	}
 }
--- a/linker/message.go
+++ b/linker/message.go
@@ -125,18 +125,21 @@
 	Result string `cbor:"result"`
 }
 
-// BundleRequest asks for a signed bundle by version and digest.
+// BundleRequest asks for the bundle in force of one stream.
 type BundleRequest struct {
-	ID      uint64 `cbor:"id"`
-	Version int64  `cbor:"version"`
-	Digest  []byte `cbor:"digest,omitempty"`
+	ID     uint64 `cbor:"id"`
+	Stream string `cbor:"stream"`
+	// After is the offset of the bundle that the sender has, or -1.
+	After int64 `cbor:"after"`
 }
 
-// BundleResponse carries a signed bundle and its offset in the log; Text is empty if the sender has none.
+// BundleResponse carries the signed record of a bundle and its offsets in the log; Record is empty if the sender
+// has none after the one that the request names.
 type BundleResponse struct {
-	ID     uint64 `cbor:"id"`
-	Offset int64  `cbor:"offset"`
-	Text   []byte `cbor:"text,omitempty"`
+	ID      uint64 `cbor:"id"`
+	Offset  int64  `cbor:"offset"`
+	Through int64  `cbor:"through"`
+	Record  []byte `cbor:"record,omitempty"`
 }
 
 // part is a piece of a message that is too large for one frame.
--- a/server/bundles.go
+++ b/server/bundles.go
@@ -9,6 +9,7 @@
 
 	"github.com/hyssoplift/hyssoplift/appender"
 	"github.com/hyssoplift/hyssoplift/bundler"
+	"github.com/hyssoplift/hyssoplift/configurer"
 )
 
 const (
@@ -23,28 +24,36 @@
 
 // followBundles reads the streams of the common part and of the instance's failure domain until ctx is done.
 func (server *Server) followBundles(ctx context.Context) {
-	keys, err := bundler.ParseKeys(server.settings.Text("bundle-keys"))
-	if err != nil {
-		panic(eris.Wrap(err, "the setting bundle-keys was checked when it was read"))
-	}
-	composer := bundler.NewComposer(keys, server.settings.Text("failure-domain"))
 	var group sync.WaitGroup
-	for _, bundles := range composer.Bundlers() {
-		group.Go(func() { server.followStream(ctx, composer, bundles) })
+	for _, bundles := range server.composer.Bundlers() {
+		group.Go(func() { server.followStream(ctx, bundles) })
 	}
 	group.Wait()
 }
 
+func newComposer(settings configurer.Settings) *bundler.Composer {
+	keys, err := bundler.ParseKeys(settings.Text("bundle-keys"))
+	if err != nil {
+		panic(eris.Wrap(err, "the setting bundle-keys was checked when it was read"))
+	}
+	return bundler.NewComposer(keys, settings.Text("failure-domain"))
+}
+
 // followStream reads one stream and renews its bundle when that is due.
-func (server *Server) followStream(ctx context.Context, composer *bundler.Composer, bundles *bundler.Bundler) {
+func (server *Server) followStream(ctx context.Context, bundles *bundler.Bundler) {
+	var nextAsk time.Time
 	for ctx.Err() == nil {
 		page, err := server.readBundles(ctx, bundles)
 		if err != nil {
 			server.logger.Warn("reading bundles failed", "stream", bundles.Stream(), "error", eris.ToString(err, false))
+			if now := time.Now(); !now.Before(nextAsk) {
+				nextAsk = now.Add(offerInterval)
+				server.askPeers(ctx, bundles)
+			}
 			sleep(ctx, logRetryDelay)
 			continue
 		}
-		server.fold(composer, bundles, page)
+		server.fold(bundles, page)
 		server.renew(ctx, bundles)
 	}
 }
@@ -55,17 +64,21 @@
 	return server.log.Read(ctx, bundles.Stream(), bundles.Next(), logWait)
 }
 
-func (server *Server) fold(composer *bundler.Composer, bundles *bundler.Bundler, page appender.Page) {
+func (server *Server) fold(bundles *bundler.Bundler, page appender.Page) {
 	entries := make([]bundler.Entry, len(page.Records))
 	for i, record := range page.Records {
 		entries[i] = bundler.Entry{Offset: record.Offset, Data: record.Data}
 	}
-	events := bundles.Fold(bundler.Page{Earliest: page.Earliest, Next: page.Next, Entries: entries}, time.Now())
+	server.show(bundles, bundles.Fold(bundler.Page{Earliest: page.Earliest, Next: page.Next, Entries: entries}, time.Now()))
+}
+
+// show logs what became of bundle records and puts a new bundle in force.
+func (server *Server) show(bundles *bundler.Bundler, events []bundler.Event) {
 	for _, event := range events {
 		server.logger.Info("bundle record read", "stream", bundles.Stream(), "offset", event.Offset,
 			"bundle-version", event.Record.Version, "verdict", string(event.Verdict), "reason", event.Reason)
 	}
-	composer.Compose(func(bundle *bundler.Bundle) {
+	server.composer.Compose(func(bundle *bundler.Bundle) {
 		server.install(bundle)
 		server.logger.Info("bundle in force", "bundle-version", bundle.Version(), "part-version", bundle.PartVersion())
 	})
--- a/server/links.go
+++ b/server/links.go
@@ -22,6 +22,6 @@
 	case linker.Cancel:
 		go func() { server.serveCancel(from, message) }()
 	case linker.BundleRequest:
-		server.reply(from, linker.BundleResponse{ID: message.ID})
+		go func() { server.serveBundle(from, message) }()
 	}
 }
--- a/server/membership.go
+++ b/server/membership.go
@@ -366,3 +366,16 @@
 		})
 	})
 }
+
+// heardLately returns the incarnations of the own failure domain that sent a heartbeat within the suspicion period.
+func (membership *membership) heardLately(now time.Time) []string {
+	membership.mu.Lock()
+	defer membership.mu.Unlock()
+	var lately []string
+	for incarnation, last := range membership.heard {
+		if now.Sub(last.at) < watcher.SuspicionPeriod {
+			lately = append(lately, incarnation)
+		}
+	}
+	return lately
+}
--- a/server/server.go
+++ b/server/server.go
@@ -61,6 +61,7 @@
 	accountant *accountant.Accountant
 	http       *http.Server
 	bundle     atomic.Pointer[bundler.Bundle]
+	composer   *bundler.Composer
 	anonymous  atomic.Uint64
 	stop       context.CancelFunc
 }
@@ -76,14 +77,15 @@
 	server := &Server{
 		settings: settings,
 		// The incarnation is made here and not given, because a restarted process must never reuse one.
-		self:    keeper.Member{Name: settings.Text("instance"), Incarnation: strconv.FormatUint(rand.Uint64(), 36), Address: address},
-		started: time.Now(),
-		logger:  logger,
-		log:     appender.New(settings.Text("log")),
-		starter: starter.New(),
-		leaser:  leaser.New(),
-		drain:   newDrain(),
-		stop:    stop,
+		self:     keeper.Member{Name: settings.Text("instance"), Incarnation: strconv.FormatUint(rand.Uint64(), 36), Address: address},
+		started:  time.Now(),
+		logger:   logger,
+		log:      appender.New(settings.Text("log")),
+		starter:  starter.New(),
+		leaser:   leaser.New(),
+		composer: newComposer(settings),
+		drain:    newDrain(),
+		stop:     stop,
 	}
 	if list := settings.Text("list"); list != "" {
 		server.lister = lister.New(list)
