Bound the bytes of the answers kept for resubmissions

Cause: the keeper bounded the number of records but not the bytes of the answers that it holds; by the capacity estimate they break the memory of an instance at a mean result above about 1.5 KB.

Ruled out: refusing jobs when answers fill the memory (the records suffice to keep the promises) and dropping the newest answer (resubmissions come soon).

Change: each slice drops its oldest complete answers beyond its part of the new setting max-answer-bytes; the record stays and is answered as finished, answer lost.

--- a/configurer/table.go
+++ b/configurer/table.go
@@ -54,6 +54,7 @@
 		{name: "advertise", unit: UnitAddress, text: "Address under which the other instances reach this one; the default is the one that it listens on."},
 		{name: "retention", unit: UnitMilliseconds, fallback: "600000", low: 1000, high: (24 * time.Hour).Milliseconds(), text: "Time for which answers are kept, and interval of view renewals."},
 		{name: "max-records", unit: UnitCount, fallback: "1000000", low: 1000, high: 100_000_000, text: "Start records kept at most; above that, new jobs are refused."},
+		{name: "max-answer-bytes", unit: UnitCount, fallback: "268435456", low: 1 << 20, high: 1 << 40, text: "Answers kept for resubmissions, in bytes; beyond it the oldest are dropped and answered as lost."},
 		{name: "stop-timeout", unit: UnitMilliseconds, fallback: "30000", low: 100, high: (10 * time.Minute).Milliseconds(), text: "Time that a planned stop may take."},
 		{name: "balancer-wait", unit: UnitMilliseconds, fallback: "5000", low: 0, high: (5 * time.Minute).Milliseconds(), text: "Time that a stopping instance serves on while it is not ready, so that the balancer sees it."},
 		{name: "max-body-bytes", unit: UnitCount, fallback: "4194304", low: 1024, high: 64 << 20, text: "Largest request body, in bytes."},
--- a/keeper/bench_test.go
+++ b/keeper/bench_test.go
@@ -17,7 +17,8 @@
 
 func benchLimits() keeper.Limits {
 	return keeper.Limits{
-		MaxRecords: 4_000_000, Retention: 10 * time.Minute, MaxRun: 10 * time.Minute, AckTimeout: 20 * time.Millisecond,
+		MaxAnswerBytes: 1 << 30,
+		MaxRecords:     4_000_000, Retention: 10 * time.Minute, MaxRun: 10 * time.Minute, AckTimeout: 20 * time.Millisecond,
 		SyncTimeout: time.Second, OutcomeInterval: 100 * time.Millisecond,
 	}
 }
--- a/keeper/finish.go
+++ b/keeper/finish.go
@@ -41,6 +41,7 @@
 	if _, complete := outcome.(dispatcher.Complete); complete {
 		stored.state = StateFinished
 	}
+	shard.held.hold(stored)
 	shard.expireLater(key, now.Add(shard.keeper.limits.Retention))
 	var tell []string
 	if stored.witness != "" {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -15,6 +15,8 @@
 type Limits struct {
 	// MaxRecords is the number of records above which new jobs are refused.
 	MaxRecords int
+	// MaxAnswerBytes bounds the complete answers kept for resubmissions, in bytes.
+	MaxAnswerBytes int64
 	// Retention is how long the answer to a plain key is kept, and the interval between renewals of the view.
 	Retention time.Duration
 	// MaxRun is the longest time from a start record to the end of its job.
@@ -77,6 +79,7 @@
 		keeper.shards[slice] = &shard{
 			keeper: keeper, slice: slice,
 			records: map[string]*record{}, attempts: map[string]*attempt{},
+			held: heldAnswers{limit: limits.MaxAnswerBytes / Slices},
 		}
 		keeper.shards[slice].due.Store(math.MaxInt64)
 	}
--- a/keeper/protocol_test.go
+++ b/keeper/protocol_test.go
@@ -74,22 +74,52 @@
 	is.True(waits) // an unconfirmed cancellation must not be told
 }
 
-// TestFind guards against a question about a job that starts it, or that hides its state.
-func TestFind(t *testing.T) {
+// TestLookup guards against a question about a job that starts it, or that hides its state.
+func TestLookup(t *testing.T) {
 	is := is.New(t)
 	group, owner, submission := trio()
-	find := func(at int) keeper.Decision {
-		decision, outgoing := group.keepers[group.members[at].Incarnation].Find(submission.Key, false, group.now)
-		is.Equal(len(outgoing), 0)
-		return decision
+	lookup := func(at int) keeper.Decision {
+		return group.keepers[group.members[at].Incarnation].Lookup(submission.Key, false, group.now)
 	}
-	is.Equal(find(0), keeper.Absent{})
-	is.Equal(find(1), keeper.Forward{To: group.members[0]})
+	is.Equal(lookup(0), keeper.NoRecord{})
+	is.Equal(lookup(1), keeper.Forward{To: group.members[0]})
+	is.Equal(owner.Records(), 0) // a question leaves no record
 	owner.Submit(submission, group.now)
-	is.Equal(find(0), keeper.Running{})
+	is.Equal(lookup(0), keeper.Joined{})
 	group, owner, submission = trio()
 	group.runJob(owner, submission.Key)
-	is.Equal(find(0), keeper.Answer{Outcome: dispatcher.Complete{}})
+	is.Equal(lookup(0), keeper.Answer{Outcome: dispatcher.Complete{}})
+}
+
+// TestHeldAnswersAreBounded guards against answers that fill the memory, and against a job that starts again because its
+// answer was dropped.
+func TestHeldAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	self := benchMembers(1)
+	limits := benchLimits()
+	limits.MaxAnswerBytes = keeper.Slices * 1000
+	owner := keeper.New(self[0], "hanoi-a", limits, now)
+	owner.Adopt(0, keeper.View{Prev: keeper.NoView, Members: self}, now)
+	prefix := owner.Prefix(now)
+	outcome := dispatcher.NewComplete([]dispatcher.TaskResult{{Name: "a", Result: []byte(fmt.Sprintf("%0400d", 0))}})
+	for i := range 5 {
+		submission := keeper.Submission{Key: fmt.Sprint(prefix, i)}
+		decision, _ := owner.Submit(submission, now)
+		is.Equal(decision, keeper.StartNow{})
+		owner.Finish(submission.Key, outcome, now)
+	}
+	want := []keeper.Decision{
+		keeper.AnswerLost{Fate: dispatcher.Finished},
+		keeper.AnswerLost{Fate: dispatcher.Finished},
+		keeper.AnswerLost{Fate: dispatcher.Finished},
+		keeper.Answer{Outcome: outcome},
+		keeper.Answer{Outcome: outcome},
+	}
+	for i, expected := range want {
+		decision, _ := owner.Submit(keeper.Submission{Key: fmt.Sprint(prefix, i)}, now)
+		is.Equal(decision, expected) // the two newest answers fit, and no job starts again
+	}
 }
 
 // TestLaterViewDoesNotAnswerSync guards against a member that has dropped expired records in a later view and
--- a/keeper/shard.go
+++ b/keeper/shard.go
@@ -55,6 +55,7 @@
 	place    *position
 	records  map[string]*record
 	attempts map[string]*attempt
+	held     heldAnswers
 	expiring expiryQueue
 	sequence uint64
 	// synced says that this instance owns the slice and knows every start from floor on.
@@ -95,7 +96,8 @@
 }
 
 func (shard *shard) drop(key string) {
-	if _, found := shard.records[key]; found {
+	if dropped, found := shard.records[key]; found {
+		shard.held.release(dropped)
 		delete(shard.records, key)
 		shard.keeper.count.Add(-1)
 	}
--- a/keeper/submit.go
+++ b/keeper/submit.go
@@ -213,6 +213,8 @@
 		return shard.replicate(key, submission, known, now, effects)
 	case known.outcome != nil:
 		return Answer{Outcome: known.outcome}
+	case known.holder == shard.self() && known.state == StateFinished:
+		return AnswerLost{Fate: dispatcher.Finished}
 	case known.holder == shard.self():
 		return Joined{}
 	}
--- a/keeper/world_test.go
+++ b/keeper/world_test.go
@@ -69,7 +69,8 @@
 		every: map[string]*node{}, renewal: map[int64]int64{}, appended: map[int64]time.Time{},
 		cuts: map[[2]int]bool{}, logCuts: map[int]bool{}, strike: func(point, *node) {},
 		limits: keeper.Limits{
-			MaxRecords: 10000, Retention: retention, MaxRun: 2 * time.Second, AckTimeout: 20 * time.Millisecond,
+			MaxAnswerBytes: 1 << 30,
+			MaxRecords:     10000, Retention: retention, MaxRun: 2 * time.Second, AckTimeout: 20 * time.Millisecond,
 			SyncTimeout: 300 * time.Millisecond, OutcomeInterval: 100 * time.Millisecond,
 		},
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -108,6 +108,7 @@
 	settings, logger := server.settings, server.logger
 	retention := time.Duration(settings.Count("retention")) * time.Millisecond
 	limits := keeper.Limits{
+		MaxAnswerBytes:  settings.Count("max-answer-bytes"),
 		MaxRecords:      int(settings.Count("max-records")),
 		Retention:       retention,
 		MaxRun:          encoder.MaxTimeout + decisionGrace,
