--- a/accountant/bench_test.go
+++ b/accountant/bench_test.go
@@ -115,18 +115,24 @@
 	})
 }
 
-// BenchmarkRead reads three days of four instances into a fresh reader, from hourly sums and the minutes after them,
-// or from minute records only, and puts a report together.
+// BenchmarkRead reads three days of four instances into a fresh reader, from hourly sums and the minutes after them or
+// from minute records only, and puts a report together; its part report is one report of a reader that follows.
 func BenchmarkRead(b *testing.B) {
 	benchSeries(b, func(b *testing.B, series int) {
 		world := newBenchWorld(b, series)
 		world.threeDays(b)
-		for _, summed := range []bool{true, false} {
-			b.Run(map[bool]string{true: "sums", false: "minutes"}[summed], func(b *testing.B) {
+		for _, part := range []string{"sums", "minutes", "report"} {
+			b.Run(part, func(b *testing.B) {
+				reader := NewReader(world.client)
+				if _, err := reader.Report(context.Background(), world.now); err != nil {
+					b.Fatal(err)
+				}
 				before := cpuNanoseconds()
 				for b.Loop() {
-					reader := NewReader(world.client)
-					reader.summed = !summed
+					if part != "report" {
+						reader = NewReader(world.client)
+						reader.summed = part == "minutes"
+					}
 					if _, err := reader.Report(context.Background(), world.now); err != nil {
 						b.Fatal(err)
 					}
@@ -136,23 +142,3 @@
 		}
 	})
 }
-
-// BenchmarkReport answers a report from a reader that follows the stream, after three days.
-func BenchmarkReport(b *testing.B) {
-	benchSeries(b, func(b *testing.B, series int) {
-		world := newBenchWorld(b, series)
-		world.threeDays(b)
-		reader := NewReader(world.client)
-		before := 0.0
-		if _, err := reader.Report(context.Background(), world.now); err != nil {
-			b.Fatal(err)
-		}
-		before = cpuNanoseconds()
-		for b.Loop() {
-			if _, err := reader.Report(context.Background(), world.now); err != nil {
-				b.Fatal(err)
-			}
-		}
-		b.ReportMetric((cpuNanoseconds()-before)/float64(b.N), "cpu-ns/op")
-	})
-}
--- a/estimator/estimate.go
+++ b/estimator/estimate.go
@@ -131,11 +131,13 @@
 	view := scale.instancesPerDomain * scale.viewBytes
 	bundle := estimate.measurements.figure(scale.partRecord(1)).value
 	burn := estimate.measurements.figure(line("reporter.Batch", "series", "wire-B/op", scale.seriesPerInstance, 1)).value
+	sum := estimate.measurements.figure(line("reporter.Sum", "series", "wire-B/op", scale.seriesPerInstance, 1)).value
 	return []appendUse{
 		{name: "views after failures and replacements", rate: scale.viewRate()*scale.domains - renewals, bytes: view},
 		{name: "view renewals", rate: renewals, bytes: view},
 		{name: "bundles", rate: scale.changeRate(), bytes: bundle},
 		{name: "bundle renewals (one a retention period)", rate: 1 / scale.retentionSeconds, bytes: bundle},
 		{name: "burn records", rate: scale.burnRate(), bytes: burn},
+		{name: "hourly burn sums", rate: 1.0 / secondsPerHour, bytes: sum},
 	}
 }
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -113,7 +113,9 @@
 		{"start records: owner and witness", 4 * 700_000 / 20 / 162.0},
 		{"heartbeats and suspicion", 2 * 5},
 		{"bundles split per failure domain: read, verify, parse", 2 * 9_500 / 86_400.0},
-		{"log: appends", 27/600.0 + 2*1_640/86_400.0 + 9_500/86_400.0 + 162/60.0},
+		{"log: appends", 27/600.0 + 2*1_640/86_400.0 + 9_500/86_400.0 + 162/60.0 + 1/3_600.0},
+		{"hourly sums: read them, append them at the own turn", 2 / 3_600.0},
+		{"a report of three days, read from the log in a minute", (162*90/1_000.0 + 72) / 60},
 	}
 	estimate := New(&Measurements{}, TargetScale())
 	for _, test := range tests {
--- a/estimator/model.go
+++ b/estimator/model.go
@@ -113,7 +113,7 @@
 	bundles := scale.changeRate()
 	views := scale.viewRate()
 	part := scale.targets / scale.domains
-	records := scale.burnRate() * 3 * secondsPerDay // burn records of three days
+	unsummed := scale.burnRate() * sumLagSeconds // burn records after the last hourly sum
 	return []row{
 		{
 			role: roleConfig, function: "bundles as one record: read, verify, parse", driver: byTargets, limits: budget,
@@ -194,30 +194,50 @@
 			mechanism: "bucketed counters per series; one record a minute and instance to stream burn",
 			breaks:    "size of the minute records", next: "fewer series per instance: callers of one team on few instances",
 		},
+		{
+			// Means over the hours; at its turn an instance reads the records of an hour within sumTimeout of package accountant.
+			role: roleBurn, function: "hourly sums: read them, append them at the own turn", control: true, driver: bySeries, limits: budget,
+			memory:   []term{line("reporter.Summer", "series", "held-B", scale.seriesPerInstance, 1)},
+			messages: []term{flat(2.0 / secondsPerHour)},
+			cpu: []term{
+				work("reporter.Sum", "series", scale.seriesPerInstance, 1.0/secondsPerHour),
+				work("reporter.Summer", "series", scale.seriesPerInstance, scale.burnRate()/scale.instances()),
+			},
+			wire: []term{
+				line("reporter.Sum", "series", "wire-B/op", scale.seriesPerInstance, base64Growth/secondsPerHour),
+				line("reporter.Batch", "series", "wire-B/op", scale.seriesPerInstance, base64Growth*scale.burnRate()/scale.instances()),
+			},
+			mechanism: "rendezvous hashing selects the instance that sums the records of an hour",
+			breaks:    "size of the sum and of the minute records", next: "sums per failure domain",
+		},
 		{
 			// Only the instance that is asked reads the stream, so this is no control work of every node.
 			role: roleBurn, function: "GET /v1/burn asked every minute, at the instance that is asked", driver: bySeries, limits: budget,
 			memory:   []term{line("reporter.Add", "series", "held-B", scale.seriesPerInstance, 1)},
 			messages: []term{flat(2.0 / 60)},
 			cpu: []term{
-				work("reporter.Add", "series", scale.seriesPerInstance, scale.burnRate()),
-				work("reporter.Report", "series", scale.seriesPerInstance, 1.0/60),
+				socketWork("accountant.Follow", "series", scale.seriesPerInstance, scale.burnRate()/benchInstances),
+				socketWork("accountant.Read/report", "series", scale.seriesPerInstance, 1.0/60),
 			},
 			wire:      []term{line("reporter.Batch", "series", "wire-B/op", scale.seriesPerInstance, base64Growth*scale.burnRate())},
-			mechanism: "the reader reads on from the last record that it has seen",
+			mechanism: "the reader follows the stream; a report reads only what is new",
 			breaks:    "the records of all instances reach one reader", next: "ask less often, or only the command on an operator's machine",
 		},
 		{
 			role: roleBurn, function: "a report of three days, read from the log in a minute", driver: bySeries, limits: limits{wire: scale.networkBytes, cpu: 1},
 			memory:   []term{line("reporter.Add", "series", "held-B", scale.seriesPerInstance, 1)},
-			messages: []term{flat(records / maxPageRecords / 60)},
+			messages: []term{flat(unsummed / maxPageRecords / 60), flat(sumsRead / 60)},
 			cpu: []term{
-				work("reporter.Add", "series", scale.seriesPerInstance, records/60),
-				work("reporter.Report", "series", scale.seriesPerInstance, 1.0/60),
+				// The benchmark reads three days of sums and the minutes of a few instances; the others' minutes are added.
+				socketWork("accountant.Read/sums", "series", scale.seriesPerInstance, 1.0/60),
+				socketWork("accountant.Follow", "series", scale.seriesPerInstance, unsummed/benchInstances/60),
 			},
-			wire:      []term{line("reporter.Batch", "series", "wire-B/op", scale.seriesPerInstance, base64Growth*records/60)},
-			mechanism: "the reader of a report reads every minute record of three days",
-			breaks:    "reading three days of minute records for each report", next: "hourly sums appended by the instance that rendezvous hashing selects",
+			wire: []term{
+				line("reporter.Sum", "series", "wire-B/op", scale.seriesPerInstance, base64Growth*sumsRead/60),
+				line("reporter.Batch", "series", "wire-B/op", scale.seriesPerInstance, base64Growth*unsummed/60),
+			},
+			mechanism: "a fresh reader reads hourly sums, and the minute records after the last one",
+			breaks:    "decoding the minute records since the last sum", next: "sums of shorter periods",
 		},
 	}
 }
@@ -230,11 +250,12 @@
 	return []row{
 		{
 			role: rolePlatform, function: "log: appends", driver: byInstances, limits: log,
-			messages: []term{flat(views), flat(bundles), flat(scale.burnRate())},
+			messages: []term{flat(views), flat(bundles), flat(scale.burnRate()), flat(1.0 / secondsPerHour)},
 			wire: []term{
 				flat(views * viewBytes),
 				scale.partRecord(bundles),
 				line("reporter.Batch", "series", "wire-B/op", scale.seriesPerInstance, scale.burnRate()),
+				line("reporter.Sum", "series", "wire-B/op", scale.seriesPerInstance, 1.0/secondsPerHour),
 			},
 			mechanism: "one HTTP append per record", breaks: "appends per second, spent on burn records",
 			next: "one burn record a minute per failure domain, collected over the links",
@@ -246,6 +267,7 @@
 			wire: []term{
 				scale.partRecord(bundles * scale.instancesPerDomain * base64Growth),
 				flat(views * viewBytes * scale.instancesPerDomain * base64Growth),
+				line("reporter.Sum", "series", "wire-B/op", scale.seriesPerInstance, instances*base64Growth/secondsPerHour),
 			},
 			mechanism: "every instance reads the part of its failure domain from the log", breaks: "the log's bandwidth",
 			next: "bundles from a peer of the failure domain after one member has read them",
@@ -278,6 +300,15 @@
 // maxPageRecords is the number of records that the log returns at once.
 const maxPageRecords = 1000
 
+const (
+	// benchInstances is the number of instances in the benchmarks of package accountant.
+	benchInstances = 4
+	// sumLagSeconds is the longest time after the last record of a sum until the next sum: an hour and a turn.
+	sumLagSeconds = 1.5 * secondsPerHour
+	// sumsRead is the number of sums of three days.
+	sumsRead = 72.0
+)
+
 // exchange returns the CPU share of one side of an HTTP request and its answer, without their encoding. One task
 // start over loopback is both sides of such an exchange, so this is an upper bound.
 func exchange(rate float64) term { return socketWork("starter.Start", "tasks", 1, rate) }
--- a/estimator/scale.go
+++ b/estimator/scale.go
@@ -41,7 +41,8 @@
 )
 
 const (
-	secondsPerDay = 86_400
+	secondsPerDay  = 86_400
+	secondsPerHour = 3_600
 	// base64Growth is the growth of a record in a JSON page of the log.
 	base64Growth = 4.0 / 3
 )
