--- a/server/meter.go
+++ b/server/meter.go
@@ -45,6 +45,26 @@
 	return meter
 }
 
+// watch adds gauges of the controllers' state.
+func (meter *meter) watch(server *Server) {
+	traffic := server.linker.Traffic()
+	for name, read := range map[string]func() int64{
+		"hyssoplift_link_frames_sent":      traffic.FramesSent,
+		"hyssoplift_link_messages_sent":    traffic.MessagesSent,
+		"hyssoplift_link_bytes_sent":       traffic.BytesSent,
+		"hyssoplift_link_bytes_received":   traffic.BytesReceived,
+		"hyssoplift_link_pings_sent":       traffic.PingsSent,
+		"hyssoplift_link_messages_dropped": traffic.Dropped,
+		"hyssoplift_link_stray_answers":    traffic.StrayAnswers,
+		"hyssoplift_start_records":         func() int64 { return int64(server.keeper.Records()) },
+		"hyssoplift_jobs_waiting":          func() int64 { return int64(server.scheduler.limiter.Waiting()) },
+		"hyssoplift_tasks_in_flight":       func() int64 { return int64(server.scheduler.limiter.InFlight()) },
+		"hyssoplift_view":                  func() int64 { number, _ := server.keeper.View(); return number },
+	} {
+		meter.set.NewGauge(name, func() float64 { return float64(read()) })
+	}
+}
+
 func (meter *meter) request(outcome string, took time.Duration) {
 	counter := meter.requests[outcome]
 	if counter == nil {
--- a/server/server.go
+++ b/server/server.go
@@ -86,6 +86,7 @@
 	}
 	server.meter = newMeter(func() float64 { return float64(server.drain.inFlight()) })
 	server.join(ctx)
+	server.meter.watch(server)
 	server.http = &http.Server{Handler: server.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	go func() { server.followBundles(ctx) }()
 	go func() {
