--- a/server/submit.go
+++ b/server/submit.go
@@ -109,10 +109,22 @@
 
 // isFresh says that the job would start here now if it were submitted.
 func (server *Server) isFresh(request *request) bool {
-	_, fresh := server.keeper.Lookup(request.job.Key(), request.forwarded, time.Now()).(keeper.NoRecord)
+	decision, waiter := server.find(request.job.Key(), request.forwarded)
+	if waiter != nil {
+		// The decision on the submission waits for the same confirmation again.
+		server.decider.forget(waiter)
+	}
+	_, fresh := decision.(keeper.Absent)
 	return fresh
 }
 
+// find asks the keeper what is known of the key.
+func (server *Server) find(key string, forwarded bool) (keeper.Decision, *waiter) {
+	return server.decider.decide(key, func() (keeper.Decision, []keeper.Outgoing) {
+		return server.keeper.Find(key, forwarded, time.Now())
+	})
+}
+
 // enqueue waits for the job's first grant and then submits it to the keeper; until then it can be refused
 // truthfully.
 func (server *Server) enqueue(ctx context.Context, request *request) dispatcher.Outcome {
