--- a/keeper/protocol_test.go
+++ b/keeper/protocol_test.go
@@ -74,21 +74,23 @@
 	is.True(waits) // an unconfirmed cancellation must not be told
 }
 
-// TestLookup guards against a question about a job that starts it, or that hides its state.
-func TestLookup(t *testing.T) {
+// TestFind guards against a question about a job that starts it, or that hides its state.
+func TestFind(t *testing.T) {
 	is := is.New(t)
 	group, owner, submission := trio()
-	lookup := func(at int) keeper.Decision {
-		return group.keepers[group.members[at].Incarnation].Lookup(submission.Key, false, group.now)
+	find := func(at int) keeper.Decision {
+		decision, outgoing := group.keepers[group.members[at].Incarnation].Find(submission.Key, false, group.now)
+		is.Equal(len(outgoing), 0)
+		return decision
 	}
-	is.Equal(lookup(0), keeper.NoRecord{})
-	is.Equal(lookup(1), keeper.Forward{To: group.members[0]})
+	is.Equal(find(0), keeper.Absent{})
+	is.Equal(find(1), keeper.Forward{To: group.members[0]})
 	is.Equal(owner.Records(), 0) // a question leaves no record
 	owner.Submit(submission, group.now)
-	is.Equal(lookup(0), keeper.Joined{})
+	is.Equal(find(0), keeper.Running{})
 	group, owner, submission = trio()
 	group.runJob(owner, submission.Key)
-	is.Equal(lookup(0), keeper.Answer{Outcome: dispatcher.Complete{}})
+	is.Equal(find(0), keeper.Answer{Outcome: dispatcher.Complete{}})
 }
 
 // TestHeldAnswersAreBounded guards against answers that fill the memory, and against a job that starts again because its
--- a/server/decider.go
+++ b/server/decider.go
@@ -148,6 +148,14 @@
 	}
 }
 
+// forget ends a wait whose event does not matter; it must not be one for the start of a job.
+func (decider *decider) forget(waiter *waiter) {
+	shard := decider.shard(waiter.key)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	shard.remove(waiter)
+}
+
 // receive passes a peer's message to the keeper.
 func (decider *decider) receive(from string, message keeper.Message) {
 	decider.apply(decider.keeper.Receive(from, message, time.Now()))
--- a/server/inquire.go
+++ b/server/inquire.go
@@ -69,8 +69,9 @@
 	var response linker.Response
 	var err error
 	decision := server.atHome(key, forwarded || foreign)
+	var waiter *waiter
 	if decision == nil {
-		decision = server.keeper.Lookup(key, forwarded, time.Now())
+		decision, waiter = server.find(key, forwarded)
 	}
 	switch decision := decision.(type) {
 	case keeper.Answer:
@@ -79,9 +80,16 @@
 		return stateAnswered, dispatcher.NewFailed("the job started and its answer is lost", nil)
 	case keeper.NotYet:
 		return stateAnswered, decision.Outcome
-	case keeper.Joined:
+	case keeper.AwaitWitness, keeper.AwaitConfirmation:
+		deadline, _ := ctx.Deadline()
+		event, ok := server.decider.wait(waiter, deadline.Add(-decisionGrace))
+		if outcome := conclude(event, ok); outcome != nil {
+			return stateAnswered, outcome
+		}
+		return stateAnswered, dispatcher.NewUnknown("the slice has another owner now; retry")
+	case keeper.Running:
 		return stateRunning, nil
-	case keeper.NoRecord:
+	case keeper.Absent:
 		return stateNoRecord, nil
 	case keeper.Forward:
 		response, err = server.linker.Call(ctx, decision.To.Incarnation, linker.Lookup{Key: key})
