Renew the record of a cancellation that is told again

Cause: in schedule 88048 a later owner got the cancelled record of a plain key by a sync, told the cancellation again 11 s later, and dropped the record 9 s after that, counted from the sync; a submission then started the job, so the second "not run" was untrue within the retention.

In schedule 97034 the keeper is not at fault: the test's server kept a request waiting for its key after its attempt was lost, and gave it the answer to another body. The entry instance removes the waiter together with the attempt (server/decider.go), so only the test's server is mended.

Ruled out: a lost copy (the trace shows both copies until the drop) and a wrong bound in the checker (the second cancellation comes after the first one's retention, so it binds anew).

Change: telling a cancellation again renews its record for a whole retention period.

--- a/keeper/node_test.go
+++ b/keeper/node_test.go
@@ -223,12 +223,14 @@
 		node.world.strike(afterRecord, node)
 		node.step(0, func() { node.launch(request) })
 	case keeper.AttemptLost:
-		request := node.tickets[event.Ticket]
-		if event.Resubmit && !request.submission.Forwarded {
-			node.step(time.Millisecond, func() { node.decide(request) })
+		lost := node.tickets[event.Ticket]
+		// The request does not wait for the job any more: a later job under its key may have another body.
+		node.waiters[event.Key] = slices.DeleteFunc(node.waiters[event.Key], func(waiter *request) bool { return waiter == lost })
+		if event.Resubmit && !lost.submission.Forwarded {
+			node.step(time.Millisecond, func() { node.decide(lost) })
 			return
 		}
-		request.reply(event.Outcome, time.Time{})
+		lost.reply(event.Outcome, time.Time{})
 	case keeper.RefusalConfirmed:
 		node.tickets[event.Ticket].reply(event.Refusal, event.Decided)
 	case keeper.RefusalUnconfirmed:
--- a/keeper/schedule_test.go
+++ b/keeper/schedule_test.go
@@ -283,6 +283,8 @@
 		16560, 17116, 20392,
 		18224, // the cancelled record of a plain key was answered from after its retention
 		2960,  // a plain key was forgotten while its holder was frozen between record and start
+		88048, // a cancellation told again by a later owner expired with the first one
+		97034, // a request whose attempt was lost was given the answer to another body (a fault of the test's server)
 	} {
 		is.Equal(len(runSchedule(seed, false).judge()), 0)
 	}
--- a/keeper/submit.go
+++ b/keeper/submit.go
@@ -210,6 +210,8 @@
 		// Without an acknowledgement a successor may have started the job, and its record may be lost.
 		return unknown(shard.doubt(key, now))
 	case known.state == StateCancelled:
+		// The answer to come binds the key from now on, so the record must outlive it by a whole retention period.
+		shard.expireLater(key, now.Add(shard.keeper.limits.Retention))
 		return shard.replicate(key, submission, known, now, effects)
 	case known.outcome != nil:
 		return Answer{Outcome: known.outcome}
