Drop the bundle's answers-seconds

Cause: the bundle had a retention for answers that nothing used; instances go by their setting retention.

Ruled out: changing the keeper's retention while it runs: solo keys count generations of it from the start of the process.

Conclusion: one place for the value.

--- a/bundler/bundle.go
+++ b/bundler/bundle.go
@@ -149,14 +149,8 @@
 // TargetPercent returns the share of answers that must be good, in percent.
 func (objective Objective) TargetPercent() float64 { return objective.targetPercent }
 
-// Retention holds the periods for which state is kept.
-type Retention struct {
-	answers time.Duration
-	log     time.Duration
-}
-
-// Answers returns how long start records and answers are kept after a job's end.
-func (retention Retention) Answers() time.Duration { return retention.answers }
+// Retention holds the periods for which the platform keeps records.
+type Retention struct{ log time.Duration }
 
 // Log returns how long the platform's log retains a record; renewals are spaced by it.
 func (retention Retention) Log() time.Duration { return retention.log }
--- a/bundler/diff.go
+++ b/bundler/diff.go
@@ -104,7 +104,7 @@
 }
 
 func (retention Retention) fields() []field {
-	return []field{number("answers-seconds", int(retention.answers.Seconds())), number("log-seconds", int(retention.log.Seconds()))}
+	return []field{number("log-seconds", int(retention.log.Seconds()))}
 }
 
 func (domain FailureDomain) fields() []field {
--- a/bundler/parse.go
+++ b/bundler/parse.go
@@ -32,10 +32,9 @@
 
 // Values of settings that a bundle leaves out.
 const (
-	defaultRunMS          = 200
-	defaultWeight         = 50
-	defaultAnswersSeconds = 600
-	defaultLogSeconds     = 7 * 24 * 3600
+	defaultRunMS      = 200
+	defaultWeight     = 50
+	defaultLogSeconds = 7 * 24 * 3600
 )
 
 // required as a fallback makes a number mandatory.
@@ -157,7 +156,7 @@
 		teams:      make(map[string]Team),
 		objectives: make(map[string]Objective),
 		policy:     Policy{responseTimeWeight: defaultWeight, wastedMessageWeight: defaultWeight},
-		retention:  Retention{answers: defaultAnswersSeconds * time.Second, log: defaultLogSeconds * time.Second},
+		retention:  Retention{log: defaultLogSeconds * time.Second},
 	}}
 }
 
@@ -189,9 +188,8 @@
 		bundle.policy.wastedMessageWeight = int(reader.number("wasted-message-weight", defaultWeight, 0, maxWeight))
 		return reader.close("response-time-weight", "wasted-message-weight")
 	default:
-		bundle.retention.answers = reader.seconds("answers-seconds", defaultAnswersSeconds)
 		bundle.retention.log = reader.seconds("log-seconds", defaultLogSeconds)
-		return reader.close("answers-seconds", "log-seconds")
+		return reader.close("log-seconds")
 	}
 }
 
