End reads of views on silent connections, and stop when the listener fails

Cause: a read of views had no time limit, so an instance whose connection to the log went silent never saw another view; and an instance whose listener failed went on without serving anybody.

Before: in a scratch test one held read gave no further read in 30 s.

--- a/commander/serve.go
+++ b/commander/serve.go
@@ -43,12 +43,14 @@
 	logger := newLogger(stderr)
 	server := server.New(settings, listener, logger)
 	logger.Info("instance started", "listen", listener.Addr().String())
-	excluded := false
+	var cause error
 	select {
 	case <-ctx.Done():
 	case <-server.Excluded():
-		excluded = true
+		cause = eris.New("a view has left this instance out")
 		logger.Error("a view has left this instance out; it stops, and the platform starts another")
+	case <-server.Failed():
+		cause = eris.New("the listener failed")
 	}
 	now := time.Now()
 	logger.Info("instance stopping")
@@ -61,8 +63,5 @@
 		return err
 	}
 	logger.Info("instance stopped")
-	if excluded {
-		return eris.New("a view has left this instance out")
-	}
-	return nil
+	return cause
 }
--- a/server/bundles.go
+++ b/server/bundles.go
@@ -43,7 +43,7 @@
 func (server *Server) followStream(ctx context.Context, bundles *bundler.Bundler) {
 	var nextAsk time.Time
 	for ctx.Err() == nil {
-		page, err := server.readBundles(ctx, bundles)
+		page, err := readLog(ctx, server.log, bundles.Stream(), bundles.Next(), logWait)
 		if err != nil {
 			server.logger.Warn("reading bundles failed", "stream", bundles.Stream(), "error", eris.ToString(err, false))
 			if now := time.Now(); !now.Before(nextAsk) {
@@ -58,10 +58,11 @@
 	}
 }
 
-func (server *Server) readBundles(ctx context.Context, bundles *bundler.Bundler) (appender.Page, error) {
+// readLog reads a page and gives up on a connection that went silent.
+func readLog(ctx context.Context, log *appender.Appender, stream string, from int64, wait time.Duration) (appender.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
-	return server.log.Read(ctx, bundles.Stream(), bundles.Next(), logWait)
+	return log.Read(ctx, stream, from, wait)
 }
 
 func (server *Server) fold(bundles *bundler.Bundler, page appender.Page) {
--- a/server/server.go
+++ b/server/server.go
@@ -63,6 +63,7 @@
 	bundle     atomic.Pointer[bundler.Bundle]
 	composer   *bundler.Composer
 	anonymous  atomic.Uint64
+	failed     chan struct{}
 	stop       context.CancelFunc
 }
 
@@ -82,6 +83,7 @@
 		logger:   logger,
 		log:      appender.New(settings.Text("log")),
 		starter:  starter.New(),
+		failed:   make(chan struct{}),
 		leaser:   leaser.New(),
 		composer: newComposer(settings),
 		drain:    newDrain(),
@@ -99,6 +101,7 @@
 	go func() {
 		if err := server.http.Serve(listener); err != http.ErrServerClosed {
 			logger.Error("serving stopped", "error", eris.ToString(err, false))
+			close(server.failed)
 		}
 	}()
 	return server
@@ -155,6 +158,9 @@
 	}
 }
 
+// Failed is closed when the listener has failed, so that no request arrives any more.
+func (server *Server) Failed() <-chan struct{} { return server.failed }
+
 // Excluded is closed when the other instances have left this incarnation out; it can only stop.
 func (server *Server) Excluded() <-chan struct{} { return server.membership.excluded }
 
--- a/server/views.go
+++ b/server/views.go
@@ -52,7 +52,7 @@
 	var wait time.Duration
 	opened := false
 	for ctx.Err() == nil {
-		page, err := views.log.Read(ctx, views.stream, next, wait)
+		page, err := readLog(ctx, views.log, views.stream, next, wait)
 		if err != nil {
 			views.logger.Warn("reading views failed", "error", eris.ToString(err, false))
 			sleep(ctx, logRetryDelay)
