Make the test cache see a change of the commands

Cause: the tests with real processes build the commands themselves, and their test binary linked almost nothing of the server.

Change: the test binary refers to the commands' entry points and reads the source of the stand-ins' command. After a changed string in package server the tests run again (tried); runtime.KeepAlive of a function did not suffice.

--- a/cmd/hyssoplift/main_test.go
+++ b/cmd/hyssoplift/main_test.go
@@ -8,11 +8,15 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/hyssoplift/hyssoplift/commander"
+	"github.com/hyssoplift/hyssoplift/emulator"
 )
 
 const testBundle = `[bundle]
@@ -30,9 +34,16 @@
 max-in-flight = 100
 `
 
+// linked and the source that binaries reads make the test cache see a change of the commands: it knows only
+// what the test binary links and which files of the module it opens, and would keep an earlier result in force.
+var linked = []any{commander.Run, emulator.NewList}
+
 // binaries builds the two commands and returns the folder that holds them.
 func binaries(t *testing.T) string {
 	t.Helper()
+	if _, err := os.ReadFile("../hyssoplift-standin/main.go"); err != nil || slices.Contains(linked, nil) {
+		t.Fatalf("reading the source of the stand-ins: %v", err)
+	}
 	folder := t.TempDir()
 	build := exec.Command("go", "build", "-o", folder, ".", "../hyssoplift-standin")
 	output, err := build.CombinedOutput()
