Work out the capacity page from the slopes of all packages

Change: the model uses the benchmarks by their names: one job at owner and witness, memory per record, hand-over and adoption of views, the queue at three sizes.

--- a/estimator/estimate.go
+++ b/estimator/estimate.go
@@ -77,16 +77,6 @@
 	return figure
 }
 
-// heldResultBytes returns the mean size of a result at which held answers break.
-func (estimate *Estimate) heldResultBytes() float64 {
-	for i, entry := range estimate.entries {
-		if entry.driver == byResults {
-			return estimate.points[i].size
-		}
-	}
-	return 0
-}
-
 // minPerDomain keeps a witness and one spare after the loss of one instance.
 const minPerDomain = 3
 
--- a/estimator/model.go
+++ b/estimator/model.go
@@ -39,11 +39,11 @@
 		},
 		{
 			role: roleEntry, function: "answers: encode, hold for resubmission", driver: byResults, limits: instance,
-			state:     []term{flat(2 * scale.retentionSeconds * starts * (scale.resultBytes + 30))},
+			state:     []term{flat(min(scale.heldAnswerBytes(), answerBudget))},
 			wire:      []term{line("encoder.EncodeOutcome", "tasks", "wire-B/op", tasks, jobs)},
 			cpu:       []term{work("encoder.EncodeOutcome", "tasks", tasks, jobs)},
-			mechanism: "the owner keeps each whole answer in memory for one to two retention periods",
-			breaks:    "memory for held answers", next: "a byte bound on held answers, oldest dropped first and then answered \"answer lost\"; a shorter retention per kind",
+			mechanism: "the owner keeps whole answers for one to two retention periods, within max-answer-bytes; beyond it the oldest are dropped and answered \"answer lost\"",
+			breaks:    "answers are dropped before the retention ends", next: "a larger max-answer-bytes; a shorter retention per kind",
 		},
 		{
 			role: roleEntry, function: "routing: pick a target per task", driver: byTargets, limits: instance,
@@ -66,19 +66,17 @@
 		},
 		{
 			role: roleEntry, function: "start records: owner and witness", driver: byStarts, limits: instance,
-			state:    []term{flat(records * scale.recordBytes)},
+			state:    []term{line("keeper.RecordMemory", "size", "B/record", records, records).or(flat(records * scale.recordBytes))},
 			messages: []term{flat(4 * jobs)}, // record and acknowledgement, once as owner and once as witness
 			wire:     []term{line("linker.Record", "peers", "B/message", scale.instancesPerDomain, 4*jobs).or(flat(4 * jobs * scale.messageBytes))},
-			cpu: []term{
-				work("keeper.Start", "records", records, jobs),
-				work("keeper.Witness", "records", records, jobs),
-			},
+			// The benchmark covers owner and witness; an instance is each of them once per job.
+			cpu:       []term{work("keeper.Job", "size", records, jobs)},
 			mechanism: "one record per job in the memory of two instances, one round trip",
 			breaks:    "memory for records of small jobs", next: "drop settled records to key and digest; a shorter retention",
 		},
 		{
 			role: roleEntry, function: "queueing and quotas", driver: byStarts, limits: instance,
-			cpu:       []term{work("limiter.Queue", "", 0, jobs)},
+			cpu:       []term{work("limiter.Queue", "waiting", maxWaitingJobs, starts)},
 			mechanism: "one queue per instance, ordered by deadline",
 			breaks:    "one lock per queue", next: "a queue per kind",
 		},
@@ -113,6 +111,7 @@
 	bundles := scale.changeRate()
 	views := scale.viewRate()
 	part := scale.targets / scale.domains
+	records := scale.jobs() * 4 * scale.retentionSeconds
 	unsummed := scale.burnRate() * sumLagSeconds // burn records after the last hourly sum
 	return []row{
 		{
@@ -162,19 +161,27 @@
 			breaks:    "heartbeats grow with the members of a failure domain", next: "heartbeats to a few rendezvous neighbours; larger instances",
 		},
 		{
-			role: roleMembership, function: "views: read, adopt, sync", control: true, driver: byInstances, limits: budget,
-			messages:  []term{flat(views * (1 + 2*peers))},
-			wire:      []term{flat(views * scale.instancesPerDomain * scale.viewBytes * base64Growth)},
-			cpu:       []term{work("keeper.ViewChange", "records", scale.jobs()*4*scale.retentionSeconds, views)},
+			role: roleMembership, function: "views: read, adopt, sync", control: true, driver: byStarts, limits: budget,
+			messages: []term{flat(views * (1 + 2*peers))},
+			// Only views that move slices need a sync; the benchmark's sync is that of all slices of one instance.
+			wire: []term{
+				flat(views * scale.instancesPerDomain * scale.viewBytes * base64Growth),
+				line("keeper.Sync", "size", "B/sync", records, scale.moveRate()),
+			},
+			cpu: []term{
+				work("keeper.Adopt", "size", scale.instancesPerDomain, views),
+				work("keeper.Sync", "size", records, scale.moveRate()),
+			},
 			mechanism: "stream views-<domain>; moved slices are synced from every member",
-			breaks:    "sync of moved slices after each change", next: "send only records that the new owner lacks, by slice digest",
+			breaks:    "each instance that comes or goes moves its slices, and every record of them is sent",
+			next:      "send only records that the new owner lacks, by slice digest",
 		},
 		{
 			role: roleMembership, function: "instance list polls", control: true, driver: byInstances, limits: budget,
 			state:     []term{flat(scale.instancesPerDomain * scale.listEntryBytes)},
 			messages:  []term{flat(2 / scale.pollSeconds)},
 			wire:      []term{flat(scale.instancesPerDomain * scale.listEntryBytes / scale.pollSeconds)},
-			cpu:       []term{socketWork("lister.Instances", "instances", scale.instancesPerDomain, 1/scale.pollSeconds).or(exchange(1 / scale.pollSeconds))},
+			cpu:       []term{exchange(1 / scale.pollSeconds)},
 			mechanism: "the instances of the own failure domain at each poll",
 			breaks:    "the whole answer is read for a few changed entries", next: "conditional requests (ETag)",
 		},
@@ -282,6 +289,13 @@
 	}
 }
 
+const (
+	// answerBudget is the default of the setting max-answer-bytes.
+	answerBudget = 256 << 20
+	// maxWaitingJobs is the default bound of the limiter's queue.
+	maxWaitingJobs = 4096
+)
+
 // bundleBytesPerTarget is the growth of a bundle record per target, as bundler.Parse reports it.
 const bundleBytesPerTarget = 107
 
--- a/estimator/page.go
+++ b/estimator/page.go
@@ -3,13 +3,10 @@
 import (
 	"fmt"
 	"io"
-	"math"
 	"slices"
 	"strings"
 
 	"github.com/rotisserie/eris"
-
-	"github.com/hyssoplift/hyssoplift/appender"
 )
 
 // page collects the text of docs/CAPACITY.md.
@@ -49,11 +46,8 @@
 	if !found {
 		page.line("- No row breaks below the target scale.")
 	}
-	perPage := appender.MaxResponseBytes / base64Growth / (estimate.scale.targets * bundleBytesPerTarget)
-	page.line("- **Reading the log**: a page of more than %s bundles at %s targets (or of 1,000 burn records of more than 12 KB) passes the %sB that the client reads, is cut, cannot be decoded and is read again for ever (a trial with 6 records of 2.35 MB ended so). Next mechanism: a byte bound in the read request, or a decoder that takes the whole records of a cut page.",
-		number(math.Floor(perPage)), number(estimate.scale.targets), number(appender.MaxResponseBytes))
-	page.line("- **Held answers** rest on an assumption: with the mean result above %s bytes (assumed: %s) they no longer fit; the design bounds their number but not their bytes.",
-		number(estimate.heldResultBytes()), number(estimate.scale.resultBytes))
+	page.line("- **Held answers** rest on an assumption, results of %s bytes: they need %s bytes for the whole retention, and the setting max-answer-bytes allows %s by default. Beyond it the oldest are answered \"answer lost\".",
+		number(estimate.scale.resultBytes), number(estimate.scale.heldAnswerBytes()), number(answerBudget))
 	control := estimate.control()
 	page.line("- **Control work in all** against the budget per node: CPU %s, memory %s, bytes/s %s.", percent(control.cpu, budgetCPU),
 		percent(control.memory, budgetMemory), percent(control.wire, budgetWire))
--- a/estimator/scale.go
+++ b/estimator/scale.go
@@ -71,9 +71,23 @@
 // viewRate returns the view records per second of one failure domain: renewals, and two views per replaced
 // or failed instance (one without it, one with its successor).
 func (scale Scale) viewRate() float64 {
-	return 1/scale.retentionSeconds + 2*(scale.failures+scale.replacements)/secondsPerDay/scale.domains
+	return 1/scale.retentionSeconds + scale.moveRate()
 }
 
+// moveRate returns the views per second of one failure domain that move slices: one without each replaced or failed
+// instance, and one with its successor.
+func (scale Scale) moveRate() float64 {
+	return 2 * (scale.failures + scale.replacements) / secondsPerDay / scale.domains
+}
+
+// heldAnswerBytes returns what the answers of one to two retention periods take in one instance without a bound.
+func (scale Scale) heldAnswerBytes() float64 {
+	return 2 * scale.retentionSeconds * scale.jobs() * scale.tasksPerJob * (scale.resultBytes + resultOverheadBytes)
+}
+
+// resultOverheadBytes is the memory of one held result beside its text.
+const resultOverheadBytes = 40
+
 // burnRate returns the burn records per second of all instances.
 func (scale Scale) burnRate() float64 { return scale.instances() / 60 }
 
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -328,14 +328,20 @@
 	is.True(!fourth) // the new quota holds for the tasks in flight
 }
 
-// BenchmarkQueue measures one Admit with its Next and Release when 4,000 jobs wait.
+// BenchmarkQueue measures one Admit with its Next and Release when that many jobs wait.
 func BenchmarkQueue(b *testing.B) {
+	for _, waiting := range []int{100, 1000, 4000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) { benchmarkQueue(b, waiting) })
+	}
+}
+
+func benchmarkQueue(b *testing.B, waiting int) {
 	limiter, now := New(Config{MaxQueued: 5000}), time.Unix(1000, 0)
 	random := rand.New(rand.NewPCG(1, 1))
 	admit := func() {
 		limiter.Admit(NewJob("check", "open", 1, now.Add(time.Hour+time.Duration(random.IntN(1e9)))), now)
 	}
-	for range 4000 {
+	for range waiting {
 		admit()
 	}
 	b.ReportAllocs()
