--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -11,6 +11,7 @@
 
 	"github.com/hyssoplift/hyssoplift/appender"
 	"github.com/hyssoplift/hyssoplift/reporter"
+	"github.com/hyssoplift/hyssoplift/sleeper"
 )
 
 const (
@@ -39,7 +40,7 @@
 	accountant.done.Go(func() {
 		for {
 			now := time.Now()
-			if !sleepUntil(ctx, now.Truncate(time.Minute).Add(time.Minute+offset)) {
+			if !sleeper.Until(ctx, now.Truncate(time.Minute).Add(time.Minute+offset)) {
 				return
 			}
 			accountant.flush(ctx, time.Now(), false)
@@ -47,7 +48,7 @@
 	})
 	hourly := newHourly(log, config.Domain, config.Instance)
 	accountant.done.Go(func() {
-		for sleepUntil(ctx, time.Now().Truncate(time.Minute).Add(time.Minute+offset)) {
+		for sleeper.Until(ctx, time.Now().Truncate(time.Minute).Add(time.Minute+offset)) {
 			accountant.sum(ctx, hourly, time.Now())
 		}
 	})
@@ -103,14 +104,3 @@
 	_, _ = hash.Write([]byte(incarnation))
 	return time.Duration(hash.Sum32()) % appendSpread
 }
-
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/accountant/follower.go
+++ b/accountant/follower.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hyssoplift/hyssoplift/appender"
+	"github.com/hyssoplift/hyssoplift/sleeper"
 )
 
 // Follower is a Reader that reads on by itself, so that a report reads only the records of the last seconds.
@@ -27,7 +28,7 @@
 			if err := follower.advance(ctx, time.Now()); err != nil && ctx.Err() == nil {
 				logger.Warn("burn records not read", "error", eris.ToString(err, false))
 			}
-			if !sleepUntil(ctx, time.Now().Add(followInterval)) {
+			if !sleeper.For(ctx, followInterval) {
 				return
 			}
 		}
--- a/commander/publish.go
+++ b/commander/publish.go
@@ -9,6 +9,7 @@
 
 	"github.com/hyssoplift/hyssoplift/appender"
 	"github.com/hyssoplift/hyssoplift/bundler"
+	"github.com/hyssoplift/hyssoplift/sleeper"
 )
 
 const (
@@ -87,7 +88,7 @@
 		for reads := 0; ctx.Err() == nil && (appendErr == nil || reads < lateReads); {
 			events, _, err := readOnce(ctx, log, bundles, publishWait)
 			if err != nil {
-				pause(ctx, publishRetryDelay)
+				sleeper.For(ctx, publishRetryDelay)
 				continue
 			}
 			if outcome, ok := publication.Observe(events); ok {
@@ -132,10 +133,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(duration):
-	}
-}
--- a/keeper/finish.go
+++ b/keeper/finish.go
@@ -19,17 +19,17 @@
 	if err != nil {
 		return nil, nil
 	}
-	finished, tell := keeper.shards[key.slice].finish(key, outcome, now)
+	finished, recipients := keeper.shards[key.slice].finish(key, outcome, now)
 	if finished == nil {
 		return nil, nil
 	}
-	for _, member := range tell {
+	for _, member := range recipients {
 		keeper.outbox.add(member, *finished, now)
 	}
 	return []Event{OutcomeKnown{Key: text, Outcome: outcome}}, nil
 }
 
-// finish returns the outcome to tell and the incarnations that hold a record of the job.
+// finish returns the outcome to send and the incarnations that hold a record of the job.
 func (shard *shard) finish(key Key, outcome dispatcher.Outcome, now time.Time) (*RecordOutcome, []string) {
 	shard.mutex.Lock()
 	defer shard.mutex.Unlock()
@@ -43,14 +43,14 @@
 	}
 	shard.held.hold(stored)
 	shard.expireLater(key, now.Add(shard.keeper.limits.Retention))
-	var tell []string
+	var recipients []string
 	if stored.witness != "" {
-		tell = append(tell, stored.witness)
+		recipients = append(recipients, stored.witness)
 	}
 	if key.form != SoloKey && !shard.owns() && shard.owner().Incarnation != stored.witness {
-		tell = append(tell, shard.owner().Incarnation)
+		recipients = append(recipients, shard.owner().Incarnation)
 	}
-	return &RecordOutcome{Key: key.text, View: stored.view, Sequence: stored.sequence, State: stored.state}, tell
+	return &RecordOutcome{Key: key.text, View: stored.view, Sequence: stored.sequence, State: stored.state}, recipients
 }
 
 // receiveOutcome settles a copy of the record.
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -17,6 +17,7 @@
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 	"github.com/hyssoplift/hyssoplift/placer"
+	"github.com/hyssoplift/hyssoplift/sleeper"
 )
 
 const (
@@ -163,7 +164,7 @@
 		if ending, ok := last.ending(); ok {
 			return ending
 		}
-		if last.err != nil && !pause(ctx, retryDelay) || ctx.Err() != nil {
+		if last.err != nil && !sleeper.For(ctx, retryDelay) || ctx.Err() != nil {
 			return Lost{detail: last.describe()}
 		}
 		last = leaser.exchange(ctx, http.MethodPost, base+"/renew", request)
@@ -224,14 +225,3 @@
 	}
 	return result
 }
-
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -10,6 +10,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
+
+	"github.com/hyssoplift/hyssoplift/sleeper"
 )
 
 const (
@@ -261,7 +263,7 @@
 // keep holds a link to peer until ctx is done.
 func (linker *Linker) keep(ctx context.Context, peer Peer) {
 	if linker.self.Name > peer.Name {
-		sleep(ctx, passiveDelay)
+		sleeper.For(ctx, passiveDelay)
 	}
 	delay := firstRedial
 	for ctx.Err() == nil {
@@ -279,7 +281,7 @@
 		}
 		if ctx.Err() == nil {
 			linker.logRedial(peer, err, delay == firstRedial)
-			sleep(ctx, jitter(delay))
+			sleeper.For(ctx, jitter(delay))
 			delay = min(2*delay, lastRedial)
 		}
 	}
@@ -330,12 +332,3 @@
 
 // jitter returns a random duration between half of delay and delay, so that peers do not reconnect in step.
 func jitter(delay time.Duration) time.Duration { return delay/2 + rand.N(delay/2+1) }
-
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/reporter/claims.go
+++ b/reporter/claims.go
@@ -46,23 +46,23 @@
 
 // change applies decide to the claim of key and reports its decision; a full table decides nothing.
 func (claims *claims) change(key string, now time.Time, decide func(claim *claim) bool) (decided, full bool) {
-	print := claims.fingerprint(key)
-	shard := &claims.shards[print%claimShards]
+	fingerprint := claims.fingerprint(key)
+	shard := &claims.shards[fingerprint%claimShards]
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	shard.rotate(now, claims.retention)
-	entry, ok := shard.current[print]
+	entry, ok := shard.current[fingerprint]
 	if !ok {
-		if entry, ok = shard.previous[print]; !ok && len(shard.current) >= claims.perShard {
+		if entry, ok = shard.previous[fingerprint]; !ok && len(shard.current) >= claims.perShard {
 			return false, true
 		}
 	}
 	decided = decide(&entry)
-	if _, old := shard.previous[print]; old {
+	if _, old := shard.previous[fingerprint]; old {
 		// The claim stays in its generation: a resubmission must not extend its life.
-		shard.previous[print] = entry
+		shard.previous[fingerprint] = entry
 	} else {
-		shard.current[print] = entry
+		shard.current[fingerprint] = entry
 	}
 	return decided, false
 }
--- a/server/bundles.go
+++ b/server/bundles.go
@@ -10,6 +10,7 @@
 	"github.com/hyssoplift/hyssoplift/appender"
 	"github.com/hyssoplift/hyssoplift/bundler"
 	"github.com/hyssoplift/hyssoplift/configurer"
+	"github.com/hyssoplift/hyssoplift/sleeper"
 )
 
 const (
@@ -50,7 +51,7 @@
 				nextAsk = now.Add(offerInterval)
 				server.askPeers(ctx, bundles)
 			}
-			sleep(ctx, logRetryDelay)
+			sleeper.For(ctx, logRetryDelay)
 			continue
 		}
 		server.fold(bundles, page)
@@ -97,15 +98,6 @@
 	}
 	if err != nil {
 		server.logger.Warn("renewing the bundle failed", "error", eris.ToString(err, false))
-		sleep(ctx, logRetryDelay)
-	}
-}
-
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		sleeper.For(ctx, logRetryDelay)
 	}
 }
--- a/server/dispatch.go
+++ b/server/dispatch.go
@@ -6,6 +6,7 @@
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 	"github.com/hyssoplift/hyssoplift/router"
+	"github.com/hyssoplift/hyssoplift/sleeper"
 	"github.com/hyssoplift/hyssoplift/starter"
 )
 
@@ -18,55 +19,90 @@
 	result starter.Result
 }
 
+// jobRun is a job whose tasks are being started; its fields belong to the goroutine that runs the job.
+type jobRun struct {
+	server  *Server
+	request *request
+	job     *queued
+	results []starter.Result
+	// ends has room for every task, so that a task that ends late does not block.
+	ends    chan taskEnd
+	started int
+	ended   int
+	// failed says that the answer cannot become complete, so that the remaining tasks would run for nothing.
+	failed bool
+}
+
 // run starts every task of the job once, as the scheduler grants them, and returns the whole answer. The
 // first grant has been taken from the queue before the start record was written.
 func (server *Server) run(ctx context.Context, request *request, job *queued, first granted) dispatcher.Outcome {
 	defer server.scheduler.leave(job)
 	tasks := request.job.Tasks()
-	results := make([]starter.Result, len(tasks))
 	if len(tasks) == 1 {
-		results[0] = server.startTask(ctx, request, tasks[0], first)
-		return server.combine(request.job, results)
+		return server.combine(request.job, []starter.Result{server.startTask(ctx, request, tasks[0], first)})
 	}
-	ends := make(chan taskEnd, len(tasks))
-	started, ended, failed := 0, 0, false
-	start := func(granted granted) {
-		index := started
-		started++
-		go func() { ends <- taskEnd{index, server.startTask(ctx, request, tasks[index], granted)} }()
+	run := &jobRun{
+		server: server, request: request, job: job,
+		results: make([]starter.Result, len(tasks)), ends: make(chan taskEnd, len(tasks)),
 	}
-	start(first)
-	for ended < started || !failed && started < len(tasks) {
-		grants := job.grants
-		if failed || started == len(tasks) {
-			grants = nil
-		}
-		select {
-		case granted := <-grants:
-			start(granted)
-		case end := <-ends:
-			ended++
-			results[end.index] = end.result
-			if _, ok := end.result.(starter.Success); !ok && !failed {
-				// The answer cannot become complete, so the remaining tasks would run for nothing.
-				failed = true
-				server.scheduler.limiter.Drop(job.ticket)
-			}
-		case <-job.expired:
-			failed = true
-		case <-ctx.Done():
-			if !failed {
-				failed = true
-				server.scheduler.limiter.Drop(job.ticket)
-			}
-			// Tasks in flight end with ctx; waiting for them keeps the answer whole.
-			for ; ended < started; ended++ {
-				end := <-ends
-				results[end.index] = end.result
-			}
+	run.start(ctx, first)
+	for run.goesOn() {
+		run.step(ctx)
+	}
+	return server.combine(request.job, run.results)
+}
+
+// goesOn says that a task is in flight or will still be started.
+func (run *jobRun) goesOn() bool {
+	return run.ended < run.started || run.startsMore()
+}
+
+func (run *jobRun) startsMore() bool { return !run.failed && run.started < len(run.results) }
+
+// step waits for the next grant or end of a task, or for the end of the job's time.
+func (run *jobRun) step(ctx context.Context) {
+	var grants chan granted
+	if run.startsMore() {
+		grants = run.job.grants
+	}
+	select {
+	case granted := <-grants:
+		run.start(ctx, granted)
+	case end := <-run.ends:
+		run.end(end)
+	case <-run.job.expired:
+		run.failed = true
+	case <-ctx.Done():
+		run.fail()
+		// Tasks in flight end with ctx; waiting for them keeps the answer whole.
+		for run.ended < run.started {
+			run.end(<-run.ends)
 		}
 	}
-	return server.combine(request.job, results)
+}
+
+func (run *jobRun) start(ctx context.Context, granted granted) {
+	index := run.started
+	run.started++
+	go func() {
+		run.ends <- taskEnd{index, run.server.startTask(ctx, run.request, run.request.job.Tasks()[index], granted)}
+	}()
+}
+
+func (run *jobRun) end(end taskEnd) {
+	run.ended++
+	run.results[end.index] = end.result
+	if _, ok := end.result.(starter.Success); !ok {
+		run.fail()
+	}
+}
+
+// fail gives up the tasks that were not granted yet.
+func (run *jobRun) fail() {
+	if !run.failed {
+		run.failed = true
+		run.server.scheduler.limiter.Drop(run.job.ticket)
+	}
 }
 
 // startTask starts one task at the granted target, and at another one if it provably did not start there and
@@ -98,7 +134,7 @@
 			granted.place = chosen
 			return true
 		}
-		sleep(ctx, retryDelay)
+		sleeper.For(ctx, retryDelay)
 	}
 	return false
 }
--- a/server/drain.go
+++ b/server/drain.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hyssoplift/hyssoplift/keeper"
+	"github.com/hyssoplift/hyssoplift/sleeper"
 )
 
 const (
@@ -86,10 +87,10 @@
 	defer server.linker.Close()
 	server.drain.start()
 	server.membership.leave()
-	sleep(ctx, time.Until(balancerWait))
+	sleeper.Until(ctx, balancerWait)
 	err := server.http.Shutdown(ctx)
 	for ctx.Err() == nil && (server.drain.inFlight() > 0 || !server.handedOver()) {
-		sleep(ctx, drainInterval)
+		sleeper.For(ctx, drainInterval)
 	}
 	if count, keys := server.drain.left(); count > 0 {
 		server.logger.Error("stopped with jobs in flight", "count", count, "jobs", keys)
@@ -104,7 +105,7 @@
 		return eris.New("stopped before the other members had taken over the slices")
 	}
 	// The last ends of jobs are on their way to their witnesses.
-	sleep(ctx, 2*outcomeInterval)
+	sleeper.For(ctx, 2*outcomeInterval)
 	if err := server.accountant.Close(ctx); err != nil {
 		// The report shows the last minutes as missing; that is no reason to fail the stop.
 		server.logger.Warn("last burn counts not appended", "error", eris.ToString(err, false))
--- a/server/inquire.go
+++ b/server/inquire.go
@@ -11,6 +11,7 @@
 	"github.com/hyssoplift/hyssoplift/encoder"
 	"github.com/hyssoplift/hyssoplift/keeper"
 	"github.com/hyssoplift/hyssoplift/linker"
+	"github.com/hyssoplift/hyssoplift/sleeper"
 )
 
 // inquiryTimeout bounds a look-up or a cancellation; neither waits for a job to end.
@@ -161,7 +162,7 @@
 		})
 		if _, early := decision.(keeper.NotYet); early && time.Now().Before(patience) {
 			decision = nil
-			sleep(ctx, notYetDelay)
+			sleeper.For(ctx, notYetDelay)
 		}
 	}
 	switch decision := decision.(type) {
--- a/server/membership.go
+++ b/server/membership.go
@@ -13,6 +13,7 @@
 	"github.com/hyssoplift/hyssoplift/keeper"
 	"github.com/hyssoplift/hyssoplift/linker"
 	"github.com/hyssoplift/hyssoplift/lister"
+	"github.com/hyssoplift/hyssoplift/sleeper"
 	"github.com/hyssoplift/hyssoplift/watcher"
 )
 
@@ -102,7 +103,7 @@
 		} else {
 			membership.setList(instances)
 		}
-		sleep(ctx, listInterval)
+		sleeper.For(ctx, listInterval)
 	}
 }
 
--- a/server/submit.go
+++ b/server/submit.go
@@ -12,6 +12,7 @@
 	"github.com/hyssoplift/hyssoplift/keeper"
 	"github.com/hyssoplift/hyssoplift/limiter"
 	"github.com/hyssoplift/hyssoplift/reporter"
+	"github.com/hyssoplift/hyssoplift/sleeper"
 )
 
 const (
@@ -160,8 +161,8 @@
 	decision, waiter := server.decider.decide(submission.Key, func() (keeper.Decision, []keeper.Outgoing) {
 		return server.keeper.Submit(submission, time.Now())
 	})
-	event, outcome := server.follow(ctx, request, decision, waiter)
-	if event == startGranted {
+	start, outcome := server.follow(ctx, request, decision, waiter)
+	if start {
 		return server.runGranted(ctx, request, job, first)
 	}
 	if job != nil {
@@ -177,8 +178,8 @@
 	decision, waiter := server.decider.decide(submission.Key, func() (keeper.Decision, []keeper.Outgoing) {
 		return server.keeper.Refuse(submission, refusal, time.Now())
 	})
-	event, outcome := server.follow(ctx, request, decision, waiter)
-	if event == startGranted {
+	start, outcome := server.follow(ctx, request, decision, waiter)
+	if start {
 		return server.runGranted(ctx, request, nil, granted{})
 	}
 	return outcome()
@@ -196,37 +197,31 @@
 	}
 }
 
-// ending says how a decision went on.
-type ending bool
-
-// startGranted means that the job must be started now; otherwise its outcome is known.
-const startGranted ending = true
-
-// follow carries out the keeper's decision, up to a start. The outcome is returned as a function, because a
-// forward takes time in which the caller must not hold a place in the queue.
-func (server *Server) follow(ctx context.Context, request *request, decision keeper.Decision, waiter *waiter) (ending, func() dispatcher.Outcome) {
-	answer := func(outcome dispatcher.Outcome) (ending, func() dispatcher.Outcome) {
-		return !startGranted, func() dispatcher.Outcome { return outcome }
+// follow carries out the keeper's decision and reports whether the job must be started now. If not, the outcome is
+// returned as a function, because a forward takes time in which the caller must not hold a place in the queue.
+func (server *Server) follow(ctx context.Context, request *request, decision keeper.Decision, waiter *waiter) (start bool, outcome func() dispatcher.Outcome) {
+	answer := func(outcome dispatcher.Outcome) (bool, func() dispatcher.Outcome) {
+		return false, func() dispatcher.Outcome { return outcome }
 	}
 	switch decision := decision.(type) {
 	case keeper.StartNow:
-		return startGranted, nil
+		return true, nil
 	case keeper.Answer:
 		return answer(decision.Outcome)
 	case keeper.AnswerLost:
 		return answer(lostAnswer(request.job, decision.Fate))
 	case keeper.NotYet:
-		return !startGranted, func() dispatcher.Outcome { return request.pause(ctx, decision.Outcome) }
+		return false, func() dispatcher.Outcome { return request.pause(ctx, decision.Outcome) }
 	case keeper.Forward:
-		return !startGranted, func() dispatcher.Outcome { return server.forward(ctx, request, decision.To) }
+		return false, func() dispatcher.Outcome { return server.forward(ctx, request, decision.To) }
 	case keeper.ForwardDomain:
-		return !startGranted, func() dispatcher.Outcome { return server.forwardDomain(ctx, request, decision.Domain) }
+		return false, func() dispatcher.Outcome { return server.forwardDomain(ctx, request, decision.Domain) }
 	case keeper.Joined:
-		return !startGranted, func() dispatcher.Outcome { return server.await(request, waiter) }
+		return false, func() dispatcher.Outcome { return server.await(request, waiter) }
 	case keeper.AwaitWitness, keeper.AwaitConfirmation:
 		event, ok := server.decider.wait(waiter, request.job.Deadline())
 		if _, granted := event.(keeper.StartGranted); granted {
-			return startGranted, nil
+			return true, nil
 		}
 		return answer(conclude(event, ok))
 	default:
@@ -243,7 +238,7 @@
 	if now.After(request.patience) || now.After(request.job.Deadline()) {
 		return outcome
 	}
-	sleep(ctx, notYetDelay)
+	sleeper.For(ctx, notYetDelay)
 	return nil
 }
 
--- a/server/views.go
+++ b/server/views.go
@@ -11,6 +11,7 @@
 
 	"github.com/hyssoplift/hyssoplift/appender"
 	"github.com/hyssoplift/hyssoplift/keeper"
+	"github.com/hyssoplift/hyssoplift/sleeper"
 )
 
 const (
@@ -55,7 +56,7 @@
 		page, err := readLog(ctx, views.log, views.stream, next, wait)
 		if err != nil {
 			views.logger.Warn("reading views failed", "error", eris.ToString(err, false))
-			sleep(ctx, logRetryDelay)
+			sleeper.For(ctx, logRetryDelay)
 			continue
 		}
 		if !opened || page.Earliest > next {
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -15,6 +15,7 @@
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 	"github.com/hyssoplift/hyssoplift/encoder"
+	"github.com/hyssoplift/hyssoplift/sleeper"
 )
 
 const (
@@ -88,14 +89,7 @@
 	if time.Now().Add(delay).After(deadline) {
 		return false
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return sleeper.For(ctx, delay)
 }
 
 func (submitter *Submitter) attempt(ctx context.Context, job dispatcher.Job) (dispatcher.Outcome, string, error) {
