--- a/keeper/cancel.go
+++ b/keeper/cancel.go
@@ -12,10 +12,7 @@
 	}
 	var effects effects
 	decision, refusal := keeper.shards[key.slice].cancel(key, forwarded, now, &effects)
-	if refusal != nil {
-		decision = keeper.confirmer.add(refusal, now, &effects)
-	}
-	return decision, effects.outgoing
+	return keeper.confirm(decision, refusal, now, &effects)
 }
 
 func (shard *shard) cancel(key Key, forwarded bool, now time.Time, effects *effects) (Decision, *refusal) {
--- a/keeper/refuse.go
+++ b/keeper/refuse.go
@@ -29,10 +29,7 @@
 	}
 	var effects effects
 	decision, refusal := keeper.shards[key.slice].refuse(key, submission, refused, now, &effects)
-	if refusal != nil {
-		decision = keeper.confirmer.add(refusal, now, &effects)
-	}
-	return decision, effects.outgoing
+	return keeper.confirm(decision, refusal, now, &effects)
 }
 
 func (shard *shard) refuse(key Key, submission Submission, refused dispatcher.Refused, now time.Time, effects *effects) (Decision, *refusal) {
@@ -58,6 +55,14 @@
 	}
 }
 
+// confirm returns the decision, or, if there is a refusal, how its confirmation goes on.
+func (keeper *Keeper) confirm(decision Decision, refusal *refusal, now time.Time, effects *effects) (Decision, []Outgoing) {
+	if refusal != nil {
+		decision = keeper.confirmer.add(refusal, now, effects)
+	}
+	return decision, effects.outgoing
+}
+
 // confirmer releases refusals in batches: one pair of messages serves all that were decided before it was
 // sent, and at most one pair is in flight.
 type confirmer struct {
--- a/keeper/submit.go
+++ b/keeper/submit.go
@@ -40,10 +40,7 @@
 	}
 	var effects effects
 	decision, refusal := keeper.shards[key.slice].submit(key, submission, now, &effects)
-	if refusal != nil {
-		decision = keeper.confirmer.add(refusal, now, &effects)
-	}
-	return decision, effects.outgoing
+	return keeper.confirm(decision, refusal, now, &effects)
 }
 
 // parse returns the key, or the decision on one that this keeper can never decide.
