Guard the log buffer that a server test reads while the server still logs

Cause: TestPanicIsAnsweredUnknown read a bytes.Buffer while views.propose still wrote log lines into it, which the race detector reports when the rest of the suite runs beside it. Ruled out: other tests share the pattern (the only other buffers belong to code that has ended when they are read). Change: the buffer has a lock.

--- a/server/server_test.go
+++ b/server/server_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -157,7 +158,7 @@
 // Guards against an answer that takes down the process or claims that nothing ran after a fault in a handler.
 func TestPanicIsAnsweredUnknown(t *testing.T) {
 	is := is.New(t)
-	var lines bytes.Buffer
+	var lines lockedBuffer
 	server, _ := startServer(t, emulator.NewRunner(8, 1), hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: &lines}))
 	recorder := httptest.NewRecorder()
 	faulty := chain(func(exchange *exchange) { exchange.key = "k-1"; panic("broken") }, server.recoverPanics, server.logRequests)
@@ -206,3 +207,23 @@
 	send(t, "POST", base+"/v1/jobs", goodJob, "traceparent", strings.ToUpper(trace))
 	is.Equal(<-seen, "")
 }
+
+// lockedBuffer collects log lines that background goroutines of a server may still write while a test reads.
+type lockedBuffer struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+// Write appends data.
+func (buffer *lockedBuffer) Write(data []byte) (int, error) {
+	buffer.mu.Lock()
+	defer buffer.mu.Unlock()
+	return buffer.lines.Write(data)
+}
+
+// String returns what was written so far.
+func (buffer *lockedBuffer) String() string {
+	buffer.mu.Lock()
+	defer buffer.mu.Unlock()
+	return buffer.lines.String()
+}
