--- /dev/null
+++ b/clocker/doc.go
@@ -0,0 +1,3 @@
+// Package clocker tells a time that neither jumps nor stands still while the
+// machine is suspended.
+package clocker
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -24,6 +24,7 @@
 		FlagSet:    flag.NewFlagSet("hyssoplift", flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{
 			newServe(),
+			newPlatform(stdout),
 			newSubmit(stdin, stdout, stderr),
 			newBundle(stdout, stderr),
 			newQuickstart(stdout),
--- /dev/null
+++ b/executor/executor.go
@@ -0,0 +1,333 @@
+package executor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+	"github.com/hyssoplift/hyssoplift/gossiper"
+	"github.com/hyssoplift/hyssoplift/linker"
+	"github.com/hyssoplift/hyssoplift/scheduler"
+)
+
+const (
+	// tickTime is how often what is due by time is handled: a tenth of the shortest time that a job may wait.
+	tickTime = 5 * time.Millisecond
+	// orphanCheckTime is how often runs without a live owner are looked for.
+	orphanCheckTime = 100 * time.Millisecond
+	// startTimeout bounds the wait for the answer to a start: thirty round trips between failure domains.
+	startTimeout = 120 * time.Millisecond
+	// stopTimeout bounds the wait for the answer to a stop.
+	stopTimeout = 150 * time.Millisecond
+)
+
+// Orderer gives orders to targets. Times are those of this instance's clock.
+type Orderer interface {
+	// Start orders a start whose lease, and whose validity, ends at lease.
+	Start(ctx context.Context, on scheduler.Target, start scheduler.StartTask, lease time.Time) scheduler.StartResult
+	// Stop orders a stop and returns nil once the target has taken it, or does not know the run.
+	Stop(ctx context.Context, on scheduler.Target, run scheduler.Run) error
+	// Look asks for the runs and ends of a target.
+	Look(ctx context.Context, on scheduler.Target, request LookRequest) (scheduler.Look, error)
+}
+
+// LookRequest is what a look at a target asks for.
+type LookRequest struct {
+	// Acknowledged is the number up to which the target may forget ends; 0 for none.
+	Acknowledged int64
+	// Lease is the time until which runs are to go on, zero to leave it as it is.
+	Lease time.Time
+	// Wait is how long the target may wait for an end.
+	Wait time.Duration
+}
+
+// Executor runs jobs on targets.
+type Executor struct {
+	orderer Orderer
+	peers   *gossiper.Gossiper
+	self    linker.Hello
+	logger  hclog.Logger
+	now     func() time.Time
+	meter   *meter
+	ctx     context.Context
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
+
+	mu        sync.Mutex
+	scheduler *scheduler.Scheduler
+	waiters   map[string][]chan dispatcher.Outcome
+	lookers   map[string]*looker
+}
+
+// New returns an executor of the instance self, whose hello names its failure domain.
+func New(self linker.Hello, orderer Orderer, now func() time.Time, logger hclog.Logger) *Executor {
+	ctx, cancel := context.WithCancel(context.Background())
+	executor := &Executor{
+		orderer:   orderer,
+		self:      self,
+		logger:    logger,
+		now:       now,
+		meter:     newMeter(),
+		ctx:       ctx,
+		cancel:    cancel,
+		scheduler: scheduler.New(self.Incarnation, self.Domain),
+		waiters:   make(map[string][]chan dispatcher.Outcome),
+		lookers:   make(map[string]*looker),
+	}
+	executor.peers = gossiper.New(executor, now)
+	executor.group.Go(executor.tick)
+	return executor
+}
+
+// Peers returns the exchange of news with the other instances.
+func (executor *Executor) Peers() *gossiper.Gossiper { return executor.peers }
+
+// Close ends all work at once.
+func (executor *Executor) Close() {
+	executor.cancel()
+	executor.peers.Close()
+	executor.group.Wait()
+}
+
+// SetTargets replaces what discovery tells of the targets.
+func (executor *Executor) SetTargets(targets []scheduler.Target) {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	executor.scheduler.SetTargets(targets, executor.now())
+	executor.settle()
+	known := make(map[string]bool)
+	for _, id := range executor.scheduler.Targets() {
+		known[id] = true
+		if _, ok := executor.lookers[id]; !ok {
+			executor.lookers[id] = executor.newLooker(id)
+		}
+	}
+	for id, looker := range executor.lookers {
+		if !known[id] {
+			looker.cancel()
+			delete(executor.lookers, id)
+		}
+	}
+}
+
+// Ready reports whether any target is known.
+func (executor *Executor) Ready() bool {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	return len(executor.lookers) > 0
+}
+
+// Pending returns the number of jobs of a route of which no task has started.
+func (executor *Executor) Pending(route string) int {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	return executor.scheduler.Pending(route)
+}
+
+// Has reports whether the job has no answer yet.
+func (executor *Executor) Has(job string) bool {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	return executor.scheduler.Has(job)
+}
+
+// Cancel gives a job up and reports whether it had no answer yet.
+func (executor *Executor) Cancel(job string) bool {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	if !executor.scheduler.Has(job) {
+		return false
+	}
+	executor.scheduler.Abandon(job, "the caller cancelled the job", executor.now())
+	executor.settle()
+	return true
+}
+
+// Submit runs a job and returns its outcome, or nil if the caller left first; a job that is sent again while it runs
+// gets the same outcome.
+func (executor *Executor) Submit(ctx context.Context, job scheduler.Job) dispatcher.Outcome {
+	answer := make(chan dispatcher.Outcome, 1)
+	executor.mu.Lock()
+	executor.waiters[job.ID] = append(executor.waiters[job.ID], answer)
+	if !executor.scheduler.Has(job.ID) {
+		executor.scheduler.Submit(job, executor.now())
+	}
+	executor.settle()
+	executor.mu.Unlock()
+	select {
+	case outcome := <-answer:
+		return outcome
+	case <-ctx.Done():
+		executor.leave(job.ID, answer)
+		return nil
+	}
+}
+
+// leave takes a caller that went away off a job, and gives the job up if it was the last one.
+func (executor *Executor) leave(job string, answer chan dispatcher.Outcome) {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	waiters := executor.waiters[job]
+	for i, waiter := range waiters {
+		if waiter == answer {
+			executor.waiters[job] = append(waiters[:i], waiters[i+1:]...)
+			break
+		}
+	}
+	if len(executor.waiters[job]) == 0 {
+		delete(executor.waiters, job)
+		executor.scheduler.Abandon(job, "the caller left", executor.now())
+		executor.settle()
+	}
+}
+
+// settle carries out the actions of the scheduler; the caller holds the lock.
+func (executor *Executor) settle() {
+	for _, action := range executor.scheduler.Drain() {
+		switch action := action.(type) {
+		case scheduler.StartTask:
+			executor.peers.Claim(action.Claim)
+			executor.wake(action.Target)
+			go executor.start(action)
+		case scheduler.StopRun:
+			go executor.stop(action)
+		case scheduler.Answer:
+			executor.answer(action)
+		case scheduler.Announce:
+			executor.peers.End(action.Target, action.End)
+		case scheduler.TakeOver:
+			executor.peers.TakeOver(action.Job)
+		}
+	}
+	executor.peers.Waiting(executor.scheduler.Demand())
+}
+
+func (executor *Executor) answer(answer scheduler.Answer) {
+	executor.meter.count(answer)
+	executor.logAnswer(answer)
+	for _, waiter := range executor.waiters[answer.Job] {
+		waiter <- answer.Outcome
+	}
+	delete(executor.waiters, answer.Job)
+}
+
+// start orders a start and passes on what came of it.
+func (executor *Executor) start(start scheduler.StartTask) {
+	ctx, cancel := context.WithTimeout(executor.ctx, startTimeout)
+	defer cancel()
+	sent := executor.now()
+	result := executor.orderer.Start(ctx, start.On, start, sent.Add(scheduler.LeaseTime))
+	now := executor.now()
+	executor.meter.started(result, now.Sub(start.Wanted), now.Sub(sent))
+	executor.logStart(start, result, now.Sub(sent))
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	executor.scheduler.StartAnswered(start.Target, start.Run, result, now)
+	executor.settle()
+}
+
+// stop orders a stop and passes on whether the target has taken it.
+func (executor *Executor) stop(stop scheduler.StopRun) {
+	ctx, cancel := context.WithTimeout(executor.ctx, stopTimeout)
+	defer cancel()
+	err := executor.orderer.Stop(ctx, stop.On, stop.Run)
+	executor.meter.stops.Inc()
+	executor.logStop(stop, err)
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	executor.scheduler.StopAnswered(stop.On.ID, stop.Run, err == nil, executor.now())
+	executor.settle()
+	executor.wake(stop.On.ID)
+}
+
+// tick handles what is due by time.
+func (executor *Executor) tick() {
+	ticker := time.NewTicker(tickTime)
+	defer ticker.Stop()
+	var checked time.Time
+	for {
+		select {
+		case <-executor.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := executor.now()
+		check := now.Sub(checked) >= orphanCheckTime
+		executor.mu.Lock()
+		if executor.scheduler.Active() > 0 {
+			executor.scheduler.Tick(now)
+		}
+		if check {
+			checked = now
+			executor.checkOrphans(now)
+		}
+		executor.settle()
+		executor.mu.Unlock()
+	}
+}
+
+// checkOrphans stops runs without a live owner on the targets that this instance reads; the caller holds the lock.
+func (executor *Executor) checkOrphans(now time.Time) {
+	staying := executor.peers.Staying()
+	for id, looker := range executor.lookers {
+		looker.reads.Store(executor.reads(id, staying))
+		if looker.reads.Load() {
+			executor.scheduler.Orphans(id, executor.peers.Alive, now)
+		}
+	}
+}
+
+// Claimed takes the claim of another instance.
+func (executor *Executor) Claimed(owner string, claim scheduler.Claim) {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	executor.scheduler.PeerClaimed(owner, claim, executor.now())
+	executor.wake(claim.Target)
+}
+
+// Ended takes the end of a run that another instance saw.
+func (executor *Executor) Ended(target string, end scheduler.End) {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	executor.scheduler.Ended(target, end, executor.now())
+}
+
+// Seen takes that another instance renewed the lease of a target.
+func (executor *Executor) Seen(target string) {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	executor.scheduler.Seen(target, executor.now())
+}
+
+// Waiting takes the waiting tasks of another instance.
+func (executor *Executor) Waiting(owner string, demand scheduler.Demand) {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	executor.scheduler.PeerDemand(owner, demand)
+}
+
+// TakenOver takes that another instance has a job now, since its caller sent the job there again.
+func (executor *Executor) TakenOver(job string) {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	executor.scheduler.Abandon(job, "the caller sent the job to another instance", executor.now())
+}
+
+// Gone takes that another instance is not heard of any more.
+func (executor *Executor) Gone(owner string) {
+	executor.logger.Warn("instance is not heard of", "peer", owner)
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	executor.scheduler.PeerGone(owner)
+	executor.settle()
+}
+
+// Settle carries out what followed from the news of an instance.
+func (executor *Executor) Settle() {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	executor.settle()
+}
--- /dev/null
+++ b/executor/log.go
@@ -0,0 +1,49 @@
+package executor
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+	"github.com/hyssoplift/hyssoplift/scheduler"
+)
+
+func (executor *Executor) logAnswer(answer scheduler.Answer) {
+	switch outcome := answer.Outcome.(type) {
+	case dispatcher.Complete:
+		executor.logger.Info("job answered", "job", answer.Job, "outcome", "complete")
+	case dispatcher.Failed:
+		executor.logger.Warn("job answered", "job", answer.Job, "outcome", "failed", "detail", outcome.Detail())
+	case dispatcher.Unknown:
+		executor.logger.Warn("job answered", "job", answer.Job, "outcome", "unknown", "detail", outcome.Detail())
+	case dispatcher.Refused:
+		executor.logger.Warn("job answered", "job", answer.Job, "outcome", "refused", "reason", string(outcome.Reason()), "detail", outcome.Detail())
+	}
+}
+
+func (executor *Executor) logStart(start scheduler.StartTask, result scheduler.StartResult, took time.Duration) {
+	if result == scheduler.StartTaken {
+		executor.logger.Info("task started", "job", start.Job, "task", start.Run.Task, "attempt", start.Run.Attempt, "target", start.Target,
+			"room", start.Room.MilliCores, "predicted-ms", start.Predicted.Milliseconds(), "took-ms", took.Milliseconds())
+		return
+	}
+	executor.logger.Warn("task not started", "job", start.Job, "task", start.Run.Task, "attempt", start.Run.Attempt, "target", start.Target,
+		"result", result.String(), "room", start.Room.MilliCores, "took-ms", took.Milliseconds())
+}
+
+func (executor *Executor) logStop(stop scheduler.StopRun, err error) {
+	if err != nil {
+		executor.logger.Warn("stop not answered", "task", stop.Run.Task, "attempt", stop.Run.Attempt, "target", stop.On.ID,
+			"reason", stop.Reason, "error", eris.ToString(err, false))
+		return
+	}
+	executor.logger.Info("run stopped", "task", stop.Run.Task, "attempt", stop.Run.Attempt, "target", stop.On.ID, "reason", stop.Reason)
+}
+
+func (executor *Executor) logEnd(target string, end scheduler.End, owner string) {
+	if owner != executor.self.Incarnation {
+		return
+	}
+	executor.logger.Info("run ended", "task", end.Run.Task, "attempt", end.Run.Attempt, "target", target, "cause", end.Cause.String(), "number", end.Number)
+}
--- /dev/null
+++ b/executor/looker.go
@@ -0,0 +1,237 @@
+package executor
+
+import (
+	"context"
+	"hash/fnv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hyssoplift/hyssoplift/linker"
+	"github.com/hyssoplift/hyssoplift/scheduler"
+	"github.com/hyssoplift/hyssoplift/sleeper"
+)
+
+const (
+	// lookWait is how long a target may hold the answer to a look while nothing ends. Each look renews the lease, so
+	// that two of them and a lost connection fit into the lease time.
+	lookWait = 400 * time.Millisecond
+	// lookTimeout bounds a look beyond the time that the target may hold it.
+	lookTimeout = 150 * time.Millisecond
+	// lookGap is the least time between two looks at one target, so that ends close together share a look.
+	lookGap = 4 * time.Millisecond
+	// acknowledgeTime is how long ends stay unacknowledged when nothing else runs on the target.
+	acknowledgeTime = 300 * time.Millisecond
+	// newsTime is how long an instance with runs on a target waits for word of the target from its reader before it
+	// looks itself; the lease must not lapse meanwhile.
+	newsTime = 650 * time.Millisecond
+	// probeTime is how often a target that did not answer is asked again.
+	probeTime = 400 * time.Millisecond
+	// unreachableOwnerTime is how long the end of a run stays unacknowledged while its owner cannot be told.
+	unreachableOwnerTime = time.Second
+	// idleTime is how often a looker without work checks whether it has some.
+	idleTime = 500 * time.Millisecond
+	// failuresToUnreachable is how many looks in a row must fail for a target to count as unreachable: one may have met
+	// a connection that went silent.
+	failuresToUnreachable = 2
+)
+
+// looker looks after the lease and the ends of one target.
+type looker struct {
+	id     string
+	cancel context.CancelFunc
+	wake   chan struct{}
+	// reads tells whether this instance reads the ends of the target for all.
+	reads atomic.Bool
+	// The rest belongs to the looker's goroutine.
+	incarnation  int64
+	acknowledged int64
+	// noted is the number of the last end that may be acknowledged.
+	noted    int64
+	notedAt  time.Time
+	failures int
+	known    bool
+	lastLook time.Time
+	held     time.Time
+}
+
+// newLooker starts the looker of a target; the caller holds the lock.
+func (executor *Executor) newLooker(id string) *looker {
+	ctx, cancel := context.WithCancel(executor.ctx)
+	looker := &looker{id: id, cancel: cancel, wake: make(chan struct{}, 1)}
+	looker.reads.Store(executor.reads(id, executor.peers.Staying()))
+	executor.group.Go(func() {
+		for ctx.Err() == nil {
+			executor.attend(ctx, looker)
+		}
+	})
+	return looker
+}
+
+// wake makes the looker of a target check whether there is work; the caller holds the lock.
+func (executor *Executor) wake(target string) {
+	if looker, ok := executor.lookers[target]; ok {
+		select {
+		case looker.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// reads reports whether this instance reads the ends of a target: rendezvous hashing over the instances that stay,
+// those of the target's failure domain before others. The caller holds the lock.
+func (executor *Executor) reads(id string, staying []linker.Hello) bool {
+	target, ok := executor.scheduler.Target(id)
+	if !ok {
+		return false
+	}
+	best, bestNear, bestWeight := executor.self.Incarnation, executor.self.Domain == target.Domain, weight(id, executor.self.Incarnation)
+	for _, hello := range staying {
+		near, own := hello.Domain == target.Domain, weight(id, hello.Incarnation)
+		if near != bestNear && !near {
+			continue
+		}
+		if near != bestNear || own > bestWeight {
+			best, bestNear, bestWeight = hello.Incarnation, near, own
+		}
+	}
+	return best == executor.self.Incarnation
+}
+
+func weight(target, incarnation string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(incarnation))
+	_, _ = hash.Write([]byte{'/'})
+	_, _ = hash.Write([]byte(target))
+	sum := hash.Sum64()
+	// FNV leaves the last bytes in the low bits; the mixing spreads them over all.
+	sum ^= sum >> 33
+	sum *= 0xff51afd7ed558ccd
+	return sum ^ sum>>33
+}
+
+// attend looks once if there is a reason to, or waits for one.
+func (executor *Executor) attend(ctx context.Context, looker *looker) {
+	now := executor.now()
+	executor.mu.Lock()
+	target, known := executor.scheduler.Target(looker.id)
+	work := executor.scheduler.Work(looker.id)
+	executor.mu.Unlock()
+	request, pause := looker.plan(work, now)
+	if !known || pause > 0 {
+		looker.rest(ctx, max(pause, lookGap))
+		return
+	}
+	looker.lastLook = now
+	if work.Occupied {
+		request.Lease = now.Add(scheduler.LeaseTime)
+	}
+	executor.look(ctx, looker, target, request)
+}
+
+// plan returns the next look, or how long none is due.
+func (looker *looker) plan(work scheduler.Work, now time.Time) (LookRequest, time.Duration) {
+	sinceLook := now.Sub(looker.lastLook)
+	switch {
+	case !looker.known && !work.Unreachable && looker.failures == 0:
+		return LookRequest{}, 0
+	case work.Unreachable || looker.failures > 0:
+		return LookRequest{}, probeTime - sinceLook
+	case looker.reads.Load() && work.Occupied:
+		request := LookRequest{Acknowledged: looker.noted, Wait: lookWait}
+		return request, lookGap - sinceLook
+	case looker.reads.Load() && looker.noted > looker.acknowledged:
+		return LookRequest{Acknowledged: looker.noted}, acknowledgeTime - now.Sub(looker.notedAt)
+	case !looker.reads.Load() && work.Own && now.Sub(work.News) >= newsTime:
+		return LookRequest{}, probeTime - sinceLook
+	case !looker.reads.Load() && work.Own:
+		return LookRequest{}, newsTime - now.Sub(work.News)
+	}
+	return LookRequest{}, idleTime
+}
+
+// rest waits until there may be work.
+func (looker *looker) rest(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-looker.wake:
+		sleeper.For(ctx, time.Millisecond)
+	}
+}
+
+// look asks the target and passes on what it tells.
+func (executor *Executor) look(ctx context.Context, looker *looker, target scheduler.Target, request LookRequest) {
+	bounded, cancel := context.WithTimeout(ctx, request.Wait+lookTimeout)
+	defer cancel()
+	look, err := executor.orderer.Look(bounded, target, request)
+	executor.meter.looks.Inc()
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		executor.lookFailed(looker, err)
+		return
+	}
+	if looker.failures > 0 {
+		executor.logger.Info("target answers again", "target", looker.id, "incarnation", look.Incarnation)
+	}
+	looker.failures, looker.known = 0, true
+	if look.Incarnation != looker.incarnation {
+		looker.incarnation, looker.acknowledged, looker.noted = look.Incarnation, 0, 0
+	} else {
+		looker.acknowledged = max(looker.acknowledged, request.Acknowledged)
+	}
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	executor.scheduler.Looked(looker.id, look)
+	executor.noteEnds(looker, look)
+	if looker.reads.Load() && !request.Lease.IsZero() {
+		executor.peers.Seen(looker.id)
+	}
+	executor.settle()
+}
+
+// noteEnds passes the ends on that were not passed on before; the caller holds the lock.
+func (executor *Executor) noteEnds(looker *looker, look scheduler.Look) {
+	for _, end := range look.Ended {
+		if end.Number <= looker.noted {
+			continue
+		}
+		owner := executor.scheduler.Owner(looker.id, end.Run)
+		tellable := owner == "" || owner == executor.self.Incarnation || executor.peers.Reachable(owner)
+		if !tellable && looker.holdBack(look.Answered) {
+			return
+		}
+		if looker.reads.Load() {
+			executor.peers.End(looker.id, end)
+			looker.noted, looker.notedAt = end.Number, look.Answered
+		}
+		executor.logEnd(looker.id, end, owner)
+		executor.scheduler.Ended(looker.id, end, look.Answered)
+	}
+	looker.held = time.Time{}
+}
+
+// holdBack reports whether an end whose owner cannot be told is to stay unacknowledged for now.
+func (looker *looker) holdBack(now time.Time) bool {
+	if looker.held.IsZero() {
+		looker.held = now
+	}
+	return now.Sub(looker.held) < unreachableOwnerTime
+}
+
+func (executor *Executor) lookFailed(looker *looker, err error) {
+	looker.failures++
+	if looker.failures == failuresToUnreachable {
+		executor.logger.Warn("target does not answer", "target", looker.id, "error", eris.ToString(err, false))
+	}
+	if looker.failures >= failuresToUnreachable {
+		executor.mu.Lock()
+		defer executor.mu.Unlock()
+		executor.scheduler.Unreachable(looker.id)
+	}
+}
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,113 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"github.com/hyssoplift/hyssoplift/sleeper"
+)
+
+// ErrTrimmed means that the offset to read from is not in the store any more.
+var ErrTrimmed = eris.New("the offset is not kept any more")
+
+// Record is the newest value of a key; without a value the key is dropped.
+type Record struct {
+	Key    string
+	Value  []byte
+	Offset int64
+}
+
+// Source reads keyed topics.
+type Source interface {
+	// Newest returns the newest record of each key, and the offset from which to read on.
+	Newest(ctx context.Context, topic string) ([]Record, int64, error)
+	// Read returns the records from an offset on, and the offset after them.
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) ([]Record, int64, error)
+}
+
+// Pace is how a topic is read.
+type Pace struct {
+	// Wait is how long the store may hold a read until there is a record.
+	Wait time.Duration
+	// Gap is the pause between two reads.
+	Gap time.Duration
+	// Slack bounds a read beyond Wait; a silent connection is noticed after both.
+	Slack time.Duration
+}
+
+// firstRetry and lastRetry bound the doubling pause after a failed read.
+const (
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = 500 * time.Millisecond
+)
+
+// Update is what is new in a topic.
+type Update struct {
+	// Complete means that Records holds all keys, so that others are gone.
+	Complete bool
+	Records  []Record
+}
+
+// Follow passes the updates of a topic on until ctx is done: a complete one first, and after each loss of history.
+func Follow(ctx context.Context, source Source, topic string, pace Pace, logger hclog.Logger, update func(Update)) {
+	next, complete, failures := int64(0), false, 0
+	var lost time.Time
+	for ctx.Err() == nil {
+		var err error
+		if !complete {
+			next, err = readAll(ctx, source, topic, pace, update)
+			complete = err == nil
+		} else {
+			next, err = readOn(ctx, source, topic, next, pace, update)
+			if errors.Is(err, ErrTrimmed) {
+				logger.Info("history of the topic was dropped, reading its newest records", "topic", topic)
+				complete = false
+				continue
+			}
+		}
+		if err == nil {
+			if failures > 0 {
+				logger.Info("topic is read again", "topic", topic, "failures", failures, "after-ms", time.Since(lost).Milliseconds())
+			}
+			failures = 0
+			sleeper.For(ctx, pace.Gap)
+			continue
+		}
+		if failures == 0 && ctx.Err() == nil {
+			lost = time.Now()
+			logger.Warn("topic cannot be read", "topic", topic, "offset", next, "error", eris.ToString(err, false))
+		}
+		pause := min(firstRetry<<min(failures, 8), lastRetry)
+		failures++
+		sleeper.For(ctx, pause/2+rand.N(pause))
+	}
+}
+
+func readAll(ctx context.Context, source Source, topic string, pace Pace, update func(Update)) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, pace.Wait+pace.Slack)
+	defer cancel()
+	records, next, err := source.Newest(ctx, topic)
+	if err == nil {
+		update(Update{Complete: true, Records: records})
+	}
+	return next, err
+}
+
+// readOn returns the offset to read from next, which is from after an error.
+func readOn(ctx context.Context, source Source, topic string, from int64, pace Pace, update func(Update)) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, pace.Wait+pace.Slack)
+	defer cancel()
+	records, next, err := source.Read(ctx, topic, from, pace.Wait)
+	if err != nil {
+		return from, err
+	}
+	if len(records) > 0 {
+		update(Update{Records: records})
+	}
+	return next, nil
+}
--- a/linker/codec.go
+++ b/linker/codec.go
@@ -131,6 +131,8 @@
 		return decodeAs[BundleRequest](data)
 	case "bundle-response":
 		return decodeAs[BundleResponse](data)
+	case "news":
+		return decodeAs[News](data)
 	case "part":
 		return decodeAs[part](data)
 	default:
@@ -160,6 +162,8 @@
 		return "bundle-request"
 	case BundleResponse:
 		return "bundle-response"
+	case News:
+		return "news"
 	case part:
 		return "part"
 	case KeeperMessage:
@@ -210,10 +214,29 @@
 		return checkTexts(message.Key)
 	case CancelAnswer:
 		return checkTexts(message.Key, message.Result)
+	case News:
+		return checkNews(&message)
 	}
 	return nil
 }
 
+func checkNews(news *News) error {
+	for i := range news.Claims {
+		if err := checkTexts(news.Claims[i].Target, news.Claims[i].Task); err != nil {
+			return err
+		}
+	}
+	for i := range news.Ends {
+		if err := checkTexts(news.Ends[i].Target, news.Ends[i].Task); err != nil {
+			return err
+		}
+	}
+	if err := checkTexts(news.Seen...); err != nil {
+		return err
+	}
+	return checkTexts(news.TakenOver...)
+}
+
 func checkOutcome(key string, outcome *Outcome) error {
 	if outcome == nil {
 		return checkTexts(key)
--- a/linker/message.go
+++ b/linker/message.go
@@ -142,6 +142,45 @@
 	Record  []byte `cbor:"record,omitempty"`
 }
 
+// Claim says that the sender starts a run on a target, and what the run occupies there.
+type Claim struct {
+	_            struct{} `cbor:",toarray"`
+	Target       string
+	Task         string
+	Attempt      int64
+	MilliCores   int64
+	MemoryMB     int64
+	Accelerators int64
+	// EstimateMS is the declared run time in milliseconds.
+	EstimateMS int64
+}
+
+// RunEnd says that a run does not occupy its target any more.
+type RunEnd struct {
+	_       struct{} `cbor:",toarray"`
+	Target  string
+	Task    string
+	Attempt int64
+	// Number is the target's own count of its ends, 0 if the run never was there.
+	Number int64
+	// Cause is a scheduler.Cause.
+	Cause int64
+}
+
+// News tells what an instance did and saw on the targets since its last news.
+type News struct {
+	Claims []Claim  `cbor:"claims,omitempty"`
+	Ends   []RunEnd `cbor:"ends,omitempty"`
+	// Seen lists the targets whose leases the sender has renewed.
+	Seen []string `cbor:"seen,omitempty"`
+	// Waiting counts the sender's waiting tasks by priority.
+	Waiting []int64 `cbor:"waiting,omitempty"`
+	// TakenOver lists the jobs that the sender has now and that other instances give up.
+	TakenOver []string `cbor:"taken-over,omitempty"`
+	// Leaving says that the sender has begun a planned stop.
+	Leaving bool `cbor:"leaving,omitempty"`
+}
+
 // part is a piece of a message that is too large for one frame.
 type part struct {
 	Last bool   `cbor:"last"`
@@ -159,6 +198,7 @@
 func (CancelAnswer) isMessage()   {}
 func (BundleRequest) isMessage()  {}
 func (BundleResponse) isMessage() {}
+func (News) isMessage()           {}
 func (part) isMessage()           {}
 
 func (answer ForwardAnswer) requestID() uint64    { return answer.ID }
--- /dev/null
+++ b/scheduler/admit.go
@@ -0,0 +1,133 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+)
+
+const (
+	// releaseAge is how long a release rate is used before it is counted anew.
+	releaseAge = 20 * time.Millisecond
+	// unknownRunTime is assumed for a run of which no claim was heard.
+	unknownRunTime = 200 * time.Millisecond
+)
+
+// admit decides whether a job is taken on. It answers bursts beyond the room of all targets: a job whose last task
+// would find room only after the job has no time left is refused at once, so that the queue holds only jobs that
+// can be served.
+func (scheduler *Scheduler) admit(job *job, now time.Time) (dispatcher.Refused, bool) {
+	if len(scheduler.byService[job.Service]) == 0 {
+		return scheduler.refusal(job, dispatcher.ReasonUnavailable, "no target of the service is known", now), false
+	}
+	for number := range job.Steps {
+		if !scheduler.possible(job.Service, &job.Steps[number]) {
+			refused := dispatcher.NewRefused(dispatcher.ReasonImpossible, "no target is large enough for a task or has its label", "", time.Time{})
+			return refused, false
+		}
+	}
+	rate := scheduler.release(job.Service, now)
+	needed := time.Duration(float64(job.chain()) / rate.best)
+	if now.Add(needed).After(job.Deadline) {
+		return scheduler.refusal(job, dispatcher.ReasonDeadline, "the job takes longer than its caller waits", now), false
+	}
+	patience := scheduler.patience(job, rate)
+	job.giveUp = now.Add(patience)
+	if wait := scheduler.expectedWait(job, rate, now); wait > patience {
+		return scheduler.refusal(job, dispatcher.ReasonOverload, "the job would wait longer than it has time", now), false
+	}
+	return dispatcher.Refused{}, true
+}
+
+// patience returns how long a job may wait for its first start.
+func (scheduler *Scheduler) patience(job *job, rate releaseRate) time.Duration {
+	total := job.Objective.Sub(job.Arrived)
+	slack := total - time.Duration(float64(job.chain())/rate.best)
+	return max(0, min(slack, total/waitShare))
+}
+
+// possible reports whether any target could ever run a task of the step.
+func (scheduler *Scheduler) possible(service string, step *Step) bool {
+	for _, target := range scheduler.byService[service] {
+		if step.Size.Fits(target.Capacity) && target.hasLabel(step.Label) {
+			return true
+		}
+	}
+	return false
+}
+
+// expectedWait returns how long it takes until the last task of the first steps finds room.
+func (scheduler *Scheduler) expectedWait(job *job, rate releaseRate, now time.Time) time.Duration {
+	needed := int64(0)
+	var size Size
+	for _, task := range job.tasks {
+		if task.state == waiting {
+			needed++
+			size = task.spec().Size
+		}
+	}
+	ahead := scheduler.Demand().upTo(job.Priority)
+	for _, demand := range scheduler.demands {
+		ahead += demand.upTo(job.Priority)
+	}
+	short := needed + ahead - scheduler.free(job.Service, size, now)
+	if short <= 0 {
+		return 0
+	}
+	if rate.perSecond <= 0 {
+		return job.Deadline.Sub(now)
+	}
+	return time.Duration(float64(short) / rate.perSecond * float64(time.Second))
+}
+
+// free returns how many tasks of a size find room now.
+func (scheduler *Scheduler) free(service string, size Size, now time.Time) int64 {
+	count := int64(0)
+	for _, target := range scheduler.byService[service] {
+		if !target.sound() || now.Before(target.excludedUntil) {
+			continue
+		}
+		room := target.room()
+		fits := room.MilliCores / max(size.MilliCores, 1)
+		if size.MemoryMB > 0 {
+			fits = min(fits, room.MemoryMB/size.MemoryMB)
+		}
+		if size.Accelerators > 0 {
+			fits = min(fits, room.Accelerators/size.Accelerators)
+		}
+		count += max(fits, 0)
+	}
+	return count
+}
+
+// release returns the expected ends a second on the sound targets of a service, and the best learned speed.
+func (scheduler *Scheduler) release(service string, now time.Time) releaseRate {
+	if rate, ok := scheduler.releases[service]; ok && now.Before(rate.until) {
+		return rate
+	}
+	rate := releaseRate{until: now.Add(releaseAge)}
+	for _, target := range scheduler.byService[service] {
+		if !target.sound() {
+			continue
+		}
+		rate.best = max(rate.best, target.factor())
+		for _, occupant := range target.occupants {
+			runTime := unknownRunTime
+			if occupant.estimate > 0 {
+				runTime = target.predict(occupant.estimate)
+			}
+			rate.perSecond += float64(time.Second) / float64(max(runTime, time.Millisecond))
+		}
+	}
+	if rate.best == 0 {
+		rate.best = 1
+	}
+	scheduler.releases[service] = rate
+	return rate
+}
+
+// refusal returns a refusal that names when to come back: after the tasks ahead have found room.
+func (scheduler *Scheduler) refusal(job *job, reason dispatcher.Reason, detail string, now time.Time) dispatcher.Refused {
+	wait := scheduler.expectedWait(job, scheduler.release(job.Service, now), now)
+	return dispatcher.NewRefused(reason, detail, "", now.Add(max(wait, minRetryWait)))
+}
--- /dev/null
+++ b/scheduler/events.go
@@ -0,0 +1,336 @@
+package scheduler
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+)
+
+// StartAnswered takes what came of the order to start a run.
+func (scheduler *Scheduler) StartAnswered(targetID string, run Run, result StartResult, now time.Time) {
+	target := scheduler.targets[targetID]
+	task := scheduler.tasks[run.Task]
+	current := task != nil && task.state == starting && task.attempt == run.Attempt
+	switch result {
+	case StartTaken:
+		scheduler.startTaken(target, task, current, run, now)
+	case StartUnanswered:
+		if target != nil {
+			scheduler.act(StopRun{On: target.Target, Run: run, Reason: "start was not answered"})
+		}
+		if current {
+			task.state = stopping
+			task.avoid(task.on)
+		}
+	case StartNoRoom, StartStale, StartLate, StartRefused, StartImpossible, StartUnsent:
+		scheduler.startRejected(target, run, result, now)
+		if current {
+			scheduler.retryStart(task, result, now)
+		}
+	}
+	scheduler.place(now)
+}
+
+func (scheduler *Scheduler) startTaken(target *target, task *task, current bool, run Run, now time.Time) {
+	if target != nil {
+		target.news = now
+		target.unreachable = false
+		if occupant, ok := target.occupants[run]; ok {
+			occupant.confirmed = now
+		}
+	}
+	switch {
+	case current:
+		task.state = running
+	case target != nil && (task == nil || task.attempt != run.Attempt || task.state == waiting):
+		// The job was given up while the order was on its way.
+		scheduler.act(StopRun{On: target.Target, Run: run, Reason: "job was given up"})
+	}
+}
+
+// startRejected corrects what is believed of a target that did not take a run.
+func (scheduler *Scheduler) startRejected(target *target, run Run, result StartResult, now time.Time) {
+	if target == nil {
+		return
+	}
+	target.vacate(run)
+	scheduler.act(Announce{Target: target.ID, End: End{Run: run, Cause: NeverRan}})
+	switch result {
+	case StartNoRoom:
+		target.heldUntil = now.Add(rejectedPause)
+		target.news = now
+	case StartRefused:
+		target.exclude(now)
+		target.news = now
+	case StartUnsent:
+		target.unreachable = true
+	case StartTaken, StartStale, StartLate, StartImpossible, StartUnanswered:
+	}
+}
+
+// rejectedPause keeps work back from a target without room until the next end is likely to be known.
+const rejectedPause = 15 * time.Millisecond
+
+// retryStart puts a task back into the queue after a rejection.
+func (scheduler *Scheduler) retryStart(task *task, result StartResult, now time.Time) {
+	switch result {
+	case StartImpossible:
+		task.avoid(task.on)
+		if len(task.avoided) >= task.job.MaxFailures {
+			scheduler.finish(task.job, dispatcher.NewFailed("targets hold the task to be wrong", nil), "task is wrong", now)
+			return
+		}
+	case StartStale, StartRefused, StartUnsent:
+		task.avoid(task.on)
+	case StartTaken, StartNoRoom, StartLate, StartUnanswered:
+	}
+	scheduler.enqueue(task)
+}
+
+// StopAnswered takes what came of the order to stop a run; stopped means that the target has taken the order.
+func (scheduler *Scheduler) StopAnswered(targetID string, run Run, stopped bool, now time.Time) {
+	target := scheduler.targets[targetID]
+	if target != nil && !stopped {
+		target.unreachable = true
+	}
+	task := scheduler.tasks[run.Task]
+	if task == nil || task.state != stopping || task.attempt != run.Attempt {
+		return
+	}
+	if stopped {
+		task.notBefore = now.Add(StopTime)
+		scheduler.restart(task, now)
+		return
+	}
+	task.state = uncertain
+	task.notBefore = now.Add(LeaseTime + leaseSlack)
+	if target != nil && target.leaseEnd.After(task.notBefore) {
+		task.notBefore = target.leaseEnd
+	}
+}
+
+// restart queues a task anew whose run was lost or stopped.
+func (scheduler *Scheduler) restart(task *task, now time.Time) {
+	task.restarts++
+	if task.restarts > maxRestarts {
+		scheduler.finish(task.job, dispatcher.NewUnknown("a task was lost too often"), "task was lost too often", now)
+		return
+	}
+	scheduler.enqueue(task)
+}
+
+// Ended takes the end of a run that a target listed, or that a peer told of.
+func (scheduler *Scheduler) Ended(targetID string, end End, now time.Time) {
+	scheduler.forget(targetID, end.Run)
+	if target, ok := scheduler.targets[targetID]; ok {
+		if end.Cause != NeverRan {
+			target.news = now
+		}
+		if occupant := target.vacate(end.Run); occupant != nil {
+			target.noteEnd(end.Run, occupant, end.Cause, now)
+			scheduler.takeTurn(target, end.Number, now)
+		}
+	}
+	if task, ok := scheduler.tasks[end.Run.Task]; ok {
+		scheduler.taskEnded(task, end, now)
+	}
+	scheduler.place(now)
+}
+
+func (scheduler *Scheduler) taskEnded(task *task, end End, now time.Time) {
+	latest := end.Run.Attempt == task.attempt && task.occupies()
+	switch {
+	case end.Cause == Done && task.state != done:
+		if task.occupies() && !latest {
+			scheduler.act(StopRun{On: task.on.Target, Run: task.run(), Reason: "an earlier run is done"})
+		}
+		scheduler.taskDone(task, now)
+	case !latest:
+	case end.Cause == Failed:
+		scheduler.taskFailed(task, now)
+	case end.Cause == Stopped, end.Cause == Lapsed:
+		task.notBefore = time.Time{}
+		scheduler.restart(task, now)
+	}
+}
+
+func (scheduler *Scheduler) taskDone(task *task, now time.Time) {
+	job := task.job
+	task.state = done
+	scheduler.dequeue(task)
+	job.open[task.step]--
+	if job.finished() {
+		scheduler.finish(job, dispatcher.NewComplete(nil), "", now)
+		return
+	}
+	if job.open[task.step] > 0 {
+		return
+	}
+	for _, other := range job.tasks {
+		if other.state == blocked && job.ready(other.step) {
+			scheduler.enqueue(other)
+		}
+	}
+}
+
+func (scheduler *Scheduler) taskFailed(task *task, now time.Time) {
+	task.failures++
+	task.avoid(task.on)
+	if task.failures >= task.job.MaxFailures {
+		scheduler.finish(task.job, dispatcher.NewFailed("a task has failed as often as its route allows", nil), "a task has failed", now)
+		return
+	}
+	scheduler.enqueue(task)
+}
+
+// Looked takes what a target told of its runs, and returns its ends in their order.
+func (scheduler *Scheduler) Looked(targetID string, look Look) {
+	target, ok := scheduler.targets[targetID]
+	if !ok {
+		return
+	}
+	now := look.Answered
+	target.news = now
+	target.unreachable = false
+	if look.Incarnation != 0 && look.Incarnation > target.Incarnation {
+		scheduler.restarted(target, look.Incarnation, now)
+	}
+	listed := make(map[Run]bool, len(look.Running)+len(look.Ended))
+	for _, row := range look.Running {
+		listed[row.Run] = true
+		scheduler.rowSeen(target, row, now)
+	}
+	for _, end := range look.Ended {
+		listed[end.Run] = true
+	}
+	for run, occupant := range target.occupants {
+		if !listed[run] && !occupant.confirmed.IsZero() && occupant.confirmed.Before(look.Sent) {
+			scheduler.notListed(target, run, occupant, now)
+		}
+	}
+	scheduler.place(now)
+}
+
+func (scheduler *Scheduler) rowSeen(target *target, row Row, now time.Time) {
+	known, ok := target.occupants[row.Run]
+	if !ok {
+		size := Size{MilliCores: row.MilliCores}
+		if size.MilliCores <= 0 {
+			size.MilliCores = unknownSize
+		}
+		known = &occupant{size: size, claimed: now}
+		target.occupy(row.Run, known)
+	}
+	known.confirmed, known.missing = now, time.Time{}
+}
+
+// notListed handles a run that its target does not list any more though it had it: its end was noted by another
+// instance, or its lease has lapsed.
+func (scheduler *Scheduler) notListed(target *target, run Run, occupant *occupant, now time.Time) {
+	if occupant.missing.IsZero() {
+		occupant.missing = now
+		if task := scheduler.tasks[run.Task]; task != nil && task.attempt == run.Attempt && task.state == running {
+			task.missing = now
+			return
+		}
+	}
+	if now.Sub(occupant.missing) >= missingTime || occupant.owner != scheduler.self {
+		target.vacate(run)
+		scheduler.forget(target.ID, run)
+	}
+}
+
+// restarted drops what a former incarnation of the target ran.
+func (scheduler *Scheduler) restarted(target *target, incarnation int64, now time.Time) {
+	known := target.Incarnation != 0
+	target.Incarnation = incarnation
+	if !known {
+		return
+	}
+	target.speed = learnedSpeed{}
+	target.trial, target.streak, target.exclusions = false, 0, 0
+	target.excludedUntil, target.heldUntil = time.Time{}, time.Time{}
+	for run, occupant := range target.occupants {
+		if occupant.confirmed.IsZero() {
+			continue
+		}
+		target.vacate(run)
+		scheduler.forget(target.ID, run)
+		task := scheduler.tasks[run.Task]
+		if task != nil && task.attempt == run.Attempt && task.occupies() && task.state != starting {
+			task.notBefore = time.Time{}
+			scheduler.restart(task, now)
+		}
+	}
+}
+
+// Unreachable notes that the target did not answer; it gets no work until it does.
+func (scheduler *Scheduler) Unreachable(targetID string) {
+	if target, ok := scheduler.targets[targetID]; ok {
+		target.unreachable = true
+	}
+}
+
+// PeerClaimed takes the claim of another instance.
+func (scheduler *Scheduler) PeerClaimed(owner string, claim Claim, now time.Time) {
+	target, ok := scheduler.targets[claim.Target]
+	if !ok {
+		return
+	}
+	if known, ok := target.occupants[claim.Run]; ok && known.owner == scheduler.self {
+		return
+	}
+	occupant := &occupant{owner: owner, size: claim.Size, estimate: claim.Estimate, claimed: now}
+	if known, ok := target.occupants[claim.Run]; ok {
+		occupant.confirmed = known.confirmed
+	}
+	target.occupy(claim.Run, occupant)
+	target.extendLease(now)
+	target.heldUntil = time.Time{}
+	job := jobOf(claim.Run.Task)
+	scheduler.foreign[job] = append(scheduler.foreign[job], place{claim.Target, claim.Run})
+}
+
+// PeerDemand takes the waiting tasks of another instance.
+func (scheduler *Scheduler) PeerDemand(owner string, demand Demand) {
+	scheduler.demands[owner] = demand
+}
+
+// PeerGone forgets the waiting tasks of an instance that is not heard of any more.
+func (scheduler *Scheduler) PeerGone(owner string) { delete(scheduler.demands, owner) }
+
+// Seen notes that the reader of a target has renewed its lease.
+func (scheduler *Scheduler) Seen(targetID string, now time.Time) {
+	if target, ok := scheduler.targets[targetID]; ok {
+		target.news = now
+		target.extendLease(now)
+	}
+}
+
+// forget drops a run of another instance from the index of jobs.
+func (scheduler *Scheduler) forget(targetID string, run Run) {
+	job := jobOf(run.Task)
+	places, ok := scheduler.foreign[job]
+	if !ok {
+		return
+	}
+	places = slices.DeleteFunc(places, func(place place) bool { return place.run == run && place.target == targetID })
+	if len(places) == 0 {
+		delete(scheduler.foreign, job)
+		return
+	}
+	scheduler.foreign[job] = places
+}
+
+// incarnations returns the own incarnation and those of the peers with waiting tasks, in one order for all.
+func (scheduler *Scheduler) incarnations() []string {
+	all := make([]string, 0, len(scheduler.demands)+1)
+	all = append(all, scheduler.self)
+	for incarnation := range scheduler.demands {
+		all = append(all, incarnation)
+	}
+	sort.Strings(all)
+	return all
+}
--- /dev/null
+++ b/scheduler/model.go
@@ -0,0 +1,238 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+)
+
+// Size is what a task occupies on a target, or what a target offers.
+type Size struct {
+	MilliCores   int64
+	MemoryMB     int64
+	Accelerators int64
+}
+
+// Fits reports whether size fits into room.
+func (size Size) Fits(room Size) bool {
+	return size.MilliCores <= room.MilliCores && size.MemoryMB <= room.MemoryMB && size.Accelerators <= room.Accelerators
+}
+
+// Plus returns the sum of both sizes.
+func (size Size) Plus(other Size) Size {
+	return Size{size.MilliCores + other.MilliCores, size.MemoryMB + other.MemoryMB, size.Accelerators + other.Accelerators}
+}
+
+// Minus returns size without other.
+func (size Size) Minus(other Size) Size {
+	return Size{size.MilliCores - other.MilliCores, size.MemoryMB - other.MemoryMB, size.Accelerators - other.Accelerators}
+}
+
+// Target is what discovery tells of one incarnation of a target.
+type Target struct {
+	ID       string
+	Service  string
+	Address  string
+	Domain   string
+	Labels   []string
+	Capacity Size
+	Draining bool
+	// Incarnation differs after each restart under the same ID; 0 if it is not known.
+	Incarnation int64
+}
+
+// hasLabel reports whether the target carries label; every target carries the empty label.
+func (target *Target) hasLabel(label string) bool {
+	if label == "" {
+		return true
+	}
+	for _, own := range target.Labels {
+		if own == label {
+			return true
+		}
+	}
+	return false
+}
+
+// Step is a set of like tasks of a job.
+type Step struct {
+	// Tasks holds the name of each task.
+	Tasks []string
+	Size  Size
+	// Estimate is the declared run time of one task, which may be far off.
+	Estimate time.Duration
+	// After lists the earlier steps whose tasks must all be done first.
+	After []int
+	// Label must be among the labels of the target, if it is set.
+	Label string
+	// PerTarget bounds how many tasks of the step run on one target; 0 means no bound.
+	PerTarget int
+}
+
+// Job is a request of a caller.
+type Job struct {
+	ID       string
+	Route    string
+	Service  string
+	Body     string
+	Steps    []Step
+	Priority int
+	// MaxFailures is how many runs of a task may fail before the job has failed.
+	MaxFailures int
+	// Arrived is when the whole request was there, and Deadline when its caller stops waiting.
+	Arrived  time.Time
+	Deadline time.Time
+	// Objective is when the answer is due to count as in time.
+	Objective time.Time
+}
+
+// Run is one start of a task.
+type Run struct {
+	Task    string
+	Attempt int64
+}
+
+// Cause is how a run ended.
+type Cause int
+
+// Causes of the end of a run.
+const (
+	// Done means that the run succeeded.
+	Done Cause = iota + 1
+	// Failed means that the run failed by its own fault or by that of its target.
+	Failed
+	// Stopped means that the run was stopped by an order.
+	Stopped
+	// Lapsed means that the lease of the target expired.
+	Lapsed
+	// NeverRan means that the target did not take the run.
+	NeverRan
+)
+
+// String returns the name that logs use.
+func (cause Cause) String() string {
+	switch cause {
+	case Done:
+		return "done"
+	case Failed:
+		return "failed"
+	case Stopped:
+		return "stopped"
+	case Lapsed:
+		return "lapsed"
+	case NeverRan:
+		return "never-ran"
+	}
+	return "unknown"
+}
+
+// StartResult is what came of the order to start a run.
+type StartResult int
+
+// Results of an order to start a run.
+const (
+	// StartTaken means that the target runs the task.
+	StartTaken StartResult = iota + 1
+	// StartNoRoom means that the target has no room for the task; nothing was started.
+	StartNoRoom
+	// StartStale means that the target knows a later run of the task; nothing was started.
+	StartStale
+	// StartLate means that the order reached the target after its deadline; nothing was started.
+	StartLate
+	// StartRefused means that the target is unhealthy or another incarnation; nothing was started.
+	StartRefused
+	// StartImpossible means that the target holds the order to be wrong; nothing was started.
+	StartImpossible
+	// StartUnanswered means that it is not known whether the target runs the task.
+	StartUnanswered
+	// StartUnsent means that the order never left the instance.
+	StartUnsent
+)
+
+// String returns the name that logs use.
+func (result StartResult) String() string {
+	names := []string{"unknown", "taken", "no-room", "stale", "late", "refused", "impossible", "unanswered", "unsent"}
+	if int(result) < len(names) && result > 0 {
+		return names[result]
+	}
+	return names[0]
+}
+
+// Row is one run that a target lists as running.
+type Row struct {
+	Run Run
+	// MilliCores is what the run used lately, by the target's own measure; 0 if unknown.
+	MilliCores int64
+}
+
+// End is one run that a target lists as ended.
+type End struct {
+	// Number counts the ends of one incarnation of the target from 1.
+	Number int64
+	Run    Run
+	Cause  Cause
+}
+
+// Look is what a target told of itself.
+type Look struct {
+	Incarnation int64
+	Running     []Row
+	Ended       []End
+	// Sent is when the question left, and Answered when the answer was there.
+	Sent     time.Time
+	Answered time.Time
+}
+
+// Claim says that an instance starts a run on a target and so occupies room there.
+type Claim struct {
+	Target   string
+	Run      Run
+	Size     Size
+	Estimate time.Duration
+}
+
+// Action is something that the scheduler asks its owner to do: StartTask, StopRun, Answer, Announce or TakeOver.
+type Action interface{ isAction() }
+
+// StartTask asks to start a run on a target.
+type StartTask struct {
+	Claim
+	On     Target
+	Job    string
+	Body   string
+	Wanted time.Time
+	// Room is what was believed to be free on the target before the start.
+	Room Size
+	// Predicted is the run time that is expected on this target.
+	Predicted time.Duration
+}
+
+// StopRun asks to stop a run on a target.
+type StopRun struct {
+	On     Target
+	Run    Run
+	Reason string
+}
+
+// Answer gives the outcome of a job to its callers.
+type Answer struct {
+	Job     string
+	Outcome dispatcher.Outcome
+	// Started tells whether a task of the job was ever started.
+	Started bool
+}
+
+// Announce asks to tell the peers that a run does not occupy its target any more.
+type Announce struct {
+	Target string
+	End    End
+}
+
+// TakeOver asks to tell the peers that this instance has the job now.
+type TakeOver struct{ Job string }
+
+func (TakeOver) isAction()  {}
+func (StartTask) isAction() {}
+func (StopRun) isAction()   {}
+func (Answer) isAction()    {}
+func (Announce) isAction()  {}
--- /dev/null
+++ b/scheduler/tick.go
@@ -0,0 +1,180 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+)
+
+// Tick handles what is due by time: jobs out of time, runs that stand still, and tasks that may start again.
+func (scheduler *Scheduler) Tick(now time.Time) {
+	for _, job := range scheduler.jobs {
+		scheduler.tickJob(job, now)
+	}
+	for _, target := range scheduler.targets {
+		scheduler.dropGhosts(target, now)
+	}
+	for id, at := range scheduler.answered {
+		if now.Sub(at) >= answersKept {
+			delete(scheduler.answered, id)
+		}
+	}
+	scheduler.place(now)
+}
+
+func (scheduler *Scheduler) tickJob(job *job, now time.Time) {
+	switch {
+	case !now.Before(job.Deadline):
+		scheduler.giveUp(job, dispatcher.ReasonDeadline, "the deadline has passed", now)
+		return
+	case !job.started && !now.Before(job.giveUp):
+		scheduler.giveUp(job, dispatcher.ReasonOverload, "no room in time", now)
+		return
+	}
+	rate := scheduler.release(job.Service, now)
+	for _, task := range job.tasks {
+		switch task.state {
+		case waiting, uncertain:
+			least := time.Duration(float64(task.spec().Estimate) / rate.best)
+			if now.Add(least).After(job.Deadline) {
+				scheduler.giveUp(job, dispatcher.ReasonDeadline, "too little time is left for a task", now)
+				return
+			}
+			if task.state == uncertain && !now.Before(task.notBefore) {
+				scheduler.restart(task, now)
+			}
+		case running:
+			scheduler.tickRun(task, now)
+		case blocked, starting, stopping, done:
+		}
+		if _, active := scheduler.jobs[job.ID]; !active {
+			return
+		}
+	}
+}
+
+// tickRun starts a task anew whose run is lost, or stands still while another target could still be in time.
+func (scheduler *Scheduler) tickRun(task *task, now time.Time) {
+	if !task.missing.IsZero() && now.Sub(task.missing) >= missingTime {
+		task.on.vacate(task.run())
+		task.notBefore = time.Time{}
+		scheduler.restart(task, now)
+		return
+	}
+	overdue := time.Duration(float64(task.predicted)*stragglerFactor) + stragglerSlack
+	if now.Sub(task.started) < overdue || task.restarts > 0 {
+		return
+	}
+	task.avoid(task.on)
+	if best, _ := scheduler.choose(task, now); best != nil {
+		least := StopTime + startOverhead + best.predict(task.spec().Estimate)
+		if now.Add(least).Before(task.job.Deadline) {
+			task.state = stopping
+			task.on.exclude(now)
+			scheduler.act(StopRun{On: task.on.Target, Run: task.run(), Reason: "run stands still"})
+		}
+	}
+}
+
+// dropGhosts forgets claims of peers of whose end no word came.
+func (scheduler *Scheduler) dropGhosts(target *target, now time.Time) {
+	for run, occupant := range target.occupants {
+		if occupant.owner == scheduler.self {
+			if task := scheduler.tasks[run.Task]; task != nil && task.attempt >= run.Attempt {
+				continue
+			}
+		}
+		longest := 3*target.predict(occupant.estimate) + ghostTime
+		latest := occupant.claimed
+		if occupant.confirmed.After(latest) {
+			latest = occupant.confirmed
+		}
+		if now.Sub(latest) > longest {
+			target.vacate(run)
+			scheduler.forget(target.ID, run)
+		}
+	}
+}
+
+// Orphans asks to stop the runs on a target whose owner is not alive, or is not known for a while; alive reports
+// whether an instance is heard of. Only the reader of the target calls it.
+func (scheduler *Scheduler) Orphans(targetID string, alive func(owner string) bool, now time.Time) {
+	target, ok := scheduler.targets[targetID]
+	if !ok {
+		return
+	}
+	for run, occupant := range target.occupants {
+		switch {
+		case occupant.confirmed.IsZero() || now.Sub(occupant.stopAsked) < orphanTime:
+			continue
+		case occupant.owner == scheduler.self:
+			if _, ok := scheduler.tasks[run.Task]; ok || now.Sub(occupant.claimed) < orphanTime {
+				continue
+			}
+		case occupant.owner == "":
+			if now.Sub(occupant.claimed) < orphanTime {
+				continue
+			}
+		case alive(occupant.owner):
+			continue
+		}
+		occupant.stopAsked = now
+		scheduler.act(StopRun{On: target.Target, Run: run, Reason: "its instance is gone"})
+	}
+}
+
+// orphanTime is how long a run without a known owner is left alone: the claim of a live owner arrives within it,
+// and the caller of a dead one sends its job again only later.
+const orphanTime = 400 * time.Millisecond
+
+// Work describes what there is to look after on a target.
+type Work struct {
+	// Occupied tells whether any run is believed to be there, and Own whether an own one is.
+	Occupied bool
+	Own      bool
+	// Unreachable tells that the target did not answer lately.
+	Unreachable bool
+	// News is when the target was last heard of.
+	News time.Time
+}
+
+// Work returns what there is to look after on the target.
+func (scheduler *Scheduler) Work(targetID string) Work {
+	target, ok := scheduler.targets[targetID]
+	if !ok {
+		return Work{}
+	}
+	work := Work{Occupied: len(target.occupants) > 0, Unreachable: target.unreachable, News: target.news}
+	for _, occupant := range target.occupants {
+		work.Own = work.Own || occupant.owner == scheduler.self
+	}
+	return work
+}
+
+// Owner returns the incarnation of the instance that started the run, empty if it is not known.
+func (scheduler *Scheduler) Owner(targetID string, run Run) string {
+	if target, ok := scheduler.targets[targetID]; ok {
+		if occupant, ok := target.occupants[run]; ok {
+			return occupant.owner
+		}
+	}
+	return ""
+}
+
+// Target returns what is known of a target.
+func (scheduler *Scheduler) Target(targetID string) (Target, bool) {
+	target, ok := scheduler.targets[targetID]
+	if !ok {
+		return Target{}, false
+	}
+	return target.Target, true
+}
+
+// Targets returns the IDs of all known targets.
+func (scheduler *Scheduler) Targets() []string {
+	ids := make([]string, 0, len(scheduler.targets))
+	for id := range scheduler.targets {
+		ids = append(ids, id)
+	}
+	return ids
+}
