Offer freed room to one instance at a time while tasks wait

The log lines of one target (room believed, age of the report) show that each end was broadcast as free room, and up to eight instances started on the target at once. Change: while more tasks wait than find room, the reader of a target offers freed room to one instance, drawn by its share of the tasks of the best priority; the others hear of the room once it is claimed or the turn of 8 ms is over. Starts that were not answered keep work back from their target for 200 ms, and a task of unknown fate starts anew when the order's own lease is over.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -276,6 +276,7 @@
 		if executor.scheduler.Active() > 0 {
 			executor.scheduler.Tick(now)
 		}
+		executor.scheduler.Turns(now)
 		if now.Sub(swept) >= sweepTime {
 			swept = now
 			executor.scheduler.Sweep(now)
--- a/executor/log.go
+++ b/executor/log.go
@@ -25,11 +25,11 @@
 func (executor *Executor) logStart(start scheduler.StartTask, result scheduler.StartResult, took time.Duration) {
 	if result == scheduler.StartTaken {
 		executor.logger.Info("task started", "job", start.Job, "task", start.Run.Task, "attempt", start.Run.Attempt, "target", start.Target,
-			"room", start.Room.MilliCores, "predicted-ms", start.Predicted.Milliseconds(), "took-ms", took.Milliseconds())
+			"room", start.Room.MilliCores, "room-age-ms", start.RoomAge.Milliseconds(), "predicted-ms", start.Predicted.Milliseconds(), "took-ms", took.Milliseconds())
 		return
 	}
 	executor.logger.Warn("task not started", "job", start.Job, "task", start.Run.Task, "attempt", start.Run.Attempt, "target", start.Target,
-		"result", result.String(), "room", start.Room.MilliCores, "took-ms", took.Milliseconds())
+		"result", result.String(), "room", start.Room.MilliCores, "room-age-ms", start.RoomAge.Milliseconds(), "took-ms", took.Milliseconds())
 }
 
 func (executor *Executor) logStop(stop scheduler.StopRun, err error) {
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -124,6 +124,7 @@
 			rate.perSecond += float64(time.Second) / float64(max(runTime, time.Millisecond))
 		}
 	}
+	rate.free = scheduler.free(service, Size{MilliCores: scheduler.usualSize}, now)
 	if rate.best == 0 {
 		rate.best = 1
 	}
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -16,6 +16,7 @@
 		scheduler.startTaken(target, task, current, run, now)
 	case StartUnanswered:
 		if target != nil {
+			target.heldUntil = now.Add(unansweredPause)
 			scheduler.act(StopRun{On: target.Target, Run: run, Reason: "start was not answered"})
 		}
 		if current {
@@ -57,20 +58,34 @@
 	scheduler.act(Withdraw{Target: target.ID, Run: run})
 	switch result {
 	case StartNoRoom:
-		target.heldUntil = now.Add(rejectedPause)
 		target.news = now
+		scheduler.noRoom(target, now)
 	case StartRefused:
 		target.exclude(now)
 		target.news = now
 	case StartUnsent:
-		target.unreachable = true
+		scheduler.setUnreachable(target)
 	case StartTaken, StartStale, StartLate, StartImpossible, StartUnanswered:
 	}
 }
 
+// noRoom corrects the room of a target that has rejected a run: a report that said otherwise is void until the next
+// one, and a reader waits for the claim of the run that came first.
+func (scheduler *Scheduler) noRoom(target *target, now time.Time) {
+	if target.reader || target.reportedAt.IsZero() {
+		target.heldUntil = now.Add(rejectedPause)
+		return
+	}
+	target.reported = Size{}
+}
+
 // rejectedPause keeps work back from a target without room until the next end is likely to be known.
 const rejectedPause = 15 * time.Millisecond
 
+// unansweredPause keeps work back from a target that left a start unanswered until it is known whether it answers the
+// order to stop.
+const unansweredPause = 200 * time.Millisecond
+
 // retryStart puts a task back into the queue after a rejection.
 func (scheduler *Scheduler) retryStart(task *task, result StartResult, now time.Time) {
 	switch result {
@@ -91,7 +106,7 @@
 func (scheduler *Scheduler) StopAnswered(targetID string, run Run, stopped bool, now time.Time) {
 	target := scheduler.targets[targetID]
 	if target != nil && !stopped {
-		target.unreachable = true
+		scheduler.setUnreachable(target)
 	}
 	task := scheduler.tasks[run.Task]
 	if task == nil || task.state != stopping || task.attempt != run.Attempt {
@@ -103,7 +118,8 @@
 		return
 	}
 	task.state = uncertain
-	task.notBefore = now.Add(LeaseTime + leaseSlack)
+	// An order is void after the lease that it asked for, which began when it was sent.
+	task.notBefore = task.started.Add(LeaseTime + leaseSlack)
 	scheduler.act(RelayStop{Target: targetID, Run: run})
 }
 
@@ -131,7 +147,7 @@
 			if occupant == nil || occupant.owner != scheduler.self {
 				scheduler.ended[end.Run] = pastEnd{end, now}
 			}
-			scheduler.offer(target, end.Number, now)
+			scheduler.offer(target, now)
 		}
 	}
 	if task, ok := scheduler.tasks[end.Run.Task]; ok {
@@ -203,7 +219,10 @@
 	}
 	now := look.Answered
 	target.news = now
-	target.unreachable = false
+	if target.unreachable {
+		target.unreachable = false
+		scheduler.changed[targetID] = target.reader
+	}
 	if look.Incarnation != 0 && look.Incarnation > target.Incarnation {
 		scheduler.restarted(target, look.Incarnation, now)
 	}
@@ -278,7 +297,14 @@
 // Unreachable notes that the target did not answer; it gets no work until it does.
 func (scheduler *Scheduler) Unreachable(targetID string) {
 	if target, ok := scheduler.targets[targetID]; ok {
-		target.unreachable = true
+		scheduler.setUnreachable(target)
+	}
+}
+
+func (scheduler *Scheduler) setUnreachable(target *target) {
+	target.unreachable = true
+	if target.reader {
+		scheduler.changed[target.ID] = true
 	}
 }
 
@@ -302,8 +328,9 @@
 	}
 	target.occupy(claim.Run, added)
 	target.extendLease(now)
-	target.heldUntil = time.Time{}
+	scheduler.noteSize(claim.Size)
 	scheduler.changed[target.ID] = true
+	scheduler.offer(target, now)
 	return End{}, false
 }
 
@@ -311,10 +338,17 @@
 func (scheduler *Scheduler) PeerWithdrew(targetID string, run Run, now time.Time) {
 	if target, ok := scheduler.targets[targetID]; ok {
 		scheduler.vacate(target, run)
+		scheduler.offer(target, now)
 		scheduler.place(now)
 	}
 }
 
+// noteSize learns the usual size of a run.
+func (scheduler *Scheduler) noteSize(size Size) {
+	const weight = 16
+	scheduler.usualSize += (size.MilliCores - scheduler.usualSize) / weight
+}
+
 // PeerStop stops a run for an instance that cannot do it itself.
 func (scheduler *Scheduler) PeerStop(targetID string, run Run) {
 	if target, ok := scheduler.targets[targetID]; ok {
@@ -385,23 +419,27 @@
 func (scheduler *Scheduler) Reports(now time.Time) []Report {
 	var reports []Report
 	for id := range scheduler.changed {
-		if target, ok := scheduler.targets[id]; ok && target.reader {
-			if room := target.room(now); room != target.told {
+		target, ok := scheduler.targets[id]
+		if ok && scheduler.offered[id] {
+			continue
+		}
+		delete(scheduler.changed, id)
+		if ok && target.reader {
+			if room := target.offered(now); room != target.told {
 				reports = append(reports, scheduler.report(target, room, now))
 			}
 		}
 	}
-	clear(scheduler.changed)
 	return reports
 }
 
 // Renewed returns the report of a target whose lease was renewed, if the last one is old.
 func (scheduler *Scheduler) Renewed(targetID string, now time.Time) (Report, bool) {
 	target, ok := scheduler.targets[targetID]
-	if !ok || !target.reader || now.Sub(target.toldAt) < reportUse/4 {
+	if !ok || !target.reader || scheduler.offered[targetID] || now.Sub(target.toldAt) < reportUse/4 {
 		return Report{}, false
 	}
-	return scheduler.report(target, target.room(now), now), true
+	return scheduler.report(target, target.offered(now), now), true
 }
 
 func (scheduler *Scheduler) report(target *target, room Size, now time.Time) Report {
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -204,6 +204,8 @@
 	Wanted time.Time
 	// Room is what was believed to be free on the target before the start.
 	Room Size
+	// RoomAge is how old the report of the room is; 0 on targets that this instance reads.
+	RoomAge time.Duration
 	// Predicted is the run time that is expected on this target.
 	Predicted time.Duration
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -13,6 +13,9 @@
 	otherDomainCost = 4 * time.Millisecond
 	// unreadCost is what a target that another instance reads must be faster to be chosen: its room is known less well.
 	unreadCost = 2 * time.Millisecond
+	// spread is by which share of the run time instances differ in their order of the targets. Without it all of them
+	// choose the same fastest targets, and those that come second are rejected.
+	spread = 0.5
 	// lateCost weighs each unit of time past the objective against a longer run time.
 	lateCost = 4
 )
@@ -96,6 +99,7 @@
 			}
 			cost += lateCost * late
 		}
+		cost += time.Duration(spread * candidate.affinity * float64(cost))
 		if candidate.Domain != scheduler.domain {
 			cost += otherDomainCost
 		}
@@ -133,6 +137,7 @@
 	task.job.started = true
 	on.occupy(task.run(), &occupant{owner: scheduler.self, size: step.Size, estimate: step.Estimate, claimed: now})
 	on.extendLease(now)
+	scheduler.noteSize(step.Size)
 	if on.reader {
 		scheduler.changed[on.ID] = true
 	}
@@ -143,6 +148,7 @@
 		Body:      task.job.Body,
 		Wanted:    task.job.Arrived,
 		Room:      room,
+		RoomAge:   on.roomAge(now),
 		Predicted: task.predicted,
 	})
 }
@@ -150,10 +156,16 @@
 // turnTime is how long room that was offered to an instance is kept back from the others: its claim arrives within it.
 const turnTime = 8 * time.Millisecond
 
-// offer decides who may claim freed room first, if any instance has tasks waiting: one of those with the best
-// priority, drawn by the number of its waiting tasks. Without it all of them start on the same target at once, and all
-// but one are rejected. Only the reader of the target calls it.
-func (scheduler *Scheduler) offer(target *target, number int64, now time.Time) {
+// offer decides who may claim the room of a target first, if more tasks wait than find room anywhere: one of those with the
+// best priority, drawn by the number of its waiting tasks. The others do not hear of the room until it was claimed or the
+// turn is over. Without it all of them start on the same target at once, and all but one are rejected. Only the reader
+// of the target calls it.
+func (scheduler *Scheduler) offer(target *target, now time.Time) {
+	delete(scheduler.offered, target.ID)
+	target.heldUntil = time.Time{}
+	if !target.reader || target.unreachable || target.Draining || target.room(now).MilliCores < scheduler.usualSize/2 {
+		return
+	}
 	own := scheduler.Demand()
 	total := own
 	for _, demand := range scheduler.demands {
@@ -161,18 +173,39 @@
 			total[priority] += waiting
 		}
 	}
+	if total.upTo(priorities-1) <= scheduler.release(target.Service, now).free {
+		// There is room for all who wait, and turns would only delay them.
+		return
+	}
 	for priority, waiting := range total {
 		if waiting == 0 {
 			continue
 		}
-		if winner := scheduler.draw(target.ID, number, priority, waiting, own[priority]); winner != scheduler.self {
+		target.draws++
+		if winner := scheduler.draw(target.ID, target.draws, priority, waiting, own[priority]); winner != scheduler.self {
 			target.heldUntil = now.Add(turnTime)
+			scheduler.offered[target.ID] = true
 			scheduler.act(Offer{To: winner, Target: target.ID, Room: target.room(now)})
 		}
 		return
 	}
 }
 
+// nextTurns offers the room anew whose turn has passed without a claim.
+func (scheduler *Scheduler) nextTurns(now time.Time) {
+	for id := range scheduler.offered {
+		target, ok := scheduler.targets[id]
+		if !ok {
+			delete(scheduler.offered, id)
+			continue
+		}
+		if !now.Before(target.heldUntil) {
+			scheduler.offer(target, now)
+			scheduler.changed[id] = true
+		}
+	}
+}
+
 // draw returns an instance by its share of the waiting tasks of a priority.
 func (scheduler *Scheduler) draw(target string, number int64, priority int, total, own int64) string {
 	hash := fnv.New32a()
@@ -189,3 +222,16 @@
 	}
 	return scheduler.self
 }
+
+// affinity returns a number from 0 to 1 drawn from the names of an instance and a target.
+func affinity(instance, target string) float64 {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(target))
+	_, _ = hash.Write([]byte(instance))
+	sum := hash.Sum32()
+	// FNV leaves the last bytes in the low bits; the mixing spreads them over all.
+	sum ^= sum >> 16
+	sum *= 0x85ebca6b
+	sum ^= sum >> 13
+	return float64(sum) / (1 << 32)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -76,7 +76,11 @@
 	demands  map[string]Demand
 	answered map[string]time.Time
 	releases map[string]releaseRate
-	actions  []Action
+	// offered holds the targets whose room was offered to another instance and not claimed yet.
+	offered map[string]bool
+	// usualSize is a mean of the processor share of claims in thousandths of a core.
+	usualSize int64
+	actions   []Action
 	// found is reused for the candidates of a placement.
 	found []candidate
 }
@@ -85,7 +89,9 @@
 type releaseRate struct {
 	perSecond float64
 	best      float64
-	until     time.Time
+	// free is how many tasks of the usual size find room.
+	free  int64
+	until time.Time
 }
 
 // New returns a scheduler of the instance with the incarnation self in a failure domain.
@@ -100,6 +106,7 @@
 		tasks:     make(map[string]*task),
 		ended:     make(map[Run]pastEnd),
 		changed:   make(map[string]bool),
+		offered:   make(map[string]bool),
 		demands:   make(map[string]Demand),
 		answered:  make(map[string]time.Time),
 		releases:  make(map[string]releaseRate),
@@ -165,7 +172,7 @@
 func (scheduler *Scheduler) setTarget(info Target, now time.Time) {
 	known, ok := scheduler.targets[info.ID]
 	if !ok {
-		scheduler.targets[info.ID] = newTarget(info, scheduler.group(info))
+		scheduler.targets[info.ID] = newTarget(info, scheduler.group(info), affinity(scheduler.self, info.ID))
 		return
 	}
 	if info.Incarnation != 0 && info.Incarnation > known.Incarnation {
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -104,13 +104,17 @@
 	// told is the room that this instance reported last as the reader.
 	told   Size
 	toldAt time.Time
+	// affinity is a number from 0 to 1 that differs between instances.
+	affinity float64
+	// draws counts the turns that were drawn for the room of the target.
+	draws int64
 	// cachedFactor is the learned speed for the versions of the speeds that it was computed from.
 	cachedFactor  float64
 	cachedVersion int
 }
 
-func newTarget(info Target, group *learnedSpeed) *target {
-	return &target{Target: info, occupants: make(map[Run]*occupant), group: group}
+func newTarget(info Target, group *learnedSpeed, affinity float64) *target {
+	return &target{Target: info, occupants: make(map[Run]*occupant), group: group, affinity: affinity}
 }
 
 // room returns what is believed to be free: the reader knows all claims, others know their own and the reader's report.
@@ -128,6 +132,22 @@
 	return room
 }
 
+// offered returns the room that other instances may use: none while the target does not answer its reader.
+func (target *target) offered(now time.Time) Size {
+	if target.unreachable {
+		return Size{}
+	}
+	return target.room(now)
+}
+
+// roomAge returns how old the report is that the room is taken from, 0 if this instance knows the room itself.
+func (target *target) roomAge(now time.Time) time.Duration {
+	if target.reader || target.reportedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(target.reportedAt)
+}
+
 // usable reports whether the target may get new work at now.
 func (target *target) usable(now time.Time) bool {
 	if target.Draining || target.unreachable || now.Before(target.heldUntil) || now.Before(target.excludedUntil) {
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -14,6 +14,14 @@
 	scheduler.place(now)
 }
 
+// Turns offers room anew that the instance whose turn it was did not claim; it is due as often as a turn takes.
+func (scheduler *Scheduler) Turns(now time.Time) {
+	if len(scheduler.offered) > 0 {
+		scheduler.nextTurns(now)
+		scheduler.place(now)
+	}
+}
+
 // Sweep drops what is out of date; it is due some times a second.
 func (scheduler *Scheduler) Sweep(now time.Time) {
 	for _, target := range scheduler.targets {
