Start lost runs again when their lease is over, and spare silent failure domains

Cause: a running task on a target that went dark waited for its caller's deadline, since only orders without answer were followed up; and in a partition each target of the other failure domains took starts until it was found out on its own. Ruled out: restarting sooner than the lease allows, which would run a task twice. Change: each order that renews a lease is noted, a run whose lease is over by that count starts again, except for 300 ms after the instance itself stood still; looks at targets that do not answer renew nothing; failure domains of which nothing was heard for 200 ms get no work.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -19,6 +19,12 @@
 	tickTime = 5 * time.Millisecond
 	// sweepTime is how often runs without a live owner, changed readers and what is out of date are looked for.
 	sweepTime = 100 * time.Millisecond
+	// pauseTime is a gap between ticks that shows that this instance stood still.
+	pauseTime = 150 * time.Millisecond
+	// watchTime is how often silent failure domains are looked for, and domainSilence how long all instances of one must
+	// be silent: more than a heartbeat and a half.
+	watchTime     = 20 * time.Millisecond
+	domainSilence = 200 * time.Millisecond
 	// startTimeout bounds the wait for the answer to a start: thirty round trips between failure domains, and more than
 	// twice what starts of a busy instance take.
 	startTimeout = 60 * time.Millisecond
@@ -67,6 +73,8 @@
 	scheduler *scheduler.Scheduler
 	waiters   map[string][]chan dispatcher.Outcome
 	lookers   map[string]*looker
+	// silent holds the failure domains of which nothing is heard.
+	silent map[string]bool
 	// assigned is the version of the peers for which the readers were decided.
 	assigned int64
 }
@@ -85,6 +93,7 @@
 		scheduler: scheduler.New(self.Incarnation, self.Domain),
 		waiters:   make(map[string][]chan dispatcher.Outcome),
 		lookers:   make(map[string]*looker),
+		silent:    make(map[string]bool),
 	}
 	executor.peers = gossiper.New(executor, now)
 	executor.group.Go(executor.tick)
@@ -277,7 +286,8 @@
 func (executor *Executor) tick() {
 	ticker := time.NewTicker(tickTime)
 	defer ticker.Stop()
-	var swept, repeated time.Time
+	var swept, repeated, watched time.Time
+	ticked := executor.now()
 	for {
 		select {
 		case <-executor.ctx.Done():
@@ -286,6 +296,16 @@
 		}
 		now := executor.now()
 		executor.mu.Lock()
+		if now.Sub(ticked) > pauseTime {
+			executor.logger.Warn("instance stood still", "for-ms", now.Sub(ticked).Milliseconds())
+			executor.scheduler.Paused(now)
+			watched = now.Add(pauseTime)
+		}
+		ticked = now
+		if now.Sub(watched) >= watchTime {
+			watched = now
+			executor.watchDomains()
+		}
 		if executor.scheduler.Active() > 0 {
 			executor.scheduler.Tick(now)
 		}
@@ -305,6 +325,23 @@
 	}
 }
 
+// watchDomains keeps work back from failure domains of which nothing is heard; the caller holds the lock. A partition
+// would otherwise take the starts on each of their targets until it is found out on its own.
+func (executor *Executor) watchDomains() {
+	for domain, silent := range executor.peers.Silent(domainSilence) {
+		if domain == executor.self.Domain || executor.silent[domain] == silent {
+			continue
+		}
+		executor.silent[domain] = silent
+		executor.scheduler.Suspend(domain, silent)
+		if silent {
+			executor.logger.Warn("failure domain is not heard of", "domain", domain)
+		} else {
+			executor.logger.Info("failure domain is heard of again", "domain", domain)
+		}
+	}
+}
+
 // stopOrphans stops runs without a live owner on the targets that this instance reads; the caller holds the lock.
 func (executor *Executor) stopOrphans(now time.Time) {
 	for id, looker := range executor.lookers {
--- a/executor/looker.go
+++ b/executor/looker.go
@@ -97,8 +97,11 @@
 		return
 	}
 	looker.lastLook = now
-	if work.Occupied {
+	if work.Occupied && !work.Unreachable {
 		request.Lease = now.Add(scheduler.LeaseTime)
+		executor.mu.Lock()
+		executor.scheduler.Renewing(looker.id, now)
+		executor.mu.Unlock()
 	}
 	if executor.cautious(now) {
 		request.Wait = min(request.Wait, cautiousLookWait)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -321,6 +321,23 @@
 	known.heard, known.gone, known.leaving = now, false, leaving
 }
 
+// Silent returns the other failure domains with instances that stay, and whether none of them was heard of for a time.
+func (gossiper *Gossiper) Silent(duration time.Duration) map[string]bool {
+	now := gossiper.now()
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	silent := make(map[string]bool)
+	for _, peer := range gossiper.peers {
+		if peer.leaving {
+			continue
+		}
+		quiet := now.Sub(peer.heard) > duration
+		known, ok := silent[peer.hello.Domain]
+		silent[peer.hello.Domain] = quiet && (known || !ok)
+	}
+	return silent
+}
+
 // Alive reports whether the instance was heard of lately.
 func (gossiper *Gossiper) Alive(incarnation string) bool {
 	gossiper.mu.Lock()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -76,6 +76,10 @@
 	demands  map[string]Demand
 	answered map[string]time.Time
 	releases map[string]releaseRate
+	// suspended holds the failure domains of which nothing is heard.
+	suspended map[string]bool
+	// awake is the time from which runs may be taken to be lost.
+	awake time.Time
 	// offered holds the targets whose room was offered to another instance and not claimed yet.
 	offered map[string]bool
 	// usualSize is a mean of the processor share of claims in thousandths of a core.
@@ -107,6 +111,7 @@
 		ended:     make(map[Run]pastEnd),
 		changed:   make(map[string]bool),
 		offered:   make(map[string]bool),
+		suspended: make(map[string]bool),
 		demands:   make(map[string]Demand),
 		answered:  make(map[string]time.Time),
 		releases:  make(map[string]releaseRate),
@@ -172,7 +177,9 @@
 func (scheduler *Scheduler) setTarget(info Target, now time.Time) {
 	known, ok := scheduler.targets[info.ID]
 	if !ok {
-		scheduler.targets[info.ID] = newTarget(info, scheduler.group(info))
+		added := newTarget(info, scheduler.group(info))
+		added.suspended = scheduler.suspended[info.Domain]
+		scheduler.targets[info.ID] = added
 		return
 	}
 	if info.Incarnation != 0 && info.Incarnation > known.Incarnation {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -542,3 +542,56 @@
 	is.Equal(len(again.starts), 0)
 	is.Equal(outcome(again.answers[0]), "complete")
 }
+
+// Guards against a job that waits for a run on a target that nobody reaches any more, until its caller has gone.
+func TestRunStartsAgainOnceItsLeaseIsOver(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	scheduler.Submit(testJob("j", 1, 900, 0), at(0))
+	start := drain(scheduler).starts[0]
+	take(scheduler, []StartTask{start}, at(2))
+	scheduler.Renewing(start.Target, at(400))
+	scheduler.Unreachable(start.Target)
+	end := 400 + int((LeaseTime+leaseSlack)/time.Millisecond)
+	again := 0
+	for now := 400; now < 2500 && again == 0; now += 5 {
+		scheduler.Tick(at(now))
+		if len(drain(scheduler).starts) > 0 {
+			again = now
+		}
+	}
+	is.True(again >= end)
+	is.True(again <= end+5)
+}
+
+// Guards against a second run after a pause of the instance, in which it missed that the lease was renewed.
+func TestPauseIsNoLoss(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	scheduler.Submit(testJob("j", 1, 900, 0), at(0))
+	start := drain(scheduler).starts[0]
+	take(scheduler, []StartTask{start}, at(2))
+	scheduler.Paused(at(1500))
+	scheduler.Tick(at(1500))
+	is.Equal(len(drain(scheduler).starts), 0)
+	scheduler.Renewing(start.Target, at(1510))
+	scheduler.Tick(at(1900))
+	is.Equal(len(drain(scheduler).starts), 0)
+}
+
+// Guards against starts on every target of a failure domain that is cut off.
+func TestSuspendedDomainGetsNoWork(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	targets := testTargets(2)
+	targets[0].Domain = "b"
+	scheduler.SetTargets(targets, at(0))
+	scheduler.Suspend("b", true)
+	scheduler.Submit(testJob("j", 2, 100, 0), at(0))
+	for _, start := range drain(scheduler).starts {
+		is.Equal(start.Target, "t1")
+	}
+	scheduler.Suspend("b", false)
+	scheduler.Submit(testJob("k", 2, 100, 0), at(0))
+	is.Equal(len(drain(scheduler).starts), 2)
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -92,6 +92,8 @@
 	streak      int
 	streakJob   string
 	unreachable bool
+	// suspended means that nothing is heard of the failure domain of the target.
+	suspended bool
 	// leaseEnd is the latest time at which the lease of the target can end, as far as orders were heard of.
 	leaseEnd time.Time
 	// news is when the target was last heard of, directly or through its reader.
@@ -150,7 +152,7 @@
 
 // usable reports whether the target may get new work at now.
 func (target *target) usable(now time.Time) bool {
-	if target.Draining || target.unreachable || target.expired(now) || now.Before(target.heldUntil) || now.Before(target.excludedUntil) {
+	if target.Draining || target.unreachable || target.suspended || target.expired(now) || now.Before(target.heldUntil) || now.Before(target.excludedUntil) {
 		return false
 	}
 	return !target.trial || len(target.occupants) == 0
@@ -158,7 +160,7 @@
 
 // sound reports whether the target is expected to take work again as soon as it has room.
 func (target *target) sound(now time.Time) bool {
-	return !target.Draining && !target.unreachable && !target.trial && !target.expired(now)
+	return !target.Draining && !target.unreachable && !target.suspended && !target.trial && !target.expired(now)
 }
 
 // expired reports whether the entry of the target has been gone for too long.
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -14,6 +14,33 @@
 	scheduler.place(now)
 }
 
+// Paused notes that the instance itself stood still before now: news of renewed leases may wait to be read.
+func (scheduler *Scheduler) Paused(now time.Time) { scheduler.awake = now.Add(awakeTime) }
+
+// awakeTime is how long after a pause no run is taken to be lost.
+const awakeTime = 300 * time.Millisecond
+
+// Suspend keeps work back from the targets of a failure domain of which nothing is heard, or allows it again.
+func (scheduler *Scheduler) Suspend(domain string, suspended bool) {
+	if suspended {
+		scheduler.suspended[domain] = true
+	} else {
+		delete(scheduler.suspended, domain)
+	}
+	for _, target := range scheduler.targets {
+		if target.Domain == domain {
+			target.suspended = suspended
+		}
+	}
+}
+
+// Renewing notes that an order that renews the lease of a target is about to be sent.
+func (scheduler *Scheduler) Renewing(targetID string, now time.Time) {
+	if target, ok := scheduler.targets[targetID]; ok {
+		target.extendLease(now)
+	}
+}
+
 // Turns offers room anew that the instance whose turn it was did not claim; it is due as often as a turn takes.
 func (scheduler *Scheduler) Turns(now time.Time) {
 	if len(scheduler.offered) > 0 {
@@ -57,7 +84,7 @@
 				scheduler.giveUp(job, dispatcher.ReasonDeadline, "too little time is left for a task", now)
 				return
 			}
-			if task.state == uncertain && !now.Before(task.notBefore) && !now.Before(task.on.leaseEnd) {
+			if task.state == uncertain && !now.Before(task.notBefore) && !now.Before(task.on.leaseEnd) && !now.Before(scheduler.awake) {
 				scheduler.restart(task, now)
 			}
 		case running:
@@ -72,7 +99,10 @@
 
 // tickRun starts a task anew whose run is lost, or stands still while another target could still be in time.
 func (scheduler *Scheduler) tickRun(task *task, now time.Time) {
-	if !task.missing.IsZero() && now.Sub(task.missing) >= missingTime {
+	missing := !task.missing.IsZero() && now.Sub(task.missing) >= missingTime
+	// Nobody has renewed the lease that this instance knows of, so that the run has been ended by its target.
+	lapsed := !now.Before(task.on.leaseEnd) && !now.Before(scheduler.awake)
+	if missing || lapsed {
 		scheduler.vacate(task.on, task.run())
 		task.notBefore = time.Time{}
 		scheduler.restart(task, now)
