--- a/executor/executor.go
+++ b/executor/executor.go
@@ -208,7 +208,7 @@
 		executor.carryOut(action)
 	}
 	for _, report := range executor.scheduler.Reports(executor.now()) {
-		executor.peers.Report(report.Target, report.Room)
+		executor.peers.Report(report)
 	}
 	executor.peers.Waiting(executor.scheduler.Demand())
 }
--- a/executor/looker.go
+++ b/executor/looker.go
@@ -97,7 +97,7 @@
 		return
 	}
 	looker.lastLook = now
-	if work.Occupied && !work.Unreachable {
+	if work.Occupied && !work.Unreachable && !work.Lost && looker.failures == 0 {
 		request.Lease = now.Add(scheduler.LeaseTime)
 		executor.mu.Lock()
 		executor.scheduler.Renewing(looker.id, now)
@@ -175,7 +175,7 @@
 	executor.scheduler.Looked(looker.id, look)
 	executor.noteEnds(looker, look)
 	if report, due := executor.scheduler.Renewed(looker.id, look.Answered); due {
-		executor.peers.Report(report.Target, report.Room)
+		executor.peers.Report(report)
 	}
 	executor.settle()
 }
--- a/executor/news.go
+++ b/executor/news.go
@@ -25,7 +25,7 @@
 	}
 	for _, room := range news.Rooms {
 		size := scheduler.Size{MilliCores: room.MilliCores, MemoryMB: room.MemoryMB, Accelerators: room.Accelerators}
-		executor.scheduler.PeerReported(room.Target, size, now)
+		executor.scheduler.PeerReported(scheduler.Report{Target: room.Target, Room: size, Lost: room.Lost}, now)
 	}
 	if len(news.Waiting) > 0 {
 		var demand scheduler.Demand
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -59,8 +59,8 @@
 	// direct holds what is not sent yet to single instances, and urgent that it is sent at once.
 	direct map[string]*linker.News
 	urgent bool
-	// rooms and demand are broadcast next.
-	rooms   map[string]scheduler.Size
+	// reports and demand are broadcast next.
+	reports map[string]scheduler.Report
 	demand  scheduler.Demand
 	leaving bool
 	ticked  time.Time
@@ -79,7 +79,7 @@
 		wake:     make(chan struct{}, 1),
 		changed:  make(chan struct{}, 1),
 		direct:   make(map[string]*linker.News),
-		rooms:    make(map[string]scheduler.Size),
+		reports:  make(map[string]scheduler.Report),
 		ticked:   now(),
 		peers:    make(map[string]*peer),
 	}
@@ -164,14 +164,14 @@
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
 	news := gossiper.to(to, true)
-	news.Rooms = append(news.Rooms, newRoom(target, room))
+	news.Rooms = append(news.Rooms, newRoom(scheduler.Report{Target: target, Room: room}))
 }
 
 // Report tells all instances of the room of a target.
-func (gossiper *Gossiper) Report(target string, room scheduler.Size) {
+func (gossiper *Gossiper) Report(report scheduler.Report) {
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
-	gossiper.rooms[target] = room
+	gossiper.reports[report.Target] = report
 	poke(gossiper.changed)
 }
 
@@ -185,8 +185,11 @@
 	}
 }
 
-func newRoom(target string, room scheduler.Size) linker.Room {
-	return linker.Room{Target: target, MilliCores: room.MilliCores, MemoryMB: room.MemoryMB, Accelerators: room.Accelerators}
+func newRoom(report scheduler.Report) linker.Room {
+	room := report.Room
+	return linker.Room{
+		Target: report.Target, MilliCores: room.MilliCores, MemoryMB: room.MemoryMB, Accelerators: room.Accelerators, Lost: report.Lost,
+	}
 }
 
 func poke(wake chan struct{}) {
@@ -249,10 +252,10 @@
 func (gossiper *Gossiper) sendAll() int {
 	gossiper.mu.Lock()
 	news := linker.News{Waiting: append([]int64(nil), gossiper.demand[:]...), Leaving: gossiper.leaving}
-	for target, room := range gossiper.rooms {
-		news.Rooms = append(news.Rooms, newRoom(target, room))
+	for _, report := range gossiper.reports {
+		news.Rooms = append(news.Rooms, newRoom(report))
 	}
-	clear(gossiper.rooms)
+	clear(gossiper.reports)
 	links := gossiper.links
 	incarnations := make([]string, 0, len(gossiper.peers))
 	for incarnation := range gossiper.peers {
--- a/linker/message.go
+++ b/linker/message.go
@@ -184,6 +184,8 @@
 	MilliCores   int64
 	MemoryMB     int64
 	Accelerators int64
+	// Lost means that the target does not answer its reader, which does not renew its lease any more.
+	Lost bool
 }
 
 // News tells what an instance did and saw on the targets since its last news.
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -366,14 +366,17 @@
 	}
 }
 
-// PeerReported takes the room of a target from its reader.
-func (scheduler *Scheduler) PeerReported(targetID string, room Size, now time.Time) {
-	target, ok := scheduler.targets[targetID]
+// PeerReported takes the room of a target from its reader, which says so if the target is lost to it.
+func (scheduler *Scheduler) PeerReported(report Report, now time.Time) {
+	target, ok := scheduler.targets[report.Target]
 	if !ok || target.reader {
 		return
 	}
-	target.reported, target.reportedAt, target.news, target.looked = room, now, now, now
-	target.extendLease(now)
+	target.reported, target.reportedAt, target.lost = report.Room, now, report.Lost
+	if !report.Lost {
+		target.news, target.looked = now, now
+		target.extendLease(now)
+	}
 }
 
 // PeerDemand takes the waiting tasks of another instance.
@@ -393,7 +396,7 @@
 	if !ok || target.reader == reads {
 		return
 	}
-	target.reader = reads
+	target.reader, target.lost = reads, false
 	if reads {
 		// The first look shows what runs there.
 		target.heldUntil = now.Add(rejectedPause)
@@ -422,6 +425,8 @@
 type Report struct {
 	Target string
 	Room   Size
+	// Lost means that the target does not answer, and that its lease is not renewed any more.
+	Lost bool
 }
 
 // Reports returns the targets whose room differs from what was reported last, and those that are occupied and were
@@ -435,8 +440,9 @@
 		}
 		delete(scheduler.changed, id)
 		if ok && target.reader {
-			if room := target.offered(now); room != target.told {
-				reports = append(reports, scheduler.report(target, room, now))
+			if report := target.report(now); report != target.told {
+				target.told, target.toldAt = report, now
+				reports = append(reports, report)
 			}
 		}
 	}
@@ -449,10 +455,6 @@
 	if !ok || !target.reader || scheduler.offered[targetID] || now.Sub(target.toldAt) < reportUse/4 {
 		return Report{}, false
 	}
-	return scheduler.report(target, target.offered(now), now), true
-}
-
-func (scheduler *Scheduler) report(target *target, room Size, now time.Time) Report {
-	target.told, target.toldAt = room, now
-	return Report{target.ID, room}
+	target.told, target.toldAt = target.report(now), now
+	return target.told, true
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -233,7 +233,7 @@
 	is.Equal(len(drain(scheduler).relays), 1) // the reader is asked to stop it
 	for now := 120; now < 2800; now += 5 {
 		if now%200 == 0 {
-			scheduler.PeerReported(start.Target, Size{MilliCores: 18000}, at(now))
+			scheduler.PeerReported(Report{Target: start.Target, Room: Size{MilliCores: 18000}}, at(now))
 		}
 		scheduler.Tick(at(now))
 		is.Equal(len(drain(scheduler).starts), 0)
@@ -476,12 +476,12 @@
 	is := is.New(t)
 	scheduler := New("self", "a")
 	scheduler.SetTargets(testTargets(1), at(0))
-	scheduler.PeerReported("t0", Size{MilliCores: 32000, MemoryMB: 1024}, at(0))
+	scheduler.PeerReported(Report{Target: "t0", Room: Size{MilliCores: 32000, MemoryMB: 1024}}, at(0))
 	scheduler.Submit(testJob("j", 1, 400, 0), at(0))
 	start := drain(scheduler).starts[0]
 	scheduler.StartAnswered("t0", start.Run, StartNoRoom, at(3))
 	is.Equal(len(drain(scheduler).starts), 0)
-	scheduler.PeerReported("t0", Size{MilliCores: 16000, MemoryMB: 1024}, at(20))
+	scheduler.PeerReported(Report{Target: "t0", Room: Size{MilliCores: 16000, MemoryMB: 1024}}, at(20))
 	scheduler.Place(at(20))
 	is.Equal(len(drain(scheduler).starts), 1)
 }
@@ -595,3 +595,18 @@
 	scheduler.Submit(testJob("k", 2, 100, 0), at(0))
 	is.Equal(len(drain(scheduler).starts), 2)
 }
+
+// Guards against starts on a target that its reader has lost, and against counting its lease from that report.
+func TestLostTargetGetsNoWorkAndNoLease(t *testing.T) {
+	is := is.New(t)
+	scheduler := New("self", "a")
+	scheduler.SetTargets(testTargets(2), at(0))
+	scheduler.Submit(testJob("j", 1, 900, 0), at(0))
+	start := drain(scheduler).starts[0]
+	take(scheduler, []StartTask{start}, at(2))
+	scheduler.PeerReported(Report{Target: start.Target, Lost: true}, at(500))
+	scheduler.Submit(testJob("k", 1, 100, 500), at(500))
+	is.True(drain(scheduler).starts[0].Target != start.Target)
+	scheduler.Tick(at(int((LeaseTime + leaseSlack) / time.Millisecond)))
+	is.Equal(len(drain(scheduler).starts), 1) // started again 1.06 s after the only order that set the lease
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -92,6 +92,8 @@
 	streak      int
 	streakJob   string
 	unreachable bool
+	// lost means that the reader of the target does not reach it.
+	lost bool
 	// suspended means that nothing is heard of the failure domain of the target.
 	suspended bool
 	// leaseEnd is the latest time at which the lease of the target can end, as far as orders were heard of.
@@ -105,8 +107,8 @@
 	// reported is the room that the reader of the target told of at reportedAt.
 	reported   Size
 	reportedAt time.Time
-	// told is the room that this instance reported last as the reader.
-	told   Size
+	// told is what this instance reported last as the reader.
+	told   Report
 	toldAt time.Time
 	// draws counts the turns that were drawn for the room of the target.
 	draws int64
@@ -134,12 +136,12 @@
 	return room
 }
 
-// offered returns the room that other instances may use: none while the target does not answer its reader.
-func (target *target) offered(now time.Time) Size {
+// report returns what the reader of the target tells the other instances.
+func (target *target) report(now time.Time) Report {
 	if target.unreachable {
-		return Size{}
+		return Report{Target: target.ID, Lost: true}
 	}
-	return target.room(now)
+	return Report{Target: target.ID, Room: target.room(now)}
 }
 
 // roomAge returns how old the report is that the room is taken from, 0 if this instance knows the room itself.
@@ -152,7 +154,7 @@
 
 // usable reports whether the target may get new work at now.
 func (target *target) usable(now time.Time) bool {
-	if target.Draining || target.unreachable || target.suspended || target.expired(now) || now.Before(target.heldUntil) || now.Before(target.excludedUntil) {
+	if target.Draining || target.unreachable || target.lost || target.suspended || target.expired(now) || now.Before(target.heldUntil) || now.Before(target.excludedUntil) {
 		return false
 	}
 	return !target.trial || len(target.occupants) == 0
@@ -160,7 +162,7 @@
 
 // sound reports whether the target is expected to take work again as soon as it has room.
 func (target *target) sound(now time.Time) bool {
-	return !target.Draining && !target.unreachable && !target.suspended && !target.trial && !target.expired(now)
+	return !target.Draining && !target.unreachable && !target.lost && !target.suspended && !target.trial && !target.expired(now)
 }
 
 // expired reports whether the entry of the target has been gone for too long.
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -184,8 +184,9 @@
 	// Occupied tells whether any run is believed to be there, and Own whether an own one is.
 	Occupied bool
 	Own      bool
-	// Unreachable tells that the target did not answer lately.
+	// Unreachable tells that the target did not answer this instance lately, and Lost that it did not answer its reader.
 	Unreachable bool
+	Lost        bool
 	// News is when the target was last heard of.
 	News time.Time
 }
@@ -196,7 +197,7 @@
 	if !ok {
 		return Work{}
 	}
-	work := Work{Occupied: len(target.occupants) > 0, Unreachable: target.unreachable, News: target.news}
+	work := Work{Occupied: len(target.occupants) > 0, Unreachable: target.unreachable, Lost: target.lost, News: target.news}
 	for _, occupant := range target.occupants {
 		work.Own = work.Own || occupant.owner == scheduler.self
 	}
