Explain a job from the logs, check settings files, and follow silent changes of the settings

hyssoplift explain gathers the lines of one job over instances; hyssoplift settings check reads a file of the platform or of our own without a start; the settings file is read again every 2 s and on SIGHUP, and a new address of the store or grace time is used at once.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -25,6 +25,8 @@
 		Subcommands: []*ffcli.Command{
 			newServe(),
 			newPlatform(stdout),
+			newSettings(stdout, stderr),
+			newExplain(stdin, stdout),
 			newSubmit(stdin, stdout, stderr),
 			newBundle(stdout, stderr),
 			newQuickstart(stdout),
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -28,6 +28,8 @@
 	stopReserve = 500 * time.Millisecond
 	// readHeaderTime bounds the wait for the headers of a request.
 	readHeaderTime = 5 * time.Second
+	// settingsPoll is how often the settings file is read for changes that no signal tells of.
+	settingsPoll = 2 * time.Second
 	// remoteLinks bounds the links to instances of other failure domains.
 	remoteLinks = 512
 	// linkSilence is how long the peer of a link may not answer; the news between instances come much more often.
@@ -45,19 +47,23 @@
 
 // Supervisor runs the parts of one instance.
 type Supervisor struct {
-	settings platform.Settings
-	logger   hclog.Logger
-	store    *platform.Store
-	executor *executor.Executor
-	entry    *platform.Entry
-	links    *linker.Linker
-	targets  *targetRegistry
-	peers    *peerRegistry
-	ctx      context.Context
-	cancel   context.CancelFunc
-	group    sync.WaitGroup
-	servers  []*http.Server
-	failed   chan error
+	// settings, rejected and unreadable belong to the goroutine of Run: what is in use, what was read last with changes
+	// that need a start, and whether the file could not be read.
+	settings   platform.Settings
+	rejected   platform.Settings
+	unreadable bool
+	logger     hclog.Logger
+	store      *platform.Store
+	executor   *executor.Executor
+	entry      *platform.Entry
+	links      *linker.Linker
+	targets    *targetRegistry
+	peers      *peerRegistry
+	ctx        context.Context
+	cancel     context.CancelFunc
+	group      sync.WaitGroup
+	servers    []*http.Server
+	failed     chan error
 
 	mu       sync.Mutex
 	stopping bool
@@ -75,10 +81,14 @@
 		return err
 	}
 	logger.Info("instance started", "instance", settings.Name, "domain", settings.Domain, "callers", settings.CallerAddress)
+	poll := time.NewTicker(settingsPoll)
+	defer poll.Stop()
 	for {
 		select {
 		case <-reload:
-			supervisor.reload(settingsPath)
+			supervisor.reload(settingsPath, true)
+		case <-poll.C:
+			supervisor.reload(settingsPath, false)
 		case err := <-supervisor.failed:
 			supervisor.close()
 			return err
@@ -204,17 +214,28 @@
 	}
 }
 
-// reload checks the settings file; addresses cannot change while the process runs.
-func (supervisor *Supervisor) reload(path string) {
+// reload reads the settings file anew. The address of the store and the grace time change at once; addresses of the
+// instance itself are bound until the process ends.
+func (supervisor *Supervisor) reload(path string, asked bool) {
 	settings, err := platform.ReadSettings(path)
+	former := supervisor.settings
 	switch {
-	case err != nil:
+	case err != nil && (asked || !supervisor.unreadable):
 		supervisor.logger.Error("changed settings are not used", "error", eris.ToString(err, false))
-	case settings != supervisor.settings:
-		supervisor.logger.Warn("changed settings take effect at the next start", "instance", settings.Name)
-	default:
+	case err == nil && settings == former && asked:
 		supervisor.logger.Info("settings are unchanged")
 	}
+	supervisor.unreadable = err != nil
+	if err != nil || settings == former || settings == supervisor.rejected {
+		return
+	}
+	supervisor.store.Move(settings.StoreAddress)
+	supervisor.settings.StoreAddress, supervisor.settings.GraceMS = settings.StoreAddress, settings.GraceMS
+	if settings != supervisor.settings {
+		supervisor.rejected = settings
+		supervisor.logger.Warn("some changed settings take effect at the next start only", "instance", settings.Name)
+	}
+	supervisor.logger.Info("settings changed", "store", settings.StoreAddress, "grace-ms", settings.GraceMS)
 }
 
 // stop ends the instance without cutting off requests: no new connections first, then no new requests on those that
