Log what a refusal was decided by, and show queue, targets and dropped lines as metrics

A refused job's line holds the tasks ahead, free room, expected wait, patience and time to return; each answer's line its duration and by how much it was late.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -43,7 +43,7 @@
 			reload := make(chan os.Signal, 1)
 			signal.Notify(reload, syscall.SIGHUP)
 			defer signal.Stop(reload)
-			return supervisor.Run(ctx, path, reload, logger)
+			return supervisor.Run(ctx, path, reload, lines, logger)
 		},
 	}
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -95,6 +95,7 @@
 		lookers:   make(map[string]*looker),
 		silent:    make(map[string]bool),
 	}
+	executor.meter.gauges(executor)
 	executor.peers = gossiper.New(executor, now)
 	executor.group.Go(executor.tick)
 	return executor
--- a/executor/log.go
+++ b/executor/log.go
@@ -10,15 +10,19 @@
 )
 
 func (executor *Executor) logAnswer(answer scheduler.Answer) {
+	now := executor.now()
+	fields := []any{"job", answer.Job, "took-ms", now.Sub(answer.Arrived).Milliseconds(), "late-ms", max(0, now.Sub(answer.Objective)).Milliseconds()}
 	switch outcome := answer.Outcome.(type) {
 	case dispatcher.Complete:
-		executor.logger.Info("job answered", "job", answer.Job, "outcome", "complete")
+		executor.logger.Info("job answered", append(fields, "outcome", "complete")...)
 	case dispatcher.Failed:
-		executor.logger.Warn("job answered", "job", answer.Job, "outcome", "failed", "detail", outcome.Detail())
+		executor.logger.Warn("job answered", append(fields, "outcome", "failed", "detail", outcome.Detail())...)
 	case dispatcher.Unknown:
-		executor.logger.Warn("job answered", "job", answer.Job, "outcome", "unknown", "detail", outcome.Detail())
+		executor.logger.Warn("job answered", append(fields, "outcome", "unknown", "detail", outcome.Detail())...)
 	case dispatcher.Refused:
-		executor.logger.Warn("job answered", "job", answer.Job, "outcome", "refused", "reason", string(outcome.Reason()), "detail", outcome.Detail())
+		executor.logger.Warn("job answered", append(fields, "outcome", "refused", "reason", string(outcome.Reason()), "detail", outcome.Detail(),
+			"ahead", answer.Load.Ahead, "free", answer.Load.Free, "expected-ms", answer.Load.Expected.Milliseconds(),
+			"patience-ms", answer.Load.Patience.Milliseconds(), "retry-ms", outcome.RetryAt().Sub(now).Milliseconds())...)
 	}
 }
 
--- a/executor/meter.go
+++ b/executor/meter.go
@@ -52,5 +52,31 @@
 	meter.orders.Update(order.Seconds())
 }
 
+// gauges adds what is read from the executor when metrics are written.
+func (meter *meter) gauges(executor *Executor) {
+	read := func(value func() int) func() float64 {
+		return func() float64 {
+			executor.mu.Lock()
+			defer executor.mu.Unlock()
+			return float64(value())
+		}
+	}
+	meter.set.NewGauge("hyssoplift_jobs_active", read(executor.scheduler.Active))
+	meter.set.NewGauge("hyssoplift_tasks_waiting", read(func() int {
+		demand := executor.scheduler.Demand()
+		return int(demand[0] + demand[1] + demand[2] + demand[3])
+	}))
+	meter.set.NewGauge("hyssoplift_targets_read", read(func() int {
+		count := 0
+		for _, looker := range executor.lookers {
+			if looker.reads.Load() {
+				count++
+			}
+		}
+		return count
+	}))
+	meter.set.NewGauge("hyssoplift_targets_known", read(func() int { return len(executor.lookers) }))
+}
+
 // WriteMetrics writes the metrics of the executor in text format.
 func (executor *Executor) WriteMetrics(writer io.Writer) { executor.meter.set.WritePrometheus(writer) }
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -31,9 +31,10 @@
 	if now.Add(needed).After(job.Deadline) {
 		return scheduler.refusal(job, dispatcher.ReasonDeadline, "the job takes longer than its caller waits", now), false
 	}
-	patience := scheduler.patience(job, rate)
-	job.giveUp = now.Add(patience)
-	if wait := scheduler.expectedWait(job, rate, now); wait > patience {
+	job.load = scheduler.load(job, rate, now)
+	job.load.Patience = scheduler.patience(job, rate)
+	job.giveUp = now.Add(job.load.Patience)
+	if job.load.Expected > job.load.Patience {
 		return scheduler.refusal(job, dispatcher.ReasonOverload, "the job would wait longer than it has time", now), false
 	}
 	return dispatcher.Refused{}, true
@@ -56,8 +57,8 @@
 	return false
 }
 
-// expectedWait returns how long it takes until the last task of the first steps finds room.
-func (scheduler *Scheduler) expectedWait(job *job, rate releaseRate, now time.Time) time.Duration {
+// load returns how much work is ahead of a job, and how long it takes until the last task of its first steps finds room.
+func (scheduler *Scheduler) load(job *job, rate releaseRate, now time.Time) Load {
 	needed := int64(0)
 	var size Size
 	for _, task := range job.tasks {
@@ -68,18 +69,19 @@
 	}
 	// A step that is wider than its share of all room runs in waves, and its objective allows for them.
 	needed = min(needed, max(1, scheduler.slots(job.Service, size)/waveShare))
-	ahead := scheduler.Demand().upTo(job.Priority)
+	load := Load{Ahead: scheduler.Demand().upTo(job.Priority), Free: scheduler.free(job.Service, size, now)}
 	for _, demand := range scheduler.demands {
-		ahead += demand.upTo(job.Priority)
+		load.Ahead += demand.upTo(job.Priority)
 	}
-	short := needed + ahead - scheduler.free(job.Service, size, now)
-	if short <= 0 {
-		return 0
+	short := needed + load.Ahead - load.Free
+	switch {
+	case short <= 0:
+	case rate.perHour <= 0:
+		load.Expected = job.Deadline.Sub(now)
+	default:
+		load.Expected = time.Duration(float64(short) / float64(rate.perHour) * float64(time.Hour))
 	}
-	if rate.perHour <= 0 {
-		return job.Deadline.Sub(now)
-	}
-	return time.Duration(float64(short) / float64(rate.perHour) * float64(time.Hour))
+	return load
 }
 
 // waveShare is the part of all room that the tasks of one step may expect at once.
@@ -140,6 +142,6 @@
 
 // refusal returns a refusal that names when to come back: after the tasks ahead have found room.
 func (scheduler *Scheduler) refusal(job *job, reason dispatcher.Reason, detail string, now time.Time) dispatcher.Refused {
-	wait := scheduler.expectedWait(job, scheduler.release(job.Service, now), now)
-	return dispatcher.NewRefused(reason, detail, "", now.Add(max(wait, minRetryWait)))
+	load := scheduler.load(job, scheduler.release(job.Service, now), now)
+	return dispatcher.NewRefused(reason, detail, "", now.Add(max(load.Expected, minRetryWait)))
 }
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -75,6 +75,7 @@
 	// open counts the tasks of each step that are not done.
 	open    []int
 	started bool
+	load    Load
 	// giveUp is when the job is refused if no task has started.
 	giveUp time.Time
 }
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -237,6 +237,21 @@
 	Outcome dispatcher.Outcome
 	// Started tells whether a task of the job was ever started.
 	Started bool
+	// Arrived and Objective are those of the job.
+	Arrived   time.Time
+	Objective time.Time
+	// Load is what a refusal was decided by.
+	Load Load
+}
+
+// Load is how much work waited when a job was admitted or refused.
+type Load struct {
+	// Ahead counts the tasks of all instances that come no later, and Free how many tasks of the job found room.
+	Ahead int64
+	Free  int64
+	// Expected is when the last task of the job's first steps would have found room, and Patience how long it could wait.
+	Expected time.Duration
+	Patience time.Duration
 }
 
 // Withdraw asks to tell the reader of a target that a run does not occupy it.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -228,12 +228,12 @@
 // Submit takes a job on or answers it with a refusal.
 func (scheduler *Scheduler) Submit(info Job, now time.Time) {
 	if at, ok := scheduler.answered[info.ID]; ok && now.Sub(at) < answersKept {
-		scheduler.act(Answer{Job: info.ID, Outcome: dispatcher.NewComplete(nil), Started: true})
+		scheduler.act(Answer{Job: info.ID, Outcome: dispatcher.NewComplete(nil), Started: true, Arrived: info.Arrived, Objective: info.Objective})
 		return
 	}
 	job := newJob(info)
 	if refusal, ok := scheduler.admit(job, now); !ok {
-		scheduler.act(Answer{Job: info.ID, Outcome: refusal})
+		scheduler.act(Answer{Job: info.ID, Outcome: refusal, Arrived: job.Arrived, Objective: job.Objective, Load: job.load})
 		return
 	}
 	scheduler.jobs[job.ID] = job
@@ -267,7 +267,9 @@
 	if _, ok := outcome.(dispatcher.Complete); ok {
 		scheduler.answered[job.ID] = now
 	}
-	scheduler.act(Answer{Job: job.ID, Outcome: outcome, Started: job.started})
+	scheduler.act(Answer{
+		Job: job.ID, Outcome: outcome, Started: job.started, Arrived: job.Arrived, Objective: job.Objective, Load: job.load,
+	})
 }
 
 // giveUp answers a job that cannot be served any more: a true refusal if nothing of it has started.
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
@@ -18,6 +19,7 @@
 	"github.com/hyssoplift/hyssoplift/follower"
 	"github.com/hyssoplift/hyssoplift/linker"
 	"github.com/hyssoplift/hyssoplift/platform"
+	"github.com/hyssoplift/hyssoplift/recorder"
 )
 
 const (
@@ -52,6 +54,7 @@
 	settings   platform.Settings
 	rejected   platform.Settings
 	unreadable bool
+	lines      *recorder.Recorder
 	logger     hclog.Logger
 	store      *platform.Store
 	executor   *executor.Executor
@@ -70,13 +73,13 @@
 }
 
 // Run runs an instance until ctx is done and then stops it within the platform's grace time; reload tells that the
-// settings file may have changed.
-func Run(ctx context.Context, settingsPath string, reload <-chan os.Signal, logger hclog.Logger) error {
+// settings file may have changed, and lines carries the log.
+func Run(ctx context.Context, settingsPath string, reload <-chan os.Signal, lines *recorder.Recorder, logger hclog.Logger) error {
 	settings, err := platform.ReadSettings(settingsPath)
 	if err != nil {
 		return err
 	}
-	supervisor, err := start(settings, logger)
+	supervisor, err := start(settings, lines, logger)
 	if err != nil {
 		return err
 	}
@@ -99,7 +102,7 @@
 	}
 }
 
-func start(settings platform.Settings, logger hclog.Logger) (*Supervisor, error) {
+func start(settings platform.Settings, lines *recorder.Recorder, logger hclog.Logger) (*Supervisor, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	hello := linker.Hello{Domain: settings.Domain, Name: settings.Name, Incarnation: uuid.NewString(), Address: settings.PeerAddress, Weight: settings.ProcessorShare}
 	running := executor.New(hello, platform.NewOrders(clocker.Now), clocker.Now, logger)
@@ -109,6 +112,7 @@
 	running.Peers().Use(links)
 	supervisor := &Supervisor{
 		settings: settings,
+		lines:    lines,
 		logger:   logger,
 		store:    platform.NewStore(settings.StoreAddress),
 		executor: running,
@@ -157,10 +161,20 @@
 func (supervisor *Supervisor) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(linker.Path, supervisor.links)
-	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) { supervisor.executor.WriteMetrics(writer) })
+	mux.HandleFunc("GET /metrics", supervisor.writeMetrics)
 	return mux
 }
 
+func (supervisor *Supervisor) writeMetrics(writer http.ResponseWriter, _ *http.Request) {
+	supervisor.executor.WriteMetrics(writer)
+	version := int64(0)
+	if configuration := supervisor.entry.Configuration(); configuration != nil {
+		version = configuration.Version
+	}
+	metrics.WriteGaugeUint64(writer, "hyssoplift_configuration_version", uint64(version))
+	metrics.WriteCounterUint64(writer, "hyssoplift_log_lines_dropped_total", uint64(supervisor.lines.Dropped()))
+}
+
 // readiness answers whether new connections of callers are welcome.
 func (supervisor *Supervisor) readiness(writer http.ResponseWriter, _ *http.Request) {
 	supervisor.mu.Lock()
