--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -30,10 +30,9 @@
 )
 
 type worldRun struct {
-	run   Run
-	size  int64
-	ends  int
-	owner int
+	run  Run
+	size int64
+	ends int
 }
 
 type worldTarget struct {
@@ -397,7 +396,7 @@
 	target.highest[start.Run.Task] = start.Run.Attempt
 	target.used += start.Size.MilliCores
 	ends := world.now + int(float64(start.Estimate/time.Millisecond)/target.speed*(0.8+0.4*world.random.Float64()))
-	target.runs[start.Run.Task] = &worldRun{run: start.Run, size: start.Size.MilliCores, ends: ends, owner: owner}
+	target.runs[start.Run.Task] = &worldRun{run: start.Run, size: start.Size.MilliCores, ends: ends}
 	return StartTaken
 }
 
