Refuse jobs whose starts were all rejected once their patience is over

Cause: a job counted as started as soon as an order to start was decided. If every target rejected it for want of room, the job was not given up after its patience, waited to its deadline and was answered unknown (504) although nothing of it had run.

Ruled out: counting only taken starts, which would make a refusal untrue while an order is under way or went unanswered, or where a target knows a later run.

Change: a job has started once a start was taken, unanswered or stale, or an end of it was listed; it is untouched if moreover none of its tasks occupies a target. A rejection after the end of its patience refuses it at once.

--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -13,6 +13,9 @@
 	target := scheduler.targets[targetID]
 	task := scheduler.tasks[run.Task]
 	current := task != nil && task.state == starting && task.attempt == run.Attempt
+	if task != nil && result.mayHaveRun() {
+		task.job.started = true
+	}
 	switch result {
 	case StartTaken:
 		scheduler.startTaken(target, task, current, run, now)
@@ -102,6 +105,16 @@
 	case StartTaken, StartNoRoom, StartLate, StartUnanswered:
 	}
 	scheduler.enqueue(task)
+	scheduler.refuseOverdue(task.job, now)
+}
+
+// refuseOverdue gives a job up that has waited for its first start as long as it may, and reports whether it did.
+func (scheduler *Scheduler) refuseOverdue(job *job, now time.Time) bool {
+	if now.Before(job.giveUp) || !job.untouched() {
+		return false
+	}
+	scheduler.giveUp(job, dispatcher.ReasonOverload, "no room in time", now)
+	return true
 }
 
 // StopAnswered takes what came of the order to stop a run; stopped means that the target has taken the order.
@@ -172,6 +185,9 @@
 }
 
 func (scheduler *Scheduler) taskEnded(task *task, end End, now time.Time) {
+	if end.Cause != NeverRan {
+		task.job.started = true
+	}
 	latest := end.Run.Attempt == task.attempt && task.occupies()
 	switch {
 	case end.Cause == Done && task.state != done:
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -73,7 +73,8 @@
 	Job
 	tasks []*task
 	// open counts the tasks of each step that are not done.
-	open    []int
+	open []int
+	// started means that a target has taken a start, or may have taken one.
 	started bool
 	load    Load
 	// giveUp is when the job is refused if no task has started.
@@ -95,6 +96,19 @@
 	return job
 }
 
+// untouched reports whether certainly no task of the job has run or is about to.
+func (job *job) untouched() bool {
+	if job.started {
+		return false
+	}
+	for _, task := range job.tasks {
+		if task.occupies() {
+			return false
+		}
+	}
+	return true
+}
+
 // chain returns the declared run time of the longest chain of steps that are not done.
 func (job *job) chain() time.Duration {
 	ends := make([]time.Duration, len(job.Steps))
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -161,6 +161,16 @@
 	StartUnsent
 )
 
+// mayHaveRun reports whether the task runs, ran before, or may do so.
+func (result StartResult) mayHaveRun() bool {
+	switch result {
+	case StartTaken, StartUnanswered, StartStale:
+		return true
+	case StartNoRoom, StartLate, StartRefused, StartImpossible, StartUnsent:
+	}
+	return false
+}
+
 // String returns the name that logs use.
 func (result StartResult) String() string {
 	names := []string{"unknown", "taken", "no-room", "stale", "late", "refused", "impossible", "unanswered", "unsent"}
@@ -235,7 +245,7 @@
 type Answer struct {
 	Job     string
 	Outcome dispatcher.Outcome
-	// Started tells whether a task of the job was ever started.
+	// Started tells whether a task of the job has run or may have.
 	Started bool
 	// Arrived and Objective are those of the job.
 	Arrived   time.Time
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -139,7 +139,6 @@
 	task.started = now
 	task.missing = time.Time{}
 	task.predicted = on.predict(step.Estimate)
-	task.job.started = true
 	on.occupy(task.run(), &occupant{owner: scheduler.self, size: step.Size, estimate: step.Estimate, claimed: now})
 	on.extendLease(now)
 	scheduler.noteSize(step.Size)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -141,7 +141,7 @@
 func (scheduler *Scheduler) Pending(route string) int {
 	pending := 0
 	for _, job := range scheduler.jobs {
-		if job.Route == route && !job.started {
+		if job.Route == route && job.untouched() {
 			pending++
 		}
 	}
@@ -256,6 +256,7 @@
 
 // finish answers the job, stops what still runs of it and forgets it.
 func (scheduler *Scheduler) finish(job *job, outcome dispatcher.Outcome, reason string, now time.Time) {
+	untouched := job.untouched()
 	for _, task := range job.tasks {
 		if task.occupies() {
 			scheduler.act(StopRun{On: task.on.Target, Run: task.run(), Reason: reason})
@@ -268,13 +269,13 @@
 		scheduler.answered[job.ID] = now
 	}
 	scheduler.act(Answer{
-		Job: job.ID, Outcome: outcome, Started: job.started, Arrived: job.Arrived, Objective: job.Objective, Load: job.load,
+		Job: job.ID, Outcome: outcome, Started: !untouched, Arrived: job.Arrived, Objective: job.Objective, Load: job.load,
 	})
 }
 
 // giveUp answers a job that cannot be served any more: a true refusal if nothing of it has started.
 func (scheduler *Scheduler) giveUp(job *job, reason dispatcher.Reason, detail string, now time.Time) {
-	if job.started {
+	if !job.untouched() {
 		scheduler.finish(job, dispatcher.NewUnknown(detail), detail, now)
 		return
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -186,6 +186,58 @@
 	is.True(given > 0 && given <= 10+700/4+5)
 }
 
+// Guards against a job that is held to its deadline and then told that it may have run although every order to start it
+// was rejected: it is refused once its patience is over. A start that was not answered, or a target that knows a later run, keeps it.
+func TestRejectedStartsAreNoStart(t *testing.T) {
+	tests := []struct {
+		result StartResult
+		want   string
+	}{
+		{StartNoRoom, "refused overload"},
+		{StartLate, "refused overload"},
+		{StartUnanswered, "unknown"},
+		{StartStale, "unknown"},
+	}
+	for _, test := range tests {
+		t.Run(test.result.String(), func(t *testing.T) {
+			is := is.New(t)
+			scheduler := newTestScheduler(1)
+			scheduler.Submit(testJob("j", 1, 400, 0), at(0))
+			var answer Answer
+			given := 0
+			for now := 2; now < 3100 && given == 0; now += 5 {
+				drained := drain(scheduler)
+				for _, start := range drained.starts {
+					scheduler.StartAnswered(start.Target, start.Run, test.result, at(now))
+				}
+				scheduler.Tick(at(now))
+				if len(drained.answers) > 0 {
+					answer, given = drained.answers[0], now
+				}
+			}
+			is.Equal(outcome(answer), test.want)
+			if test.want != "unknown" {
+				// A quarter of the time to its objective of 700 ms, and an order that is under way.
+				is.True(given <= 700/4+20)
+			}
+		})
+	}
+}
+
+// Guards against a refusal while an order to start is under way: the target may take it.
+func TestJobIsNotRefusedWhileAStartIsUnderWay(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(1)
+	scheduler.Submit(testJob("j", 1, 400, 0), at(0))
+	is.Equal(len(drain(scheduler).starts), 1)
+	for now := 5; now < 3100; now += 5 {
+		scheduler.Tick(at(now))
+	}
+	answers := drain(scheduler).answers
+	is.Equal(len(answers), 1)
+	is.Equal(outcome(answers[0]), "unknown")
+}
+
 // Guards against a second run beside one whose start got no answer: the order to stop comes first, and a target that
 // does not take it keeps the task until its lease is over.
 func TestUnansweredStartIsNotDoubled(t *testing.T) {
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -70,12 +70,11 @@
 }
 
 func (scheduler *Scheduler) tickJob(job *job, now time.Time) {
-	switch {
-	case !now.Before(job.Deadline):
+	if !now.Before(job.Deadline) {
 		scheduler.giveUp(job, dispatcher.ReasonDeadline, "the deadline has passed", now)
 		return
-	case !job.started && !now.Before(job.giveUp):
-		scheduler.giveUp(job, dispatcher.ReasonOverload, "no room in time", now)
+	}
+	if scheduler.refuseOverdue(job, now) {
 		return
 	}
 	rate := scheduler.release(job.Service, now)
