Pass whole jobs from small instances on to larger ones

Cause: callers are spread over instances without regard to size.

Ruled out: passing jobs on by a graded share of the weight, which would leave all instances in the exchange of room; passing single tasks on, which keeps the small instance on the way of every end.

Change: an instance with less than 0.4 of the weight of the largest one passes its jobs on to an instance of its failure domain, drawn by weight, if those above hold at least half of all weight. It reads no targets, gets heartbeats instead of room, and such instances tell each other nothing. The delegate gives a job up when its origin abandons it, is not heard of for 500 ms, or a link to it ends; the origin answers 504 when the delegate is lost. A planned stop waits for delegated jobs.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -12,6 +12,7 @@
 	"github.com/hyssoplift/hyssoplift/gossiper"
 	"github.com/hyssoplift/hyssoplift/linker"
 	"github.com/hyssoplift/hyssoplift/scheduler"
+	"github.com/hyssoplift/hyssoplift/sleeper"
 )
 
 const (
@@ -77,6 +78,12 @@
 	silent map[string]bool
 	// assigned is the version of the peers for which the readers were decided.
 	assigned int64
+	// light means that this instance passes its jobs on. delegated holds the jobs that were, abandoned those whose
+	// delegates are told to give them up, and foreign ends what this instance runs for others.
+	light     bool
+	delegated map[string]*delegation
+	abandoned []abandonment
+	foreign   map[foreignJob]context.CancelFunc
 	// leaving means that a planned stop has begun, and reassign that the readers have to be decided anew.
 	leaving  bool
 	reassign bool
@@ -97,9 +104,11 @@
 		waiters:   make(map[string][]chan dispatcher.Outcome),
 		lookers:   make(map[string]*looker),
 		silent:    make(map[string]bool),
+		delegated: make(map[string]*delegation),
+		foreign:   make(map[foreignJob]context.CancelFunc),
 	}
 	executor.meter.gauges(executor)
-	executor.peers = gossiper.New(executor, now)
+	executor.peers = gossiper.New(self, executor, now)
 	executor.group.Go(executor.tick)
 	return executor
 }
@@ -153,13 +162,23 @@
 func (executor *Executor) Has(job string) bool {
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
-	return executor.scheduler.Has(job)
+	return executor.has(job)
+}
+
+// has reports whether the job has no answer yet; the caller holds the lock.
+func (executor *Executor) has(job string) bool {
+	_, delegated := executor.delegated[job]
+	return delegated || executor.scheduler.Has(job)
 }
 
 // Cancel gives a job up and reports whether it had no answer yet.
 func (executor *Executor) Cancel(job string) bool {
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
+	if executor.abandonDelegated(job, "the caller cancelled the job") {
+		executor.deliver(job, dispatcher.NewUnknown("the caller cancelled the job"))
+		return true
+	}
 	if !executor.scheduler.Has(job) {
 		return false
 	}
@@ -171,19 +190,42 @@
 // Submit runs a job and returns its outcome, or nil if the caller left first; a job that is sent again while it runs
 // gets the same outcome.
 func (executor *Executor) Submit(ctx context.Context, job scheduler.Job) dispatcher.Outcome {
-	answer := make(chan dispatcher.Outcome, 1)
 	executor.mu.Lock()
-	executor.waiters[job.ID] = append(executor.waiters[job.ID], answer)
-	if !executor.scheduler.Has(job.ID) {
+	var answer chan dispatcher.Outcome
+	if to, ok := executor.delegateFor(&job); ok && !executor.has(job.ID) {
+		answer = executor.waitFor(job.ID)
+		executor.delegate(job, to)
+	} else {
+		answer = executor.accept(job)
+	}
+	executor.mu.Unlock()
+	return executor.await(ctx, job.ID, answer)
+}
+
+// accept runs a job here unless it runs already, and returns where its outcome will be; the caller holds the lock.
+func (executor *Executor) accept(job scheduler.Job) chan dispatcher.Outcome {
+	answer := executor.waitFor(job.ID)
+	if !executor.has(job.ID) {
 		executor.scheduler.Submit(job, executor.now())
 	}
 	executor.settle()
-	executor.mu.Unlock()
+	return answer
+}
+
+// waitFor returns where the outcome of a job will be; the caller holds the lock.
+func (executor *Executor) waitFor(job string) chan dispatcher.Outcome {
+	answer := make(chan dispatcher.Outcome, 1)
+	executor.waiters[job] = append(executor.waiters[job], answer)
+	return answer
+}
+
+// await returns the outcome of a job, or nil if its caller left first.
+func (executor *Executor) await(ctx context.Context, job string, answer chan dispatcher.Outcome) dispatcher.Outcome {
 	select {
 	case outcome := <-answer:
 		return outcome
 	case <-ctx.Done():
-		executor.leave(job.ID, answer)
+		executor.leave(job, answer)
 		return nil
 	}
 }
@@ -201,11 +243,24 @@
 	}
 	if len(executor.waiters[job]) == 0 {
 		delete(executor.waiters, job)
+		executor.abandonDelegated(job, "the caller left")
 		executor.scheduler.Abandon(job, "the caller left", executor.now())
 		executor.settle()
 	}
 }
 
+// Drain waits until no job is left without an answer, or until ctx is done.
+func (executor *Executor) Drain(ctx context.Context) {
+	for {
+		executor.mu.Lock()
+		active := executor.scheduler.Active()
+		executor.mu.Unlock()
+		if active == 0 || !sleeper.For(ctx, tickTime) {
+			return
+		}
+	}
+}
+
 // settle carries out the actions of the scheduler; the caller holds the lock.
 func (executor *Executor) settle() {
 	for _, action := range executor.scheduler.Drain() {
@@ -245,10 +300,15 @@
 func (executor *Executor) answer(answer scheduler.Answer) {
 	executor.meter.count(answer)
 	executor.logAnswer(answer)
-	for _, waiter := range executor.waiters[answer.Job] {
-		waiter <- answer.Outcome
+	executor.deliver(answer.Job, answer.Outcome)
+}
+
+// deliver gives an outcome to all who wait for the job; the caller holds the lock.
+func (executor *Executor) deliver(job string, outcome dispatcher.Outcome) {
+	for _, waiter := range executor.waiters[job] {
+		waiter <- outcome
 	}
-	delete(executor.waiters, answer.Job)
+	delete(executor.waiters, job)
 }
 
 // start orders a start and passes on what came of it.
@@ -319,6 +379,7 @@
 			executor.scheduler.Sweep(now)
 			executor.assignReaders(now)
 			executor.stopOrphans(now)
+			executor.repeatAbandonments(now)
 		}
 		if now.Sub(repeated) >= scheduler.RepeatTime {
 			repeated = now
--- a/executor/meter.go
+++ b/executor/meter.go
@@ -30,19 +30,32 @@
 	}
 }
 
-// count counts the outcome of a job.
+// count counts the outcome of a job that this instance ran or refused.
 func (meter *meter) count(answer scheduler.Answer) {
-	name := `hyssoplift_jobs_total{outcome="complete"}`
-	switch outcome := answer.Outcome.(type) {
+	labels := `outcome="` + outcomeName(answer.Outcome) + `"`
+	if refused, ok := answer.Outcome.(dispatcher.Refused); ok {
+		labels += `,reason="` + string(refused.Reason()) + `"`
+	}
+	meter.set.GetOrCreateCounter("hyssoplift_jobs_total{" + labels + "}").Inc()
+}
+
+// delegated counts the outcome of a job that another instance ran for this one.
+func (meter *meter) delegated(outcome dispatcher.Outcome) {
+	meter.set.GetOrCreateCounter(`hyssoplift_delegated_jobs_total{outcome="` + outcomeName(outcome) + `"}`).Inc()
+}
+
+// outcomeName returns the name that logs and metrics use.
+func outcomeName(outcome dispatcher.Outcome) string {
+	switch outcome.(type) {
 	case dispatcher.Complete:
+		return "complete"
 	case dispatcher.Failed:
-		name = `hyssoplift_jobs_total{outcome="failed"}`
-	case dispatcher.Unknown:
-		name = `hyssoplift_jobs_total{outcome="unknown"}`
+		return "failed"
 	case dispatcher.Refused:
-		name = `hyssoplift_jobs_total{outcome="refused",reason="` + string(outcome.Reason()) + `"}`
+		return "refused"
+	case dispatcher.Unknown:
 	}
-	meter.set.GetOrCreateCounter(name).Inc()
+	return "unknown"
 }
 
 // started counts an order to start: how long after the job's arrival it was answered, and how long the order took.
--- a/executor/news.go
+++ b/executor/news.go
@@ -38,6 +38,9 @@
 		executor.logEnd(end.Target, decoded, executor.self.Incarnation)
 		executor.scheduler.Ended(end.Target, decoded, now)
 	}
+	for _, job := range news.Abandoned {
+		executor.abandonForeign(from, job)
+	}
 	executor.scheduler.Place(now)
 	executor.settle()
 }
@@ -67,6 +70,8 @@
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
 	executor.scheduler.PeerGone(from)
+	executor.abandonForeign(from, "")
+	executor.delegateGone(from)
 	executor.settle()
 }
 
@@ -85,21 +90,25 @@
 		return
 	}
 	executor.assigned, executor.reassign = version, false
+	if light := executor.peers.Light(); light != executor.light {
+		executor.light = light
+		executor.logger.Info("share of jobs changed", "passes-on", light, "weight", executor.self.Weight)
+	}
 	staying := executor.peers.Staying()
 	for _, looker := range executor.lookers {
 		executor.assignReader(looker, staying, now)
 	}
 }
 
-// assignReader decides who reads a target: rendezvous hashing by weight over the instances that stay, those of the
-// target's failure domain before others. The caller holds the lock.
+// assignReader decides who reads a target: rendezvous hashing by weight over the instances that stay and do not pass
+// their jobs on, those of the target's failure domain before others. The caller holds the lock.
 func (executor *Executor) assignReader(looker *looker, staying []linker.Hello, now time.Time) {
 	target, ok := executor.scheduler.Target(looker.id)
 	if !ok {
 		return
 	}
 	candidates := staying
-	if !executor.leaving || len(staying) == 0 {
+	if !executor.leaving && !executor.light || len(staying) == 0 {
 		candidates = append([]linker.Hello{executor.self}, staying...)
 	}
 	best := pickReader(&target, candidates)
@@ -140,13 +149,9 @@
 	sum ^= sum >> 33
 	sum *= 0xff51afd7ed558ccd
 	sum ^= sum >> 33
-	weight := instance.Weight
-	if weight <= 0 {
-		weight = 1
-	}
 	const mantissa = 1 << 53
 	uniform := (float64(sum>>11) + 0.5) / mantissa
-	return -weight / math.Log(uniform)
+	return -instance.Share() / math.Log(uniform)
 }
 
 // Leave hands the targets that this instance reads to the others, which hear that it is about to stop. A leaving
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -34,6 +34,10 @@
 	News(from string, news linker.News)
 	// Gone takes that an instance is not heard of any more.
 	Gone(from string)
+	// Delegated takes a job to run for another instance, and must not block.
+	Delegated(from string, delegation linker.Delegation)
+	// LinkEnded takes that a link to an instance has ended; there may be another one.
+	LinkEnded(from string)
 }
 
 // peer is another instance.
@@ -42,10 +46,13 @@
 	heard   time.Time
 	leaving bool
 	gone    bool
+	// light means that the instance passes its jobs on. Two such instances send each other nothing.
+	light bool
 }
 
 // Gossiper sends and receives news between instances.
 type Gossiper struct {
+	self     linker.Hello
 	links    *linker.Linker
 	receiver Receiver
 	now      func() time.Time
@@ -65,14 +72,20 @@
 	leaving bool
 	ticked  time.Time
 	peers   map[string]*peer
+	// light means that this instance passes its jobs on.
+	light bool
+	// beaten is when heartbeats without news were last sent, and beatenLeaving whether they told of a planned stop.
+	beaten        time.Time
+	beatenLeaving bool
 	// version counts the changes of the instances that stay.
 	version int64
 }
 
-// New returns a gossiper that passes news on to receiver; now returns the time.
-func New(receiver Receiver, now func() time.Time) *Gossiper {
+// New returns a gossiper of the instance self that passes news on to receiver; now returns the time.
+func New(self linker.Hello, receiver Receiver, now func() time.Time) *Gossiper {
 	ctx, cancel := context.WithCancel(context.Background())
 	gossiper := &Gossiper{
+		self:     self,
 		receiver: receiver,
 		now:      now,
 		cancel:   cancel,
@@ -159,6 +172,39 @@
 	})
 }
 
+// Abandon tells the instance that runs a job for this one that its caller needs it no more.
+func (gossiper *Gossiper) Abandon(delegate, job string) {
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	news := gossiper.to(delegate, true)
+	news.Abandoned = append(news.Abandoned, job)
+}
+
+// Call sends a request to an instance and returns the response; see linker.Linker.Call.
+func (gossiper *Gossiper) Call(ctx context.Context, incarnation string, request linker.Request) (linker.Response, error) {
+	links := gossiper.linked()
+	if links == nil {
+		return nil, linker.ErrNoLink
+	}
+	return links.Call(ctx, incarnation, request)
+}
+
+// Answer sends the outcome of a delegated job to the instance that asked for it; if that fails, the link has ended and
+// the instance no longer waits.
+func (gossiper *Gossiper) Answer(incarnation string, answer linker.DelegationAnswer) error {
+	links := gossiper.linked()
+	if links == nil {
+		return linker.ErrNoLink
+	}
+	return links.Send(incarnation, answer)
+}
+
+func (gossiper *Gossiper) linked() *linker.Linker {
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	return gossiper.links
+}
+
 // Offer tells one instance at once of the room of a target.
 func (gossiper *Gossiper) Offer(to, target string, room scheduler.Size) {
 	gossiper.mu.Lock()
@@ -248,7 +294,8 @@
 	}
 }
 
-// sendAll sends the broadcast and returns the number of instances.
+// sendAll sends the broadcast and returns the number of instances that got it. Instances that pass their jobs on get
+// heartbeats only.
 func (gossiper *Gossiper) sendAll() int {
 	gossiper.mu.Lock()
 	news := linker.News{Waiting: append([]int64(nil), gossiper.demand[:]...), Leaving: gossiper.leaving}
@@ -257,21 +304,44 @@
 	}
 	clear(gossiper.reports)
 	links := gossiper.links
-	incarnations := make([]string, 0, len(gossiper.peers))
-	for incarnation := range gossiper.peers {
-		incarnations = append(incarnations, incarnation)
-	}
+	full, beats := gossiper.receivers()
 	gossiper.mu.Unlock()
-	if links == nil || len(incarnations) == 0 {
+	if links == nil {
+		return 0
+	}
+	if len(beats) > 0 {
+		links.Broadcast(beats, linker.News{Waiting: make([]int64, len(news.Waiting)), Leaving: news.Leaving})
+	}
+	if len(full) == 0 {
 		return 0
 	}
-	return links.Broadcast(incarnations, news)
+	return links.Broadcast(full, news)
+}
+
+// receivers returns the instances that get the next broadcast, and those that get a heartbeat with it if one is due;
+// the caller holds the lock.
+func (gossiper *Gossiper) receivers() (full, beats []string) {
+	now := gossiper.now()
+	due := now.Sub(gossiper.beaten) >= heartbeatTime || gossiper.leaving != gossiper.beatenLeaving
+	if due {
+		gossiper.beaten, gossiper.beatenLeaving = now, gossiper.leaving
+	}
+	for incarnation, peer := range gossiper.peers {
+		switch {
+		case !peer.light:
+			full = append(full, incarnation)
+		case due && !gossiper.light:
+			beats = append(beats, incarnation)
+		}
+	}
+	return full, beats
 }
 
 // watch finds the peers that are not heard of any more.
 func (gossiper *Gossiper) watch() {
 	now := gossiper.now()
 	var lost []string
+	links := gossiper.linked()
 	gossiper.mu.Lock()
 	if now.Sub(gossiper.ticked) > heartbeatTime+pauseTime {
 		// This instance stood still, so that the silence says nothing of the others.
@@ -281,15 +351,21 @@
 	}
 	gossiper.ticked = now
 	for incarnation, peer := range gossiper.peers {
+		if gossiper.light && peer.light && links != nil && links.Connected(incarnation) {
+			// It sends nothing to this instance, and nothing depends on how soon its loss is known.
+			continue
+		}
 		if !peer.gone && now.Sub(peer.heard) > SilenceTime {
 			peer.gone = true
-			gossiper.version++
 			lost = append(lost, incarnation)
 		}
 		if now.Sub(peer.heard) > forgetTime {
 			delete(gossiper.peers, incarnation)
 		}
 	}
+	if len(lost) > 0 {
+		gossiper.share()
+	}
 	gossiper.mu.Unlock()
 	for _, incarnation := range lost {
 		gossiper.receiver.Gone(incarnation)
@@ -298,10 +374,17 @@
 
 // Receive takes a message of a link.
 func (gossiper *Gossiper) Receive(from linker.Hello, message linker.Message) {
-	news, isNews := message.(linker.News)
-	gossiper.hear(from, news, isNews)
-	if isNews {
-		gossiper.receiver.News(from.Incarnation, news)
+	switch message := message.(type) {
+	case linker.LinkEnded:
+		gossiper.receiver.LinkEnded(from.Incarnation)
+	case linker.News:
+		gossiper.hear(from, message, true)
+		gossiper.receiver.News(from.Incarnation, message)
+	case linker.Delegation:
+		gossiper.hear(from, linker.News{}, false)
+		gossiper.receiver.Delegated(from.Incarnation, message)
+	default:
+		gossiper.hear(from, linker.News{}, false)
 	}
 }
 
@@ -318,10 +401,11 @@
 	if isNews && len(news.Waiting) > 0 {
 		leaving = news.Leaving
 	}
-	if !ok || known.gone || leaving != known.leaving {
-		gossiper.version++
-	}
+	changed := !ok || known.gone || leaving != known.leaving
 	known.heard, known.gone, known.leaving = now, false, leaving
+	if changed {
+		gossiper.share()
+	}
 }
 
 // Silent returns the other failure domains with instances that stay, and whether none of them was heard of for a time.
@@ -331,7 +415,7 @@
 	defer gossiper.mu.Unlock()
 	silent := make(map[string]bool)
 	for _, peer := range gossiper.peers {
-		if peer.leaving {
+		if peer.leaving || peer.light && gossiper.light {
 			continue
 		}
 		quiet := now.Sub(peer.heard) > duration
@@ -351,9 +435,7 @@
 
 // Reachable reports whether news can be sent to the instance now.
 func (gossiper *Gossiper) Reachable(incarnation string) bool {
-	gossiper.mu.Lock()
-	links := gossiper.links
-	gossiper.mu.Unlock()
+	links := gossiper.linked()
 	return links != nil && links.Connected(incarnation)
 }
 
@@ -364,13 +446,13 @@
 	return gossiper.version
 }
 
-// Staying returns the hellos of the instances that are heard of and do not leave.
+// Staying returns the hellos of the instances that are heard of, do not leave and do not pass their jobs on.
 func (gossiper *Gossiper) Staying() []linker.Hello {
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
 	var staying []linker.Hello
 	for _, peer := range gossiper.peers {
-		if !peer.gone && !peer.leaving {
+		if !peer.gone && !peer.leaving && !peer.light {
 			staying = append(staying, peer.hello)
 		}
 	}
--- /dev/null
+++ b/gossiper/share.go
@@ -0,0 +1,53 @@
+package gossiper
+
+const (
+	// lightShare: instances below this share of the largest weight pass their jobs on. Passing a job on costs about a
+	// quarter of what running it costs, and callers come without regard to size.
+	lightShare = 0.4
+	// ownShare is the part of all weight that the others must hold for any instance to pass its jobs on.
+	ownShare = 0.5
+)
+
+// lightBound returns the weight below which instances pass their jobs on, 0 if none is to.
+func lightBound(weights []float64) float64 {
+	largest, total := 0.0, 0.0
+	for _, weight := range weights {
+		largest = max(largest, weight)
+		total += weight
+	}
+	bound := lightShare * largest
+	held := 0.0
+	for _, weight := range weights {
+		if weight >= bound {
+			held += weight
+		}
+	}
+	if held < ownShare*total {
+		return 0
+	}
+	return bound
+}
+
+// share decides anew which instances pass their jobs on, after the instances that stay have changed; the caller holds
+// the lock.
+func (gossiper *Gossiper) share() {
+	gossiper.version++
+	weights := []float64{gossiper.self.Share()}
+	for _, peer := range gossiper.peers {
+		if !peer.gone && !peer.leaving {
+			weights = append(weights, peer.hello.Share())
+		}
+	}
+	bound := lightBound(weights)
+	gossiper.light = gossiper.self.Share() < bound
+	for _, peer := range gossiper.peers {
+		peer.light = peer.hello.Share() < bound
+	}
+}
+
+// Light reports whether this instance passes its jobs on to larger ones.
+func (gossiper *Gossiper) Light() bool {
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	return gossiper.light
+}
--- a/linker/codec.go
+++ b/linker/codec.go
@@ -24,6 +24,8 @@
 	maxNesting = 8
 	// maxTextBytes bounds names, keys and other short text.
 	maxTextBytes = 256
+	// maxBodyBytes bounds the text of a delegated job; platforms allow some kilobytes.
+	maxBodyBytes = 64 << 10
 	// maxDetailBytes bounds sentences that explain an outcome.
 	maxDetailBytes = 4096
 	// pairHeader is the CBOR header of an array of two elements.
@@ -133,6 +135,10 @@
 		return decodeAs[BundleResponse](data)
 	case "news":
 		return decodeAs[News](data)
+	case "delegation":
+		return decodeAs[Delegation](data)
+	case "delegation-answer":
+		return decodeAs[DelegationAnswer](data)
 	case "part":
 		return decodeAs[part](data)
 	default:
@@ -164,6 +170,10 @@
 		return "bundle-response"
 	case News:
 		return "news"
+	case Delegation:
+		return "delegation"
+	case DelegationAnswer:
+		return "delegation-answer"
 	case part:
 		return "part"
 	case KeeperMessage:
@@ -216,10 +226,34 @@
 		return checkTexts(message.Key, message.Result)
 	case News:
 		return checkNews(&message)
+	case Delegation:
+		return checkDelegation(&message)
+	case DelegationAnswer:
+		return checkOutcome(message.Job, &message.Outcome)
 	}
 	return nil
 }
 
+func checkDelegation(delegation *Delegation) error {
+	if len(delegation.Body) > maxBodyBytes {
+		return eris.Errorf("delegated job has a body of %d bytes", len(delegation.Body))
+	}
+	if len(delegation.Steps) > dispatcher.MaxTasks {
+		return eris.Errorf("delegated job has %d steps", len(delegation.Steps))
+	}
+	texts := []string{delegation.Job, delegation.Route, delegation.Service}
+	for i := range delegation.Steps {
+		step := &delegation.Steps[i]
+		for _, earlier := range step.After {
+			if earlier < 0 || earlier >= i {
+				return eris.Errorf("step %d of a delegated job waits for step %d", i, earlier)
+			}
+		}
+		texts = append(append(texts, step.Label), step.Tasks...)
+	}
+	return checkTexts(texts...)
+}
+
 func checkNews(news *News) error {
 	texts := make([]string, 0, 2*(len(news.Claims)+len(news.Ends)+len(news.Withdrawn)+len(news.Stops))+len(news.Rooms))
 	for i := range news.Claims {
@@ -236,6 +270,7 @@
 	for i := range news.Rooms {
 		texts = append(texts, news.Rooms[i].Target)
 	}
+	texts = append(texts, news.Abandoned...)
 	return checkTexts(texts...)
 }
 
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -114,8 +114,9 @@
 	accepted int
 }
 
-// New returns a linker without links; receive is called with the hello of each link that comes up and with
-// every message other than responses, must not block, and may be called from several goroutines at once.
+// New returns a linker without links; receive is called with the hello of each link that comes up, with
+// every message other than responses, and with LinkEnded after the last message of a link. It must not block, and may
+// be called from several goroutines at once.
 func New(self Hello, limits Limits, logger hclog.Logger, receive func(from Hello, message Message)) *Linker {
 	self.Version = Version
 	return newLinker(self, limits, logger, receive)
@@ -310,6 +311,7 @@
 	linker.mu.Unlock()
 	linker.receive(established.remote, established.remote)
 	err := established.run(ctx, linker.deliver)
+	linker.receive(established.remote, LinkEnded{})
 	linker.mu.Lock()
 	defer linker.mu.Unlock()
 	left := slices.DeleteFunc(linker.links[incarnation], func(other *link) bool { return other == established })
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +23,8 @@
 	*Linker
 	server   *httptest.Server
 	messages chan Message
+	// ended counts the links that have ended.
+	ended atomic.Int64
 }
 
 func (node *node) address() string { return node.server.Listener.Addr().String() }
@@ -41,7 +44,11 @@
 	node := &node{messages: make(chan Message, 4096)}
 	node.Linker = New(Hello{Domain: domain, Name: name, Incarnation: name + "-1"}, limits, hclog.NewNullLogger(),
 		func(_ Hello, message Message) {
-			if _, hello := message.(Hello); !hello {
+			switch message.(type) {
+			case Hello:
+			case LinkEnded:
+				node.ended.Add(1)
+			default:
 				node.messages <- message
 			}
 		})
@@ -109,6 +116,16 @@
 		CancelAnswer{ID: 1, Key: "k", Result: "too-late"},
 		BundleRequest{ID: 1, Stream: "bundles", After: -1},
 		BundleResponse{ID: 1, Offset: 4, Through: 5, Record: []byte("b")},
+		News{
+			Claims: []Claim{{Target: "t", Task: "k", Attempt: 1, MilliCores: 2, MemoryMB: 3, Accelerators: 4, EstimateMS: 5}},
+			Ends:   []RunEnd{{Target: "t", Task: "k", Attempt: 1, Number: 2, Cause: 1}},
+			Rooms:  []Room{{Target: "t", MilliCores: 1, Lost: true}}, Abandoned: []string{"j"}, Waiting: []int64{1, 0}, Leaving: true,
+		},
+		Delegation{
+			ID: 1, Job: "j", Route: "r", Service: "s", Body: "b", Priority: 1, MaxFailures: 2, AgeUS: 3, RemainingUS: 4, ObjectiveUS: 5,
+			Steps: []JobStep{{Tasks: []string{"k"}, MilliCores: 1, EstimateUS: 2, Label: "l"}, {Tasks: []string{"m"}, After: []int{0}, PerTarget: 3}},
+		},
+		DelegationAnswer{ID: 1, Job: "j", Outcome: outcome},
 		part{Last: true, Data: []byte{1}},
 	}
 }
@@ -325,3 +342,14 @@
 	b.SetMembers(nil)
 	waitFor(t, "the link is dropped", func() bool { return !a.Connected("b-1") && !b.Connected("a-1") })
 }
+
+// Guards against jobs that run on for an instance that can no longer give their answers to callers: the end of a link
+// is told on both sides.
+func TestEndOfALinkIsTold(t *testing.T) {
+	is := is.New(t)
+	a, b := startNode(t, "local", "a", testLimits()), startNode(t, "local", "b", testLimits())
+	join(t, a, b)
+	is.Equal(b.ended.Load(), int64(0))
+	a.Close()
+	waitFor(t, "the end of the link is told", func() bool { return a.ended.Load() > 0 && b.ended.Load() > 0 })
+}
--- a/linker/message.go
+++ b/linker/message.go
@@ -20,6 +20,14 @@
 	Weight float64 `cbor:"weight,omitempty"`
 }
 
+// Share returns the weight of the instance, 1 if it names none.
+func (hello *Hello) Share() float64 {
+	if hello.Weight <= 0 {
+		return 1
+	}
+	return hello.Weight
+}
+
 // Message is one message between instances.
 type Message interface{ isMessage() }
 
@@ -195,6 +203,8 @@
 	Claims    []Claim   `cbor:"claims,omitempty"`
 	Withdrawn []RunName `cbor:"withdrawn,omitempty"`
 	Stops     []RunName `cbor:"stops,omitempty"`
+	// Abandoned goes to the instance that runs these jobs for callers of the sender, who need them no more.
+	Abandoned []string `cbor:"abandoned,omitempty"`
 	// Ends goes to the owner of the runs.
 	Ends []RunEnd `cbor:"ends,omitempty"`
 	// Rooms tells of targets that the sender reads.
@@ -205,31 +215,86 @@
 	Leaving bool `cbor:"leaving,omitempty"`
 }
 
+// JobStep is a step of a delegated job.
+type JobStep struct {
+	_            struct{} `cbor:",toarray"`
+	Tasks        []string
+	MilliCores   int64
+	MemoryMB     int64
+	Accelerators int64
+	// EstimateUS is the declared run time of a task in microseconds.
+	EstimateUS int64
+	After      []int
+	Label      string
+	PerTarget  int
+}
+
+// Delegation asks an instance to run a job for the caller of the sender.
+type Delegation struct {
+	ID          uint64    `cbor:"id"`
+	Job         string    `cbor:"job"`
+	Route       string    `cbor:"route"`
+	Service     string    `cbor:"service"`
+	Body        string    `cbor:"body"`
+	Steps       []JobStep `cbor:"steps"`
+	Priority    int       `cbor:"priority"`
+	MaxFailures int       `cbor:"max-failures"`
+	// AgeUS is the time since the job arrived, RemainingUS the time until its caller stops waiting, and ObjectiveUS the
+	// time until its answer is late, all in microseconds: clocks of instances differ.
+	AgeUS       int64 `cbor:"age-us"`
+	RemainingUS int64 `cbor:"remaining-us"`
+	ObjectiveUS int64 `cbor:"objective-us"`
+}
+
+// DelegationAnswer carries the outcome of a delegated job.
+type DelegationAnswer struct {
+	ID      uint64  `cbor:"id"`
+	Job     string  `cbor:"job"`
+	Outcome Outcome `cbor:"outcome"`
+}
+
+// LinkEnded says that a link to the instance has ended; it is passed to the receiver and never sent.
+type LinkEnded struct{}
+
 // part is a piece of a message that is too large for one frame.
 type part struct {
 	Last bool   `cbor:"last"`
 	Data []byte `cbor:"data"`
 }
 
-func (Hello) isMessage()          {}
-func (Heartbeat) isMessage()      {}
-func (KeeperMessage) isMessage()  {}
-func (Forward) isMessage()        {}
-func (ForwardAnswer) isMessage()  {}
-func (Lookup) isMessage()         {}
-func (LookupAnswer) isMessage()   {}
-func (Cancel) isMessage()         {}
-func (CancelAnswer) isMessage()   {}
-func (BundleRequest) isMessage()  {}
-func (BundleResponse) isMessage() {}
-func (News) isMessage()           {}
-func (part) isMessage()           {}
+func (Hello) isMessage()            {}
+func (Heartbeat) isMessage()        {}
+func (KeeperMessage) isMessage()    {}
+func (Forward) isMessage()          {}
+func (ForwardAnswer) isMessage()    {}
+func (Lookup) isMessage()           {}
+func (LookupAnswer) isMessage()     {}
+func (Cancel) isMessage()           {}
+func (CancelAnswer) isMessage()     {}
+func (BundleRequest) isMessage()    {}
+func (BundleResponse) isMessage()   {}
+func (News) isMessage()             {}
+func (Delegation) isMessage()       {}
+func (DelegationAnswer) isMessage() {}
+func (LinkEnded) isMessage()        {}
+func (part) isMessage()             {}
 
 func (answer ForwardAnswer) requestID() uint64    { return answer.ID }
 func (answer LookupAnswer) requestID() uint64     { return answer.ID }
 func (answer CancelAnswer) requestID() uint64     { return answer.ID }
+func (answer DelegationAnswer) requestID() uint64 { return answer.ID }
 func (response BundleResponse) requestID() uint64 { return response.ID }
 
+func (delegation Delegation) withID(id uint64) Request {
+	delegation.ID = id
+	return delegation
+}
+
+func (delegation Delegation) answeredBy(response Response) bool {
+	answer, ok := response.(DelegationAnswer)
+	return ok && answer.Job == delegation.Job
+}
+
 func (forward Forward) withID(id uint64) Request {
 	forward.ID = id
 	return forward
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -269,6 +269,8 @@
 	if err := supervisor.servers[0].Shutdown(ctx); err != nil {
 		supervisor.logger.Warn("requests were cut off at the end of the grace time", "error", err.Error())
 	}
+	// Jobs that this instance runs for others have no connection of a caller here.
+	supervisor.executor.Drain(ctx)
 	supervisor.peers.unregister(supervisor.store, supervisor.logger)
 	supervisor.logger.Info("instance stopped", "instance", supervisor.settings.Name, "after-ms", time.Since(began).Milliseconds())
 	supervisor.close()
