Start on targets that this instance reads before others

Broadcasts at 2.4 ms for each peer: 8% less processor time, 27 to 50% more rejections.

Change: unread targets cost 8 to 22 ms more, another part for each instance and target. Admission stops to count room at what it needs.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
@@ -68,11 +69,12 @@
 		}
 	}
 	// A step that is wider than its share of all room runs in waves, and its objective allows for them.
-	needed = min(needed, max(1, scheduler.slots(job.Service, size)/waveShare))
-	load := Load{Ahead: scheduler.Demand().upTo(job.Priority), Free: scheduler.free(job.Service, size, now)}
+	needed = min(needed, max(1, scheduler.slots(job.Service, size, needed*waveShare)/waveShare))
+	load := Load{Ahead: scheduler.Demand().upTo(job.Priority)}
 	for _, demand := range scheduler.demands {
 		load.Ahead += demand.upTo(job.Priority)
 	}
+	load.Free = scheduler.free(job.Service, size, needed+load.Ahead, now)
 	short := needed + load.Ahead - load.Free
 	switch {
 	case short <= 0:
@@ -87,19 +89,26 @@
 // waveShare is the part of all room that the tasks of one step may expect at once.
 const waveShare = 4
 
-// slots returns how many tasks of a size all targets can run at once.
-func (scheduler *Scheduler) slots(service string, size Size) int64 {
+// slots returns how many tasks of a size all targets can run at once, or some number from enough on.
+func (scheduler *Scheduler) slots(service string, size Size, enough int64) int64 {
 	count := int64(0)
 	for _, target := range scheduler.byService[service] {
+		if count >= enough {
+			break
+		}
 		count += size.countIn(target.Capacity)
 	}
 	return count
 }
 
-// free returns how many tasks of a size find room now.
-func (scheduler *Scheduler) free(service string, size Size, now time.Time) int64 {
+// free returns how many tasks of a size find room now, or some number from enough on: all targets are counted only
+// under load.
+func (scheduler *Scheduler) free(service string, size Size, enough int64, now time.Time) int64 {
 	count := int64(0)
 	for _, target := range scheduler.byService[service] {
+		if count >= enough {
+			break
+		}
 		if !target.sound(now) || now.Before(target.excludedUntil) {
 			continue
 		}
@@ -132,7 +141,7 @@
 			rate.perHour += int64(time.Hour / max(runTime, time.Millisecond))
 		}
 	}
-	rate.free = scheduler.free(service, Size{MilliCores: scheduler.usualSize}, now)
+	rate.free = scheduler.free(service, Size{MilliCores: scheduler.usualSize}, math.MaxInt64, now)
 	if rate.best == 0 {
 		rate.best = 1
 	}
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -256,7 +256,8 @@
 
 // Load is how much work waited when a job was admitted or refused.
 type Load struct {
-	// Ahead counts the tasks of all instances that come no later, and Free how many tasks of the job found room.
+	// Ahead counts the tasks of all instances that come no later, and Free how many tasks of the job's size find room; from
+	// Ahead and the job's own tasks on, it is not counted further.
 	Ahead int64
 	Free  int64
 	// Expected is when the last task of the job's first steps would have found room, and Patience how long it could wait.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -13,8 +13,12 @@
 	// otherDomainCost is what a target in another failure domain must be faster to be chosen: its round trips are
 	// longer and its bytes cost.
 	otherDomainCost = 4 * time.Millisecond
-	// unreadCost is what a target that another instance reads must be faster to be chosen: its room is known less well.
-	unreadCost = 2 * time.Millisecond
+	// unreadCost is what a target that another instance reads must be faster to be chosen: its room is known only as of
+	// the last broadcast. unreadSpread is the most that is added to it, another part for each instance and target, so
+	// that instances which hear of the same room do not all start on the same target. Together they stay below what
+	// shows in the median of the shortest kind: at 40 ms for all unread targets it rose from 93 to 102 ms.
+	unreadCost   = 8 * time.Millisecond
+	unreadSpread = 14 * time.Millisecond
 	// unknownShare is how much shorter a run counts on a target whose speed is not known yet, so that it is learned.
 	unknownShare = 0.1
 	// lateCost weighs each unit of time past the objective against a longer run time.
@@ -109,7 +113,7 @@
 			cost += otherDomainCost
 		}
 		if !candidate.reader {
-			cost += unreadCost
+			cost += unreadCost + candidate.unreadBias
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = candidate, cost
@@ -118,6 +122,18 @@
 	return best
 }
 
+// unreadBias returns the part of unreadSpread that an instance adds for a target.
+func unreadBias(instance, target string) time.Duration {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(instance))
+	_, _ = hash.Write([]byte{'/'})
+	_, _ = hash.Write([]byte(target))
+	sum := hash.Sum64()
+	// The last bytes of the names reach only the low bits otherwise.
+	sum ^= sum >> 32
+	return time.Duration(sum % uint64(unreadSpread))
+}
+
 // siblings counts the runs of the task's step on the target.
 func (scheduler *Scheduler) siblings(task *task, target *target) int {
 	count := 0
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -523,6 +523,23 @@
 	is.Equal(len(scheduler.Reports(at(60))), 1) // nobody took it
 }
 
+// Guards against instances that hear of the same room and all start on the same target: each has another order of the
+// targets that others read.
+func TestInstancesSpreadOverUnreadTargets(t *testing.T) {
+	is := is.New(t)
+	chosen := make(map[string]int)
+	for instance := range 30 {
+		scheduler := New(fmt.Sprintf("instance-%d", instance), "a")
+		scheduler.SetTargets(testTargets(30), at(0))
+		for _, id := range scheduler.Targets() {
+			scheduler.PeerReported(Report{Target: id, Room: Size{MilliCores: 32000, MemoryMB: 1024}}, at(0))
+		}
+		scheduler.Submit(testJob("j", 1, 100, 1), at(1))
+		chosen[drain(scheduler).starts[0].Target]++
+	}
+	is.True(len(chosen) >= 15) // 19 of 30 are expected of independent choices
+}
+
 // Guards against a belief of room that outlives a rejection.
 func TestRejectionVoidsTheReportOfRoom(t *testing.T) {
 	is := is.New(t)
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -108,6 +108,8 @@
 	news time.Time
 	// looked is when its runs were last looked at, directly or through its reader.
 	looked time.Time
+	// unreadBias is what this instance adds to the cost of the target while another one reads it.
+	unreadBias time.Duration
 	// reader means that this instance reads the ends of the target, hears of all claims, and so knows its room.
 	reader bool
 	// reported is the room that the reader of the target told of at reportedAt.
