--- a/executor/delegation_test.go
+++ b/executor/delegation_test.go
@@ -25,6 +25,8 @@
 	running map[scheduler.Run]time.Time
 	ended   []scheduler.End
 	stopped int
+	// closed names the instances that have closed their idle connections.
+	closed []string
 	// starters counts the starts of each instance.
 	starters map[string]int
 }
@@ -57,6 +59,12 @@
 	return nil
 }
 
+func (orderer boundOrderer) CloseIdle() {
+	orderer.mu.Lock()
+	defer orderer.mu.Unlock()
+	orderer.closed = append(orderer.closed, orderer.instance)
+}
+
 func (orderer *memoryOrderer) end(run scheduler.Run, cause scheduler.Cause) {
 	delete(orderer.running, run)
 	orderer.ended = append(orderer.ended, scheduler.End{Number: int64(len(orderer.ended) + 1), Run: run, Cause: cause})
@@ -178,6 +186,7 @@
 	is.Equal(orderer.count(func() int { return orderer.starters["large"] }), 3)
 	is.Equal(orderer.count(func() int { return orderer.starters["small"] }), 0)
 	is.True(!small.Has("j"))
+	is.Equal(orderer.closed, []string{"small"}) // targets bound the connections of all instances
 }
 
 // Guards against runs that go on for a caller that has left or has cancelled its job.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -16,6 +16,9 @@
 )
 
 const (
+	// settleTime is how long after its start an instance looks only at targets that it uses itself: it does not know yet
+	// which ones others read. The links between instances are up within half of it.
+	settleTime = time.Second
 	// tickTime is how often what is due by time is handled: a quarter of the shortest time that a job may wait, 39 ms.
 	tickTime = 10 * time.Millisecond
 	// sweepTime is how often runs without a live owner, changed readers and what is out of date are looked for.
@@ -43,6 +46,8 @@
 	Stop(ctx context.Context, on scheduler.Target, run scheduler.Run) error
 	// Look asks for the runs and ends of a target.
 	Look(ctx context.Context, on scheduler.Target, request LookRequest) (scheduler.Look, error)
+	// CloseIdle closes connections that are not in use, since few orders will follow.
+	CloseIdle()
 }
 
 // LookRequest is what a look at a target asks for.
@@ -66,6 +71,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
+	// settled is when the other instances are known, if there are any.
+	settled time.Time
 
 	// lookLost is the time in nanoseconds since 1970 of the last look without an answer.
 	lookLost atomic.Int64
@@ -100,6 +107,7 @@
 		meter:     newMeter(),
 		ctx:       ctx,
 		cancel:    cancel,
+		settled:   now().Add(settleTime),
 		scheduler: scheduler.New(self.Incarnation, self.Domain),
 		waiters:   make(map[string][]chan dispatcher.Outcome),
 		lookers:   make(map[string]*looker),
--- a/executor/looker.go
+++ b/executor/looker.go
@@ -53,6 +53,8 @@
 	reads atomic.Bool
 	// reader is the incarnation that reads them; the executor's lock guards it.
 	reader string
+	// settled is when the other instances are known, so that reads tells the truth.
+	settled time.Time
 	// The rest belongs to the looker's goroutine.
 	incarnation  int64
 	acknowledged int64
@@ -69,7 +71,7 @@
 // newLooker starts the looker of a target; the caller holds the lock.
 func (executor *Executor) newLooker(id string) {
 	ctx, cancel := context.WithCancel(executor.ctx)
-	looker := &looker{id: id, cancel: cancel, wake: make(chan struct{}, 1), held: make(map[int64]time.Time)}
+	looker := &looker{id: id, cancel: cancel, wake: make(chan struct{}, 1), settled: executor.settled, held: make(map[int64]time.Time)}
 	executor.lookers[id] = looker
 	executor.assignReader(looker, executor.peers.Staying(), executor.now())
 	executor.group.Go(func() {
@@ -118,6 +120,8 @@
 func (looker *looker) plan(work scheduler.Work, now time.Time) (LookRequest, time.Duration) {
 	sinceLook := now.Sub(looker.lastLook)
 	switch {
+	case now.Before(looker.settled) && !work.Occupied && looker.failures == 0:
+		return LookRequest{}, looker.settled.Sub(now)
 	case looker.reads.Load() && !looker.known && !work.Unreachable && looker.failures == 0:
 		return LookRequest{}, 0
 	case work.Unreachable || looker.failures >= failuresToUnreachable:
--- a/executor/looker_test.go
+++ b/executor/looker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,6 +17,8 @@
 // absentOrderer answers no order.
 type absentOrderer struct{}
 
+func (absentOrderer) CloseIdle() {}
+
 func (absentOrderer) Start(context.Context, scheduler.Target, scheduler.StartTask, time.Time) scheduler.StartResult {
 	return scheduler.StartUnanswered
 }
@@ -72,6 +75,8 @@
 		{"reader of an idle target", true, scheduler.Work{News: now}, 0, false},
 		{"not the reader, fresh news", false, scheduler.Work{Occupied: true, Own: true, News: now}, 0, false},
 		{"not the reader, old news", false, scheduler.Work{Occupied: true, Own: true, News: now.Add(-newsTime)}, 0, true},
+		{"reader, others not known yet", true, scheduler.Work{News: now}, 0, false},
+		{"own run, others not known yet", true, scheduler.Work{Occupied: true, Own: true, News: now}, 0, true},
 		{"repeat after a look without answer", false, scheduler.Work{News: now}, 1, true},
 		{"lost target, just asked", true, scheduler.Work{Unreachable: true, News: now}, failuresToUnreachable, false},
 	}
@@ -82,6 +87,9 @@
 			if test.name == "not the reader, old news" {
 				looker.lastLook = now.Add(-probeTime)
 			}
+			if strings.HasSuffix(test.name, "others not known yet") {
+				looker.known, looker.settled = false, now.Add(settleTime)
+			}
 			looker.reads.Store(test.reads)
 			_, pause := looker.plan(test.work, now)
 			is.Equal(pause <= 0, test.due)
--- a/executor/news.go
+++ b/executor/news.go
@@ -93,6 +93,9 @@
 	if light := executor.peers.Light(); light != executor.light {
 		executor.light = light
 		executor.logger.Info("share of jobs changed", "passes-on", light, "weight", executor.self.Weight)
+		if light {
+			executor.orderer.CloseIdle()
+		}
 	}
 	staying := executor.peers.Staying()
 	for _, looker := range executor.lookers {
