Tell runs of an earlier submission of a job apart

Cause: attempts are numbered anew when a job is submitted again. News of a run of the earlier submission (its end, the answer to its start, its absence from a list) was taken for news of the present run with the same number on another target, and a claim was answered with the end of a run on another target: the task started again beside its run (TWICE). A job comes to the same instance again when it was passed on, and to the same reader always.

Ruled out: loss of links and leases, since the second starts came 2 to 75 ms after the first by the same instance.

Change: news counts for a task only if target and attempt are those of its latest run; ends that readers keep are found by target and run; a run of an earlier submission is an orphan although the job is there again.

--- /dev/null
+++ b/executor/soak_test.go
@@ -0,0 +1,370 @@
+package executor
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+	"github.com/hyssoplift/hyssoplift/linker"
+	"github.com/hyssoplift/hyssoplift/scheduler"
+)
+
+var (
+	soakSeeds = flag.Int("soak-seeds", 1, "number of seeds of the fault soak")
+	soakFirst = flag.Uint64("soak-first", 1, "first seed of the fault soak")
+)
+
+const (
+	// soakTime is how long each seed submits jobs.
+	soakTime = 4 * time.Second
+	// resendTime is how long a caller waits before it sends a job again whose outcome is unknown, as on the platform.
+	resendTime = 1300 * time.Millisecond
+)
+
+// leasedTargets are targets in memory that end runs whose lease is over, and note tasks that run twice at once.
+type leasedTargets struct {
+	runTime time.Duration
+
+	mu      sync.Mutex
+	targets map[string]*leasedTarget
+	// at holds the run of each task.
+	at     map[string]placedRun
+	broken []string
+	// started counts the starts of each job.
+	started map[string]int
+}
+
+// placedRun is a run on a target, and the instance that has started it.
+type placedRun struct {
+	target   string
+	instance string
+	attempt  int64
+	began    time.Time
+}
+
+// leasedOrderer is the orderer of one instance.
+type leasedOrderer struct {
+	*leasedTargets
+	instance string
+}
+
+type leasedTarget struct {
+	lease   time.Time
+	running map[scheduler.Run]time.Time
+	ended   []scheduler.End
+	highest map[string]int64
+}
+
+func newLeasedTargets(count int, runTime time.Duration) *leasedTargets {
+	targets := &leasedTargets{runTime: runTime, targets: make(map[string]*leasedTarget), at: make(map[string]placedRun), started: make(map[string]int)}
+	for number := range count {
+		targets.targets[fmt.Sprintf("t%d", number)] = &leasedTarget{running: make(map[scheduler.Run]time.Time), highest: make(map[string]int64)}
+	}
+	return targets
+}
+
+func (targets *leasedTargets) infos() []scheduler.Target {
+	infos := make([]scheduler.Target, 0, len(targets.targets))
+	for id := range targets.targets {
+		infos = append(infos, scheduler.Target{ID: id, Service: "work", Domain: "a", Capacity: scheduler.Size{MilliCores: 8000, MemoryMB: 1 << 20}})
+	}
+	return infos
+}
+
+// end ends a run; the caller holds the lock.
+func (targets *leasedTargets) end(target *leasedTarget, run scheduler.Run, cause scheduler.Cause) {
+	delete(target.running, run)
+	delete(targets.at, run.Task)
+	target.highest[run.Task] = max(target.highest[run.Task], run.Attempt)
+	target.ended = append(target.ended, scheduler.End{Number: int64(len(target.ended) + 1), Run: run, Cause: cause})
+}
+
+// advance ends what is done or has lapsed; the caller holds the lock.
+func (targets *leasedTargets) advance(now time.Time) {
+	for _, target := range targets.targets {
+		for run, started := range target.running {
+			switch {
+			case now.Sub(started) >= targets.runTime:
+				targets.end(target, run, scheduler.Done)
+			case now.After(target.lease):
+				targets.end(target, run, scheduler.Lapsed)
+			}
+		}
+	}
+}
+
+func (targets leasedOrderer) Start(_ context.Context, on scheduler.Target, start scheduler.StartTask, lease time.Time) scheduler.StartResult {
+	now := time.Now()
+	targets.mu.Lock()
+	defer targets.mu.Unlock()
+	targets.advance(now)
+	target := targets.targets[on.ID]
+	if _, ok := target.running[start.Run]; ok {
+		return scheduler.StartTaken
+	}
+	switch {
+	case now.After(lease):
+		return scheduler.StartLate
+	case start.Run.Attempt <= target.highest[start.Run.Task]:
+		return scheduler.StartStale
+	case len(target.running) >= 8:
+		return scheduler.StartNoRoom
+	}
+	if other, ok := targets.at[start.Run.Task]; ok {
+		targets.broken = append(targets.broken, fmt.Sprintf("%s starts on %s (%s, attempt %d) while attempt %d of %s runs on %s for %v",
+			start.Run.Task, on.ID, targets.instance, start.Run.Attempt, other.attempt, other.instance, other.target, now.Sub(other.began)))
+	}
+	targets.at[start.Run.Task] = placedRun{on.ID, targets.instance, start.Run.Attempt, now}
+	targets.started[start.Job]++
+	target.running[start.Run] = now
+	if lease.After(target.lease) {
+		target.lease = lease
+	}
+	return scheduler.StartTaken
+}
+
+func (targets *leasedTargets) Stop(_ context.Context, on scheduler.Target, run scheduler.Run) error {
+	targets.mu.Lock()
+	defer targets.mu.Unlock()
+	target := targets.targets[on.ID]
+	if _, ok := target.running[run]; ok {
+		targets.end(target, run, scheduler.Stopped)
+	}
+	target.highest[run.Task] = max(target.highest[run.Task], run.Attempt)
+	return nil
+}
+
+func (targets *leasedTargets) Look(ctx context.Context, on scheduler.Target, request LookRequest) (scheduler.Look, error) {
+	sent := time.Now()
+	targets.mu.Lock()
+	target := targets.targets[on.ID]
+	if request.Lease.After(target.lease) {
+		target.lease = request.Lease
+	}
+	targets.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-time.After(min(request.Wait, 10*time.Millisecond)):
+	}
+	now := time.Now()
+	targets.mu.Lock()
+	defer targets.mu.Unlock()
+	targets.advance(now)
+	look := scheduler.Look{Incarnation: 1, Sent: sent, Answered: now}
+	for run := range target.running {
+		look.Running = append(look.Running, scheduler.Row{Run: run})
+	}
+	for _, end := range target.ended {
+		if end.Number > request.Acknowledged {
+			look.Ended = append(look.Ended, end)
+		}
+	}
+	return look, nil
+}
+
+func (*leasedTargets) CloseIdle() {}
+
+// proxy passes connections to an instance on, and can reset or silence them.
+type proxy struct {
+	listener net.Listener
+	upstream string
+	silent   atomic.Bool
+
+	mu          sync.Mutex
+	connections map[net.Conn]bool
+}
+
+func newProxy(t *testing.T, upstream string) *proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	proxy := &proxy{listener: listener, upstream: upstream, connections: make(map[net.Conn]bool)}
+	t.Cleanup(func() { _ = listener.Close(); proxy.reset() })
+	go func() {
+		for {
+			accepted, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			dialed, err := net.Dial("tcp", upstream)
+			if err != nil {
+				_ = accepted.Close()
+				continue
+			}
+			go proxy.pass(accepted, dialed)
+			go proxy.pass(dialed, accepted)
+		}
+	}()
+	return proxy
+}
+
+func (proxy *proxy) address() string { return proxy.listener.Addr().String() }
+
+// pass copies one direction; what arrives while the proxy is silent is lost with the connection.
+func (proxy *proxy) pass(from, to net.Conn) {
+	proxy.mu.Lock()
+	proxy.connections[from] = true
+	proxy.mu.Unlock()
+	buffer := make([]byte, 32<<10)
+	mute := false
+	for {
+		count, err := from.Read(buffer)
+		mute = mute || proxy.silent.Load()
+		if count > 0 && !mute {
+			_, err = to.Write(buffer[:count])
+		}
+		if err != nil && (err != io.EOF || !mute) {
+			break
+		}
+	}
+	_, _ = from.Close(), to.Close()
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	delete(proxy.connections, from)
+}
+
+// reset resets all connections.
+func (proxy *proxy) reset() {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	for connection := range proxy.connections {
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = connection.Close()
+	}
+}
+
+// soak is one seed of the fault soak: two small and two large instances whose links run through proxies.
+type soak struct {
+	*leasedTargets
+	t       *testing.T
+	members []*member
+	proxies []*proxy
+	// complete, refused, unknown and left count the outcomes.
+	complete, refused, unknown, left atomic.Int64
+}
+
+func newSoak(t *testing.T) *soak {
+	soak := &soak{leasedTargets: newLeasedTargets(6, 150*time.Millisecond), t: t}
+	var peers []linker.Peer
+	for number, weight := range []float64{0.1, 0.1, 0.8, 0.8} {
+		self := linker.Hello{Domain: "a", Name: fmt.Sprintf("n%d", number), Incarnation: fmt.Sprintf("n%d", number), Weight: weight}
+		added := &member{Executor: New(self, leasedOrderer{soak.leasedTargets, self.Name}, time.Now, hclog.NewNullLogger())}
+		limits := linker.DefaultLimits()
+		limits.SilenceLimit, limits.PingInterval = 700*time.Millisecond, 300*time.Millisecond
+		added.links = linker.New(self, limits, hclog.NewNullLogger(), added.Peers().Receive)
+		added.Peers().Use(added.links)
+		added.server = httptest.NewServer(added.links)
+		t.Cleanup(added.end)
+		added.SetTargets(soak.infos())
+		proxy := newProxy(t, strings.TrimPrefix(added.server.URL, "http://"))
+		soak.members, soak.proxies = append(soak.members, added), append(soak.proxies, proxy)
+		peers = append(peers, linker.Peer{Name: self.Name, Incarnation: self.Incarnation, Address: proxy.address()})
+	}
+	for _, member := range soak.members {
+		member.links.SetMembers(peers)
+	}
+	return soak
+}
+
+// call sends a job until it has an outcome that is not unknown, or its caller leaves.
+func (soak *soak) call(random *rand.Rand, id string) {
+	leaves := random.IntN(8) == 0
+	for attempt := range 3 {
+		member := soak.members[random.IntN(len(soak.members))]
+		job := memoryJob(id, 1+random.IntN(3))
+		job.Deadline = job.Arrived.Add(2 * time.Second)
+		ctx, cancel := context.WithCancel(context.Background())
+		if leaves {
+			time.AfterFunc(time.Duration(random.IntN(200))*time.Millisecond, cancel)
+		}
+		outcome := member.Submit(ctx, job)
+		cancel()
+		switch outcome.(type) {
+		case dispatcher.Complete:
+			soak.complete.Add(1)
+			return
+		case dispatcher.Refused:
+			soak.refused.Add(1)
+			soak.mu.Lock()
+			if started := soak.started[id]; started > 0 && attempt == 0 {
+				soak.broken = append(soak.broken, fmt.Sprintf("%s was refused after %d starts", id, started))
+			}
+			soak.mu.Unlock()
+			return
+		case nil:
+			soak.left.Add(1)
+			return
+		}
+		soak.unknown.Add(1)
+		time.Sleep(resendTime)
+	}
+}
+
+// disturb resets and silences links until ctx is done.
+func (soak *soak) disturb(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		proxy := soak.proxies[random.IntN(len(soak.proxies))]
+		switch random.IntN(3) {
+		case 0:
+			proxy.reset()
+		case 1:
+			proxy.silent.Store(true)
+			time.Sleep(time.Duration(random.IntN(1200)) * time.Millisecond)
+			proxy.silent.Store(false)
+		case 2:
+			time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+		}
+	}
+}
+
+// Guards against second runs, untrue refusals and callers that never get an answer while the links between instances are reset
+// and fall silent: a job that was passed on has its runs on behalf of an instance that may know nothing of them any more.
+func TestFaultSoakOfDelegation(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes some seconds of real time")
+	}
+	for seed := *soakFirst; seed < *soakFirst+uint64(*soakSeeds); seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			soak := newSoak(t)
+			random := rand.New(rand.NewPCG(seed, 1))
+			ctx, cancel := context.WithTimeout(t.Context(), soakTime)
+			defer cancel()
+			var callers, faults sync.WaitGroup
+			faultSeed := random.Uint64()
+			faults.Go(func() { soak.disturb(ctx, rand.New(rand.NewPCG(faultSeed, 2))) })
+			for number := 0; ctx.Err() == nil; number++ {
+				callerSeed := random.Uint64()
+				callers.Go(func() { soak.call(rand.New(rand.NewPCG(callerSeed, 3)), fmt.Sprintf("j%d", number)) })
+				time.Sleep(time.Duration(1+random.IntN(20)) * time.Millisecond)
+			}
+			faults.Wait()
+			callers.Wait()
+			soak.mu.Lock()
+			defer soak.mu.Unlock()
+			for _, broken := range soak.broken {
+				t.Errorf("seed %d: %s", seed, broken)
+			}
+			t.Logf("complete %d, refused %d, unknown %d, left %d", soak.complete.Load(), soak.refused.Load(), soak.unknown.Load(), soak.left.Load())
+			if soak.complete.Load() == 0 {
+				t.Errorf("seed %d: no job is complete", seed)
+			}
+		})
+	}
+}
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -12,7 +12,7 @@
 func (scheduler *Scheduler) StartAnswered(targetID string, run Run, result StartResult, now time.Time) {
 	target := scheduler.targets[targetID]
 	task := scheduler.tasks[run.Task]
-	current := task != nil && task.state == starting && task.attempt == run.Attempt
+	current := task != nil && task.state == starting && task.latest(targetID, run)
 	if task != nil && result.mayHaveRun() {
 		task.job.started = true
 	}
@@ -48,7 +48,7 @@
 	switch {
 	case current:
 		task.state = running
-	case target != nil && (task == nil || task.attempt != run.Attempt || task.state == waiting):
+	case target != nil && (task == nil || !task.latest(target.ID, run) || task.state == waiting):
 		// The job was given up while the order was on its way.
 		scheduler.act(StopRun{On: target.Target, Run: run, Reason: "job was given up"})
 	}
@@ -128,7 +128,7 @@
 		scheduler.setUnreachable(target)
 	}
 	task := scheduler.tasks[run.Task]
-	if task == nil || task.state != stopping || task.attempt != run.Attempt {
+	if task == nil || task.state != stopping || !task.latest(targetID, run) {
 		return
 	}
 	if stopped {
@@ -164,13 +164,13 @@
 		}
 		if target.reader {
 			if occupant == nil || occupant.owner != scheduler.self {
-				scheduler.ended[end.Run] = pastEnd{end, now}
+				scheduler.ended[targetRun{targetID, end.Run}] = pastEnd{end, now}
 			}
 			scheduler.offer(target, now)
 		}
 	}
 	if task, ok := scheduler.tasks[end.Run.Task]; ok {
-		scheduler.taskEnded(task, end, now)
+		scheduler.taskEnded(task, targetID, end, now)
 	}
 	scheduler.place(now)
 }
@@ -184,18 +184,19 @@
 	return occupant
 }
 
-func (scheduler *Scheduler) taskEnded(task *task, end End, now time.Time) {
+func (scheduler *Scheduler) taskEnded(task *task, targetID string, end End, now time.Time) {
 	if end.Cause != NeverRan {
 		task.job.started = true
 	}
-	latest := end.Run.Attempt == task.attempt && task.occupies()
+	own := task.latest(targetID, end.Run)
+	latest := own && task.occupies()
 	switch {
 	case end.Cause == Done && task.state != done:
 		if task.occupies() && !latest {
 			scheduler.act(StopRun{On: task.on.Target, Run: task.run(), Reason: "an earlier run is done"})
 		}
 		scheduler.taskDone(task, now)
-	case !latest && task.state == waiting && end.Run.Attempt == task.attempt:
+	case !latest && task.state == waiting && own:
 		// The run that was ordered to stop has ended.
 		task.notBefore = time.Time{}
 	case !latest:
@@ -288,7 +289,7 @@
 func (scheduler *Scheduler) notListed(target *target, run Run, occupant *occupant, now time.Time) {
 	if occupant.missing.IsZero() {
 		occupant.missing = now
-		if task := scheduler.tasks[run.Task]; task != nil && task.attempt == run.Attempt && task.state == running {
+		if task := scheduler.tasks[run.Task]; task != nil && task.latest(target.ID, run) && task.state == running {
 			task.missing = now
 			return
 		}
@@ -314,7 +315,7 @@
 		}
 		scheduler.vacate(target, run)
 		task := scheduler.tasks[run.Task]
-		if task != nil && task.attempt == run.Attempt && task.occupies() && task.state != starting {
+		if task != nil && task.latest(target.ID, run) && task.occupies() && task.state != starting {
 			task.notBefore = time.Time{}
 			scheduler.restart(task, now)
 		}
@@ -338,7 +339,7 @@
 // PeerClaimed takes the claim of another instance on a target that this one reads. It returns the end of the run if
 // that is known already.
 func (scheduler *Scheduler) PeerClaimed(owner string, claim Claim, now time.Time) (End, bool) {
-	if past, ok := scheduler.ended[claim.Run]; ok {
+	if past, ok := scheduler.ended[targetRun{claim.Target, claim.Run}]; ok {
 		return past.End, true
 	}
 	target, ok := scheduler.targets[claim.Target]
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -49,6 +49,12 @@
 
 func (task *task) run() Run { return Run{task.name, task.attempt} }
 
+// latest reports whether a run on a target is the latest one of the task. The numbers of attempts begin anew when a job
+// is submitted again, so that news of runs of an earlier submission can name the same attempt on another target.
+func (task *task) latest(targetID string, run Run) bool {
+	return task.on != nil && task.on.ID == targetID && task.attempt == run.Attempt
+}
+
 func (task *task) spec() *Step { return &task.job.Steps[task.step] }
 
 // occupies reports whether a run of the task may be at work.
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -221,3 +221,88 @@
 	scheduler.Tick(at(end + 10))
 	is.Equal(len(drain(scheduler).starts), 1)
 }
+
+// resubmitted returns a scheduler that gave a job up on t0 and starts it anew, with the same numbers of attempts, on t1.
+func resubmitted(t *testing.T) *Scheduler {
+	t.Helper()
+	is := is.New(t)
+	scheduler := New("self", "a")
+	scheduler.SetTargets(testTargets(2)[:1], at(0))
+	scheduler.Submit(testJob("j", 1, 400, 0), at(0))
+	first := drain(scheduler).starts
+	is.Equal(first[0].Target, "t0")
+	scheduler.Abandon("j", "the caller left", at(1))
+	draining := testTarget(0)
+	draining.Draining = true
+	scheduler.SetTargets([]Target{draining, testTarget(1)}, at(2))
+	drain(scheduler)
+	scheduler.Submit(testJob("j", 1, 400, 3), at(3))
+	second := drain(scheduler).starts
+	is.Equal(second[0].Target, "t1")
+	is.Equal(second[0].Run, first[0].Run)
+	return scheduler
+}
+
+// Guards against news of a run of an earlier submission that is taken for news of the present one: the task would start
+// again beside its run. Found by the fault soak (seeds 2, 3, 8, 11, 20), where a job comes to the same delegate again.
+func TestNewsOfAnEarlierSubmission(t *testing.T) {
+	run := Run{Task: "j.0.0.0", Attempt: 1}
+	tests := []struct {
+		name string
+		news func(*Scheduler)
+	}{
+		{"end", func(scheduler *Scheduler) { scheduler.Ended("t0", End{Number: 1, Run: run, Cause: Stopped}, at(4)) }},
+		{"start not answered", func(scheduler *Scheduler) { scheduler.StartAnswered("t0", run, StartUnanswered, at(4)) }},
+		{"start rejected", func(scheduler *Scheduler) { scheduler.StartAnswered("t0", run, StartNoRoom, at(4)) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			scheduler := resubmitted(t)
+			test.news(scheduler)
+			scheduler.StartAnswered("t1", run, StartTaken, at(5))
+			for now := 10; now < 300; now += 10 {
+				scheduler.Tick(at(now))
+			}
+			is.Equal(len(drain(scheduler).starts), 0)
+			scheduler.Ended("t1", End{Number: 1, Run: run, Cause: Done}, at(310))
+			answers := drain(scheduler).answers
+			is.Equal(len(answers), 1)
+			is.Equal(outcome(answers[0]), "complete")
+		})
+	}
+}
+
+// Guards against a claim that is answered with the end of a run of an earlier submission on another target: its owner
+// would start the task again beside its run.
+func TestClaimIsNotAnsweredWithAnEndElsewhere(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	run := Run{Task: "j.0.0.0", Attempt: 1}
+	scheduler.PeerClaimed("former", Claim{Target: "t0", Run: run, Size: Size{MilliCores: 14000}}, at(0))
+	scheduler.Ended("t0", End{Number: 1, Run: run, Cause: Stopped}, at(10))
+	_, ended := scheduler.PeerClaimed("next", Claim{Target: "t1", Run: run, Size: Size{MilliCores: 14000}}, at(20))
+	is.True(!ended)
+	_, ended = scheduler.PeerClaimed("former", Claim{Target: "t0", Run: run, Size: Size{MilliCores: 14000}}, at(30))
+	is.True(ended)
+}
+
+// Guards against a run of an earlier submission that goes on beside that of the present one: the stop that it got may
+// have been lost, and its reader renews the lease of all that runs on the target.
+func TestRunOfAnEarlierSubmissionIsAnOrphan(t *testing.T) {
+	is := is.New(t)
+	scheduler := resubmitted(t)
+	scheduler.Read("t0", true, at(5))
+	row := Row{Run: Run{Task: "j.0.0.0", Attempt: 1}, MilliCores: 14000}
+	stopped := 0
+	for now := 10; now < 2000 && stopped == 0; now += 100 {
+		scheduler.Looked("t0", Look{Incarnation: 1, Running: []Row{row}, Sent: at(now), Answered: at(now)})
+		scheduler.Orphans("t0", func(string) bool { return true }, at(now))
+		for _, stop := range drain(scheduler).stops {
+			if stop.On.ID == "t0" {
+				stopped = now
+			}
+		}
+	}
+	is.True(stopped > 0)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -52,6 +52,12 @@
 
 func rank(priority int) int { return min(max(priority, 0), priorities-1) }
 
+// targetRun names a run on a target.
+type targetRun struct {
+	target string
+	run    Run
+}
+
 // pastEnd is the end of another instance's run, and when it was seen.
 type pastEnd struct {
 	End
@@ -76,7 +82,7 @@
 	// queue holds the waiting tasks in the order in which they start.
 	queue []*task
 	// ended holds the late ends of other instances' runs on the targets that this instance reads.
-	ended map[Run]pastEnd
+	ended map[targetRun]pastEnd
 	// changed holds the targets that this instance reads and whose room has changed since its last report.
 	changed map[string]bool
 	// demands holds the waiting tasks of other instances by incarnation.
@@ -117,7 +123,7 @@
 		groups:    make(map[string]*learnedSpeed),
 		jobs:      make(map[string]*job),
 		tasks:     make(map[string]*task),
-		ended:     make(map[Run]pastEnd),
+		ended:     make(map[targetRun]pastEnd),
 		changed:   make(map[string]bool),
 		offered:   make(map[string]bool),
 		suspended: make(map[string]bool),
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -136,7 +136,7 @@
 func (scheduler *Scheduler) dropGhosts(target *target, now time.Time) {
 	for run, occupant := range target.occupants {
 		if occupant.owner == scheduler.self {
-			if task := scheduler.tasks[run.Task]; task != nil && task.attempt >= run.Attempt {
+			if task := scheduler.tasks[run.Task]; task != nil && task.latest(target.ID, run) {
 				continue
 			}
 		}
@@ -165,7 +165,8 @@
 		case occupant.confirmed.IsZero() || now.Sub(occupant.stopAsked) < orphanTime:
 			continue
 		case occupant.owner == scheduler.self:
-			if _, ok := scheduler.tasks[run.Task]; ok || now.Sub(occupant.claimed) < orphanTime {
+			task, ok := scheduler.tasks[run.Task]
+			if ok && task.latest(targetID, run) || now.Sub(occupant.claimed) < orphanTime {
 				continue
 			}
 		case occupant.owner == "":
