Tell other failure domains of rooms a third as often

Frames between the 18 larger instances, each to all others every 20 ms, were the largest part of what they do.

An instance that passes its jobs on and has none of its own ticks every 50 ms instead of 10.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -21,6 +21,8 @@
 	settleTime = time.Second
 	// tickTime is how often what is due by time is handled: a quarter of the shortest time that a job may wait, 39 ms.
 	tickTime = 10 * time.Millisecond
+	// idleTickTime is how often it is while an instance passes its jobs on and has none of its own; below pauseTime.
+	idleTickTime = 50 * time.Millisecond
 	// sweepTime is how often runs without a live owner, changed readers and what is out of date are looked for.
 	sweepTime = 100 * time.Millisecond
 	// pauseTime is a gap between ticks that shows that this instance stood still.
@@ -356,7 +358,8 @@
 
 // tick handles what is due by time.
 func (executor *Executor) tick() {
-	ticker := time.NewTicker(tickTime)
+	every := tickTime
+	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	var swept, repeated, watched time.Time
 	ticked := executor.now()
@@ -394,7 +397,15 @@
 			executor.repeatClaims()
 		}
 		executor.settle()
+		next := tickTime
+		if executor.light && executor.scheduler.Active() == 0 {
+			next = idleTickTime
+		}
 		executor.mu.Unlock()
+		if next != every {
+			every = next
+			ticker.Reset(every)
+		}
 	}
 }
 
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -12,9 +12,12 @@
 const (
 	// flushTime is how long a claim waits for others so that one frame carries them.
 	flushTime = 2 * time.Millisecond
-	// reportTimePerPeer is the time between two broadcasts for each other instance: what an instance receives from all
-	// is then one frame in this time, however many they are.
-	reportTimePerPeer = 1200 * time.Microsecond
+	// reportTimePerPeer is the time between two broadcasts for each other instance of the own failure domain, and for
+	// farTimes of other ones: an instance then receives one frame in this time from all, however many they are.
+	reportTimePerPeer = 2400 * time.Microsecond
+	// farTimes is how many times less often instances of other failure domains hear of rooms: their targets are used
+	// only when the own ones are full or much slower.
+	farTimes = 3
 	// minReportTime is the least time between two broadcasts.
 	minReportTime = 4 * time.Millisecond
 	// heartbeatTime is how often an instance is heard of without news.
@@ -70,11 +73,14 @@
 	urgent bool
 	// reports and demand are broadcast next.
 	reports map[string]scheduler.Report
-	demand  scheduler.Demand
-	busy    bool
-	leaving bool
-	ticked  time.Time
-	peers   map[string]*peer
+	// farReports are broadcast next to other failure domains, and farSent is when they were last.
+	farReports map[string]scheduler.Report
+	farSent    time.Time
+	demand     scheduler.Demand
+	busy       bool
+	leaving    bool
+	ticked     time.Time
+	peers      map[string]*peer
 	// light means that this instance passes its jobs on.
 	light bool
 	// beaten is when heartbeats without news were last sent, and beatenLeaving whether they told of a planned stop.
@@ -88,16 +94,17 @@
 func New(self linker.Hello, receiver Receiver, now func() time.Time) *Gossiper {
 	ctx, cancel := context.WithCancel(context.Background())
 	gossiper := &Gossiper{
-		self:     self,
-		receiver: receiver,
-		now:      now,
-		cancel:   cancel,
-		wake:     make(chan struct{}, 1),
-		changed:  make(chan struct{}, 1),
-		direct:   make(map[string]*linker.News),
-		reports:  make(map[string]scheduler.Report),
-		ticked:   now(),
-		peers:    make(map[string]*peer),
+		self:       self,
+		receiver:   receiver,
+		now:        now,
+		cancel:     cancel,
+		wake:       make(chan struct{}, 1),
+		changed:    make(chan struct{}, 1),
+		direct:     make(map[string]*linker.News),
+		reports:    make(map[string]scheduler.Report),
+		farReports: make(map[string]scheduler.Report),
+		ticked:     now(),
+		peers:      make(map[string]*peer),
 	}
 	gossiper.group.Go(func() { gossiper.sendDirect(ctx) })
 	gossiper.group.Go(func() { gossiper.broadcast(ctx) })
@@ -220,7 +227,7 @@
 func (gossiper *Gossiper) Report(report scheduler.Report) {
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
-	gossiper.reports[report.Target] = report
+	gossiper.reports[report.Target], gossiper.farReports[report.Target] = report, report
 	poke(gossiper.changed)
 }
 
@@ -269,7 +276,8 @@
 			continue
 		}
 		for incarnation, news := range direct {
-			// What cannot be sent is repeated: claims by their owner, and ends when a claim comes after them.
+			// What cannot be sent is repeated: claims and abandoned jobs by their owner, and ends when a claim comes after
+			// them.
 			_ = links.Send(incarnation, *news)
 		}
 	}
@@ -292,54 +300,86 @@
 		case <-timer.C:
 		case <-gossiper.changed:
 		}
-		peers := gossiper.sendAll()
+		pause := gossiper.sendAll()
 		gossiper.watch()
 		timer.Reset(heartbeatTime)
-		time.Sleep(max(minReportTime, time.Duration(peers)*reportTimePerPeer))
+		time.Sleep(pause)
 	}
 }
 
-// sendAll sends the broadcast and returns the number of instances that got it. Instances that pass their jobs on get
-// heartbeats only, unless they have jobs of their own: the owner of a run has to know how long its lease may last.
-func (gossiper *Gossiper) sendAll() int {
+// sendAll sends what is due and returns the time to the next broadcast.
+func (gossiper *Gossiper) sendAll() time.Duration {
 	gossiper.mu.Lock()
-	news := linker.News{Waiting: append([]int64(nil), gossiper.demand[:]...), Leaving: gossiper.leaving, Busy: gossiper.busy}
-	for _, report := range gossiper.reports {
-		news.Rooms = append(news.Rooms, newRoom(report))
-	}
-	clear(gossiper.reports)
 	links := gossiper.links
-	full, beats := gossiper.receivers()
+	due := gossiper.due(gossiper.now())
 	gossiper.mu.Unlock()
-	if links == nil {
-		return 0
-	}
-	if len(beats) > 0 {
-		links.Broadcast(beats, linker.News{Waiting: make([]int64, len(news.Waiting)), Leaving: news.Leaving, Busy: news.Busy})
-	}
-	if len(full) == 0 {
-		return 0
+	if links != nil {
+		for _, broadcast := range due.broadcasts {
+			links.Broadcast(broadcast.to, broadcast.news)
+		}
 	}
-	return links.Broadcast(full, news)
+	return due.pause
 }
 
-// receivers returns the instances that get the next broadcast, and those that get a heartbeat with it if one is due;
-// the caller holds the lock.
-func (gossiper *Gossiper) receivers() (full, beats []string) {
-	now := gossiper.now()
-	due := now.Sub(gossiper.beaten) >= heartbeatTime || gossiper.leaving != gossiper.beatenLeaving
-	if due {
-		gossiper.beaten, gossiper.beatenLeaving = now, gossiper.leaving
-	}
+// broadcast is one message and the instances that get it.
+type broadcast struct {
+	to   []string
+	news linker.News
+}
+
+// dueNews is what is sent now, and the time to the next broadcast.
+type dueNews struct {
+	broadcasts []broadcast
+	pause      time.Duration
+}
+
+// due returns what is to be sent at now: rooms to the own failure domain, less often to others, and heartbeats only to
+// instances that pass their jobs on. Those that have jobs of their own all the same get the rooms too: the owner of a run
+// has to know how long its lease may last. The caller holds the lock.
+func (gossiper *Gossiper) due(now time.Time) dueNews {
+	beatDue := now.Sub(gossiper.beaten) >= heartbeatTime || gossiper.leaving != gossiper.beatenLeaving
+	var near, far, beats []string
 	for incarnation, peer := range gossiper.peers {
 		switch {
-		case !peer.light || peer.busy && !gossiper.light:
-			full = append(full, incarnation)
-		case due && !gossiper.light:
-			beats = append(beats, incarnation)
+		case peer.light && (gossiper.light || !peer.busy):
+			if beatDue && !gossiper.light {
+				beats = append(beats, incarnation)
+			}
+		case peer.hello.Domain == gossiper.self.Domain:
+			near = append(near, incarnation)
+		default:
+			far = append(far, incarnation)
+		}
+	}
+	// However many instances there are, the others take one that is not heard of for some heartbeats to be gone.
+	pause := min(max(minReportTime, reportTimePerPeer*time.Duration(farTimes*len(near)+len(far))/farTimes), heartbeatTime)
+	due := dueNews{pause: pause}
+	news := linker.News{Waiting: append([]int64(nil), gossiper.demand[:]...), Leaving: gossiper.leaving, Busy: gossiper.busy}
+	if len(beats) > 0 {
+		due.broadcasts = append(due.broadcasts, broadcast{beats, news})
+	}
+	if beatDue {
+		gossiper.beaten, gossiper.beatenLeaving = now, gossiper.leaving
+	}
+	if farDue := now.Sub(gossiper.farSent) >= (farTimes-1)*pause; farDue || beatDue {
+		gossiper.farSent = now
+		if len(far) > 0 {
+			due.broadcasts = append(due.broadcasts, broadcast{far, withRooms(news, gossiper.farReports)})
 		}
+		clear(gossiper.farReports)
 	}
-	return full, beats
+	if len(near) > 0 {
+		due.broadcasts = append(due.broadcasts, broadcast{near, withRooms(news, gossiper.reports)})
+	}
+	clear(gossiper.reports)
+	return due
+}
+
+func withRooms(news linker.News, reports map[string]scheduler.Report) linker.News {
+	for _, report := range reports {
+		news.Rooms = append(news.Rooms, newRoom(report))
+	}
+	return news
 }
 
 // watch finds the peers that are not heard of any more.
--- a/gossiper/share.go
+++ b/gossiper/share.go
@@ -1,10 +1,11 @@
 package gossiper
 
 const (
-	// lightShare: instances below this share of the largest weight pass their jobs on. Passing a job on costs about a
-	// quarter of what running it costs, and callers come without regard to size.
+	// lightShare: instances below this share of the largest weight pass their jobs on, since callers come without regard
+	// to size. It lies between the sizes of the grown deployments, 0.18 and 0.6 of the largest: those of 0.18 were full.
 	lightShare = 0.4
-	// ownShare is the part of all weight that the others must hold for any instance to pass its jobs on.
+	// ownShare is the part of all weight that the others must hold for any instance to pass its jobs on, so that a few
+	// large instances do not get the jobs of many.
 	ownShare = 0.5
 )
 
--- a/gossiper/share_test.go
+++ b/gossiper/share_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/hyssoplift/hyssoplift/linker"
+	"github.com/hyssoplift/hyssoplift/scheduler"
 )
 
 func repeated(weight float64, count int) []float64 { return slices.Repeat([]float64{weight}, count) }
@@ -57,6 +58,7 @@
 	return &Gossiper{
 		self: linker.Hello{Domain: "a", Incarnation: "self", Weight: weight}, receiver: receiver, now: func() time.Time { return now },
 		wake: make(chan struct{}, 1), changed: make(chan struct{}, 1), direct: make(map[string]*linker.News), peers: make(map[string]*peer), ticked: now,
+		reports: make(map[string]scheduler.Report), farReports: make(map[string]scheduler.Report),
 	}, receiver, &now
 }
 
@@ -91,6 +93,19 @@
 	is.True(!gossiper.Light()) // nothing was heard of it
 }
 
+// receivers returns the instances that get rooms and those that get heartbeats only in what is due.
+func (gossiper *Gossiper) receivers() (rooms, beats []string) {
+	gossiper.Report(scheduler.Report{Target: "t"})
+	for _, broadcast := range gossiper.due(gossiper.now()).broadcasts {
+		if len(broadcast.news.Rooms) > 0 {
+			rooms = append(rooms, broadcast.to...)
+		} else {
+			beats = append(beats, broadcast.to...)
+		}
+	}
+	return rooms, beats
+}
+
 // Guards against broadcasts that all instances get: an instance that passes its jobs on needs heartbeats of the others
 // only, a few times a second, and two such instances need nothing of each other.
 func TestReceiversOfBroadcasts(t *testing.T) {
@@ -98,11 +113,11 @@
 	large, _, now := newTestGossiper(0.8)
 	large.meet("small", 0.144)
 	large.meet("equal", 0.8)
-	full, beats := large.receivers()
-	is.Equal(full, []string{"equal"})
+	rooms, beats := large.receivers()
+	is.Equal(rooms, []string{"equal"})
 	is.Equal(beats, []string{"small"})
-	full, beats = large.receivers()
-	is.Equal(len(full), 1)
+	rooms, beats = large.receivers()
+	is.Equal(len(rooms), 1)
 	is.Equal(len(beats), 0) // not due
 	large.leaving = true
 	_, beats = large.receivers()
@@ -114,26 +129,55 @@
 	small, _, _ := newTestGossiper(0.144)
 	small.meet("small", 0.144)
 	small.meet("large", 0.8)
-	full, beats = small.receivers()
-	is.Equal(full, []string{"large"})
+	rooms, beats = small.receivers()
+	is.Equal(rooms, []string{"large"})
 	is.Equal(len(beats), 0)
 }
 
+// Guards against broadcasts to other failure domains that cost as much as those to the own one, against rooms that they
+// never hear of, and against silence that they would take for a loss.
+func TestOtherDomainsHearLessOften(t *testing.T) {
+	is := is.New(t)
+	gossiper, _, now := newTestGossiper(0.4)
+	gossiper.meet("near", 0.4)
+	far := linker.Hello{Domain: "b", Incarnation: "far", Weight: 0.4}
+	gossiper.Receive(far, far)
+	counts := make(map[string]int)
+	pause := gossiper.due(*now).pause
+	for range 30 {
+		*now = now.Add(pause)
+		gossiper.Report(scheduler.Report{Target: "t"})
+		for _, broadcast := range gossiper.due(*now).broadcasts {
+			for _, to := range broadcast.to {
+				counts[to] += len(broadcast.news.Rooms)
+			}
+		}
+	}
+	is.Equal(counts["near"], 30)
+	is.True(counts["far"] >= 10 && counts["far"] <= 16)
+	gossiper.Report(scheduler.Report{Target: "t"})
+	gossiper.farSent = now.Add(-time.Millisecond)
+	gossiper.beaten = *now
+	is.Equal(len(gossiper.due(*now).broadcasts), 1)
+	*now = now.Add(heartbeatTime)
+	is.Equal(len(gossiper.due(*now).broadcasts), 2) // with the room that it has not heard of
+}
+
 // Guards against an instance that passes its jobs on, still has runs of its own, and hears of no renewed lease: it would
 // take them to be lost. Found by Thang Long grown trouble-1 after a loss of power.
 func TestBusyInstanceHearsOfRooms(t *testing.T) {
 	is := is.New(t)
 	large, _, _ := newTestGossiper(0.8)
 	large.meet("small", 0.144)
-	full, _ := large.receivers()
-	is.Equal(len(full), 0)
+	rooms, _ := large.receivers()
+	is.Equal(len(rooms), 0)
 	large.Receive(linker.Hello{Domain: "a", Incarnation: "small", Weight: 0.144}, linker.News{Waiting: []int64{0}, Busy: true})
-	full, beats := large.receivers()
-	is.Equal(full, []string{"small"})
+	rooms, beats := large.receivers()
+	is.Equal(rooms, []string{"small"})
 	is.Equal(len(beats), 0)
 	large.Receive(linker.Hello{Domain: "a", Incarnation: "small", Weight: 0.144}, linker.News{Waiting: []int64{0}})
-	full, _ = large.receivers()
-	is.Equal(len(full), 0)
+	rooms, _ = large.receivers()
+	is.Equal(len(rooms), 0)
 }
 
 // Guards against an instance that is taken to be gone because this one stood still, and against one that is never
