--- a/executor/delegation_test.go
+++ b/executor/delegation_test.go
@@ -143,7 +143,7 @@
 	await(t, "the small instance passes its jobs on", func() bool {
 		small.mu.Lock()
 		defer small.mu.Unlock()
-		return small.light
+		return small.delegates
 	})
 	return small, large
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -87,9 +87,9 @@
 	silent map[string]bool
 	// assigned is the version of the peers for which the readers were decided.
 	assigned int64
-	// light means that this instance passes its jobs on. delegated holds the jobs that were, abandoned those whose
+	// delegates means that this instance passes its jobs on. delegated holds the jobs that were, abandoned those whose
 	// delegates are told to give them up, and foreign ends what this instance runs for others.
-	light     bool
+	delegates bool
 	delegated map[string]*delegation
 	abandoned []abandonment
 	foreign   map[foreignJob]context.CancelFunc
@@ -398,7 +398,7 @@
 		}
 		executor.settle()
 		next := tickTime
-		if executor.light && executor.scheduler.Active() == 0 {
+		if executor.delegates && executor.scheduler.Active() == 0 {
 			next = idleTickTime
 		}
 		executor.mu.Unlock()
--- a/executor/news.go
+++ b/executor/news.go
@@ -90,10 +90,10 @@
 		return
 	}
 	executor.assigned, executor.reassign = version, false
-	if light := executor.peers.Light(); light != executor.light {
-		executor.light = light
-		executor.logger.Info("share of jobs changed", "passes-on", light, "weight", executor.self.Weight)
-		if light {
+	if delegates := executor.peers.Delegates(); delegates != executor.delegates {
+		executor.delegates = delegates
+		executor.logger.Info("share of jobs changed", "passes-on", delegates, "weight", executor.self.Weight)
+		if delegates {
 			executor.orderer.CloseIdle()
 		}
 	}
@@ -111,7 +111,7 @@
 		return
 	}
 	candidates := staying
-	if !executor.leaving && !executor.light || len(staying) == 0 {
+	if !executor.leaving && !executor.delegates || len(staying) == 0 {
 		candidates = append([]linker.Hello{executor.self}, staying...)
 	}
 	best := pickReader(&target, candidates)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -49,8 +49,8 @@
 	heard   time.Time
 	leaving bool
 	gone    bool
-	// light means that the instance passes its jobs on. Two such instances send each other nothing.
-	light bool
+	// delegates means that the instance passes its jobs on. Two such instances send each other nothing.
+	delegates bool
 	// busy means that it has jobs of its own all the same, such as those of before it knew the others.
 	busy bool
 }
@@ -81,8 +81,8 @@
 	leaving    bool
 	ticked     time.Time
 	peers      map[string]*peer
-	// light means that this instance passes its jobs on.
-	light bool
+	// delegates means that this instance passes its jobs on.
+	delegates bool
 	// beaten is when heartbeats without news were last sent, and beatenLeaving whether they told of a planned stop.
 	beaten        time.Time
 	beatenLeaving bool
@@ -236,7 +236,7 @@
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
 	// Only an instance that passes its jobs on is treated by whether it is busy.
-	changed := demand != gossiper.demand || busy != gossiper.busy && gossiper.light
+	changed := demand != gossiper.demand || busy != gossiper.busy && gossiper.delegates
 	gossiper.demand, gossiper.busy = demand, busy
 	if changed {
 		poke(gossiper.changed)
@@ -341,8 +341,8 @@
 	var near, far, beats []string
 	for incarnation, peer := range gossiper.peers {
 		switch {
-		case peer.light && (gossiper.light || !peer.busy):
-			if beatDue && !gossiper.light {
+		case peer.delegates && (gossiper.delegates || !peer.busy):
+			if beatDue && !gossiper.delegates {
 				beats = append(beats, incarnation)
 			}
 		case peer.hello.Domain == gossiper.self.Domain:
@@ -396,7 +396,7 @@
 	}
 	gossiper.ticked = now
 	for incarnation, peer := range gossiper.peers {
-		if gossiper.light && peer.light && links != nil && links.Connected(incarnation) {
+		if gossiper.delegates && peer.delegates && links != nil && links.Connected(incarnation) {
 			// It sends nothing to this instance, and nothing depends on how soon its loss is known.
 			continue
 		}
@@ -460,7 +460,7 @@
 	defer gossiper.mu.Unlock()
 	silent := make(map[string]bool)
 	for _, peer := range gossiper.peers {
-		if peer.leaving || peer.light && gossiper.light {
+		if peer.leaving || peer.delegates && gossiper.delegates {
 			continue
 		}
 		quiet := now.Sub(peer.heard) > duration
@@ -497,7 +497,7 @@
 	defer gossiper.mu.Unlock()
 	var staying []linker.Hello
 	for _, peer := range gossiper.peers {
-		if !peer.gone && !peer.leaving && !peer.light {
+		if !peer.gone && !peer.leaving && !peer.delegates {
 			staying = append(staying, peer.hello)
 		}
 	}
--- a/gossiper/share.go
+++ b/gossiper/share.go
@@ -1,22 +1,22 @@
 package gossiper
 
 const (
-	// lightShare: instances below this share of the largest weight pass their jobs on, since callers come without regard
+	// delegationShare: instances below this share of the largest weight pass their jobs on, since callers come without regard
 	// to size. It lies between the sizes of the grown deployments, 0.18 and 0.6 of the largest: those of 0.18 were full.
-	lightShare = 0.4
+	delegationShare = 0.4
 	// ownShare is the part of all weight that the others must hold for any instance to pass its jobs on, so that a few
 	// large instances do not get the jobs of many.
 	ownShare = 0.5
 )
 
-// lightBound returns the weight below which instances pass their jobs on, 0 if none is to.
-func lightBound(weights []float64) float64 {
+// delegationBound returns the weight below which instances pass their jobs on, 0 if none is to.
+func delegationBound(weights []float64) float64 {
 	largest, total := 0.0, 0.0
 	for _, weight := range weights {
 		largest = max(largest, weight)
 		total += weight
 	}
-	bound := lightShare * largest
+	bound := delegationShare * largest
 	held := 0.0
 	for _, weight := range weights {
 		if weight >= bound {
@@ -39,16 +39,16 @@
 			weights = append(weights, peer.hello.Share())
 		}
 	}
-	bound := lightBound(weights)
-	gossiper.light = gossiper.self.Share() < bound
+	bound := delegationBound(weights)
+	gossiper.delegates = gossiper.self.Share() < bound
 	for _, peer := range gossiper.peers {
-		peer.light = peer.hello.Share() < bound
+		peer.delegates = peer.hello.Share() < bound
 	}
 }
 
-// Light reports whether this instance passes its jobs on to larger ones.
-func (gossiper *Gossiper) Light() bool {
+// Delegates reports whether this instance passes its jobs on to larger ones.
+func (gossiper *Gossiper) Delegates() bool {
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
-	return gossiper.light
+	return gossiper.delegates
 }
--- a/gossiper/share_test.go
+++ b/gossiper/share_test.go
@@ -15,11 +15,11 @@
 
 // Guards against small instances that fill their processor with as many callers as large ones have, against hops that
 // like instances do not need, and against few large instances that would get the jobs of many small ones.
-func TestLightBound(t *testing.T) {
+func TestDelegationBound(t *testing.T) {
 	tests := []struct {
 		name    string
 		weights []float64
-		light   int
+		passing int
 	}{
 		{"alone", repeated(0.4, 1), 0},
 		{"all alike", repeated(0.4, 9), 0},
@@ -31,14 +31,14 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			bound := lightBound(test.weights)
-			light := 0
+			bound := delegationBound(test.weights)
+			passing := 0
 			for _, weight := range test.weights {
 				if weight < bound {
-					light++
+					passing++
 				}
 			}
-			is.Equal(light, test.light)
+			is.Equal(passing, test.passing)
 		})
 	}
 }
@@ -72,25 +72,25 @@
 func TestRolesFollowTheInstances(t *testing.T) {
 	is := is.New(t)
 	gossiper, _, now := newTestGossiper(0.144)
-	is.True(!gossiper.Light())
+	is.True(!gossiper.Delegates())
 	gossiper.meet("small", 0.144)
-	is.True(!gossiper.Light())
+	is.True(!gossiper.Delegates())
 	is.Equal(len(gossiper.Staying()), 1)
 	gossiper.meet("large", 0.8)
-	is.True(gossiper.Light())
+	is.True(gossiper.Delegates())
 	staying := gossiper.Staying()
 	is.Equal(len(staying), 1)
 	is.Equal(staying[0].Incarnation, "large")
 	gossiper.Receive(linker.Hello{Domain: "a", Incarnation: "large", Weight: 0.8}, linker.News{Waiting: []int64{0}, Leaving: true})
-	is.True(!gossiper.Light()) // the only larger one leaves
+	is.True(!gossiper.Delegates()) // the only larger one leaves
 	gossiper.meet("next", 0.8)
-	is.True(gossiper.Light())
+	is.True(gossiper.Delegates())
 	*now = now.Add(SilenceTime / 2)
 	gossiper.watch()
 	*now = now.Add(SilenceTime)
 	gossiper.ticked = *now
 	gossiper.watch()
-	is.True(!gossiper.Light()) // nothing was heard of it
+	is.True(!gossiper.Delegates()) // nothing was heard of it
 }
 
 // receivers returns the instances that get rooms and those that get heartbeats only in what is due.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -15,9 +15,8 @@
 	otherDomainCost = 4 * time.Millisecond
 	// unreadCost is what a target that another instance reads must be faster to be chosen: its room is known only as of
 	// the last broadcast. unreadSpread is the part of the run time that is added at most, another one for each instance
-	// and target, so that instances which hear of the same room do not all start on the same target. It is about what
-	// run times differ from the prediction anyway. At 40 ms for all unread targets the median of the shortest kind rose
-	// from 93 to 102 ms.
+	// and target, so that instances which hear of the same room do not all start on the same target; declared run
+	// times are off by up to 40%. At 40 ms for all unread targets the median of the shortest kind rose from 93 to 102 ms.
 	unreadCost   = 8 * time.Millisecond
 	unreadSpread = 0.25
 	// unknownShare is how much shorter a run counts on a target whose speed is not known yet, so that it is learned.
