--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -123,3 +123,17 @@
 	// ReasonImpossible means that no target can ever run the job.
 	ReasonImpossible Reason = "impossible"
 )
+
+// ClassOf returns the name of the class of an outcome that logs and metrics use: complete, failed, refused or unknown.
+func ClassOf(outcome Outcome) string {
+	switch outcome.(type) {
+	case Complete:
+		return "complete"
+	case Failed:
+		return "failed"
+	case Refused:
+		return "refused"
+	default:
+		return "unknown"
+	}
+}
--- a/executor/meter.go
+++ b/executor/meter.go
@@ -34,7 +34,7 @@
 
 // count counts the outcome of a job that this instance ran or refused.
 func (meter *meter) count(answer scheduler.Answer) {
-	labels := `outcome="` + outcomeName(answer.Outcome) + `"`
+	labels := `outcome="` + dispatcher.ClassOf(answer.Outcome) + `"`
 	if refused, ok := answer.Outcome.(dispatcher.Refused); ok {
 		labels += `,reason="` + string(refused.Reason()) + `"`
 	}
@@ -43,21 +43,7 @@
 
 // delegated counts the outcome of a job that another instance ran for this one.
 func (meter *meter) delegated(outcome dispatcher.Outcome) {
-	meter.set.GetOrCreateCounter(`hyssoplift_delegated_jobs_total{outcome="` + outcomeName(outcome) + `"}`).Inc()
-}
-
-// outcomeName returns the name that logs and metrics use.
-func outcomeName(outcome dispatcher.Outcome) string {
-	switch outcome.(type) {
-	case dispatcher.Complete:
-		return "complete"
-	case dispatcher.Failed:
-		return "failed"
-	case dispatcher.Refused:
-		return "refused"
-	case dispatcher.Unknown:
-	}
-	return "unknown"
+	meter.set.GetOrCreateCounter(`hyssoplift_delegated_jobs_total{outcome="` + dispatcher.ClassOf(outcome) + `"}`).Inc()
 }
 
 // started counts an order to start: how long after the job's arrival it was answered, and how long the order took.
--- a/server/forward.go
+++ b/server/forward.go
@@ -133,7 +133,7 @@
 		origin:      forward.Origin,
 	}
 	outcome := server.resolve(context.Background(), request)
-	server.meter.forwards[outcomeName(outcome)].Inc()
+	server.meter.forwards[dispatcher.ClassOf(outcome)].Inc()
 	answer := linker.ForwardAnswer{
 		ID: forward.ID, Key: forward.Key, Outcome: linker.EncodeOutcome(outcome, time.Now()), Counts: server.grantCount(request),
 	}
--- a/server/meter.go
+++ b/server/meter.go
@@ -79,16 +79,3 @@
 	meter.set.WritePrometheus(writer)
 	metrics.WriteProcessMetrics(writer)
 }
-
-func outcomeName(outcome dispatcher.Outcome) string {
-	switch outcome.(type) {
-	case dispatcher.Complete:
-		return "complete"
-	case dispatcher.Failed:
-		return "failed"
-	case dispatcher.Refused:
-		return "refused"
-	default:
-		return "unknown"
-	}
-}
