Keep one copy of what was written twice, and less state

The hash of an instance and a target stood in executor (readers) and scheduler (bias of unread targets); Affinity serves both, so that the bias of a pair is another draw of the same range. The jitter of follower and submitter is sleeper.Jitter. gossiper needs no second mark for a planned stop, which makes heartbeats due at once, and no flag beside the news. A resubmitted job does not list the instances. Tests share startOne and newMember; their assertions are unchanged.

--- a/executor/delegation.go
+++ b/executor/delegation.go
@@ -46,7 +46,7 @@
 // than others pass their jobs on, to one of their own failure domain if there is any, drawn by weight. The caller holds
 // the lock.
 func (executor *Executor) delegateFor(job *scheduler.Job) (string, bool) {
-	if !executor.delegates {
+	if !executor.delegates || executor.has(job.ID) {
 		return "", false
 	}
 	tasks := 0
--- a/executor/delegation_test.go
+++ b/executor/delegation_test.go
@@ -107,6 +107,18 @@
 	server *httptest.Server
 }
 
+// newMember returns an executor that knows targets and has no links yet; it ends with the test.
+func newMember(t *testing.T, self linker.Hello, orderer Orderer, limits linker.Limits, targets []scheduler.Target) *member {
+	t.Helper()
+	added := &member{Executor: New(self, orderer, time.Now, hclog.NewNullLogger())}
+	added.links = linker.New(self, limits, hclog.NewNullLogger(), added.Peers().Receive)
+	added.Peers().Use(added.links)
+	added.server = httptest.NewServer(added.links)
+	t.Cleanup(added.end)
+	added.SetTargets(targets)
+	return added
+}
+
 func (member *member) peer() linker.Peer {
 	return linker.Peer{Name: member.self.Name, Incarnation: member.self.Incarnation, Address: strings.TrimPrefix(member.server.URL, "http://")}
 }
@@ -121,20 +133,14 @@
 // newPair returns a small and a large instance that are linked and know one target of the memory orderer.
 func newPair(t *testing.T, orderer *memoryOrderer) (small, large *member) {
 	t.Helper()
+	targets := []scheduler.Target{{ID: "t", Service: "work", Domain: "a", Capacity: scheduler.Size{MilliCores: 320000, MemoryMB: 1 << 20}}}
 	var members []*member
 	for _, instance := range []struct {
 		name   string
 		weight float64
 	}{{"small", 0.144}, {"large", 0.8}} {
 		self := linker.Hello{Domain: "a", Name: instance.name, Incarnation: instance.name, Weight: instance.weight}
-		added := &member{Executor: New(self, boundOrderer{orderer, instance.name}, time.Now, hclog.NewNullLogger())}
-		added.links = linker.New(self, linker.DefaultLimits(), hclog.NewNullLogger(), added.Peers().Receive)
-		added.Peers().Use(added.links)
-		added.server = httptest.NewServer(added.links)
-		var once sync.Once
-		t.Cleanup(func() { once.Do(added.end) })
-		added.SetTargets([]scheduler.Target{{ID: "t", Service: "work", Domain: "a", Capacity: scheduler.Size{MilliCores: 320000, MemoryMB: 1 << 20}}})
-		members = append(members, added)
+		members = append(members, newMember(t, self, boundOrderer{orderer, instance.name}, linker.DefaultLimits(), targets))
 	}
 	small, large = members[0], members[1]
 	peers := []linker.Peer{small.peer(), large.peer()}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -202,7 +202,7 @@
 func (executor *Executor) Submit(ctx context.Context, job scheduler.Job) dispatcher.Outcome {
 	executor.mu.Lock()
 	var answer chan dispatcher.Outcome
-	if to, ok := executor.delegateFor(&job); ok && !executor.has(job.ID) {
+	if to, ok := executor.delegateFor(&job); ok {
 		answer = executor.waitFor(job.ID)
 		executor.delegate(job, to)
 	} else {
--- a/executor/news.go
+++ b/executor/news.go
@@ -1,7 +1,6 @@
 package executor
 
 import (
-	"hash/fnv"
 	"math"
 	"time"
 
@@ -143,18 +142,7 @@
 
 // score returns the weighted rendezvous score of an instance for a target.
 func score(target string, instance *linker.Hello) float64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(instance.Incarnation))
-	_, _ = hash.Write([]byte{'/'})
-	_, _ = hash.Write([]byte(target))
-	sum := hash.Sum64()
-	// FNV leaves the last bytes in the low bits; the mixing spreads them over all.
-	sum ^= sum >> 33
-	sum *= 0xff51afd7ed558ccd
-	sum ^= sum >> 33
-	const mantissa = 1 << 53
-	uniform := (float64(sum>>11) + 0.5) / mantissa
-	return -instance.Share() / math.Log(uniform)
+	return -instance.Share() / math.Log(scheduler.Affinity(instance.Incarnation, target))
 }
 
 // Leave hands the targets that this instance reads to the others, which hear that it is about to stop. A leaving
--- a/executor/soak_test.go
+++ b/executor/soak_test.go
@@ -7,15 +7,12 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 	"github.com/hyssoplift/hyssoplift/linker"
 	"github.com/hyssoplift/hyssoplift/scheduler"
@@ -264,14 +261,9 @@
 	var peers []linker.Peer
 	for number, weight := range []float64{0.1, 0.1, 0.8, 0.8} {
 		self := linker.Hello{Domain: "a", Name: fmt.Sprintf("n%d", number), Incarnation: fmt.Sprintf("n%d", number), Weight: weight}
-		added := &member{Executor: New(self, leasedOrderer{soak.leasedTargets, self.Name}, time.Now, hclog.NewNullLogger())}
 		limits := linker.DefaultLimits()
 		limits.SilenceLimit, limits.PingInterval = 700*time.Millisecond, 300*time.Millisecond
-		added.links = linker.New(self, limits, hclog.NewNullLogger(), added.Peers().Receive)
-		added.Peers().Use(added.links)
-		added.server = httptest.NewServer(added.links)
-		t.Cleanup(added.end)
-		added.SetTargets(soak.infos())
+		added := newMember(t, self, leasedOrderer{soak.leasedTargets, self.Name}, limits, soak.infos())
 		proxy := newProxy(t, strings.TrimPrefix(added.server.URL, "http://"))
 		soak.members, soak.proxies = append(soak.members, added), append(soak.proxies, proxy)
 		peers = append(peers, linker.Peer{Name: self.Name, Incarnation: self.Incarnation, Address: proxy.address()})
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -84,7 +83,7 @@
 		}
 		pause := min(firstRetry<<min(failures, 8), lastRetry)
 		failures++
-		sleeper.For(ctx, pause/2+rand.N(pause))
+		sleeper.For(ctx, sleeper.Jitter(pause))
 	}
 }
 
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -83,9 +83,8 @@
 	peers      map[string]*peer
 	// delegates means that this instance passes its jobs on.
 	delegates bool
-	// beaten is when heartbeats without news were last sent, and beatenLeaving whether they told of a planned stop.
-	beaten        time.Time
-	beatenLeaving bool
+	// beaten is when heartbeats were last sent to all, zero if they are due at once.
+	beaten time.Time
 	// version counts the changes of the instances that stay.
 	version int64
 }
@@ -128,7 +127,7 @@
 func (gossiper *Gossiper) Leave() {
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
-	gossiper.leaving = true
+	gossiper.leaving, gossiper.beaten = true, time.Time{}
 	poke(gossiper.changed)
 }
 
@@ -337,7 +336,7 @@
 // instances that pass their jobs on. Those that have jobs of their own all the same get the rooms too: the owner of a run
 // has to know how long its lease may last. The caller holds the lock.
 func (gossiper *Gossiper) due(now time.Time) dueNews {
-	beatDue := now.Sub(gossiper.beaten) >= heartbeatTime || gossiper.leaving != gossiper.beatenLeaving
+	beatDue := now.Sub(gossiper.beaten) >= heartbeatTime
 	var near, far, beats []string
 	for incarnation, peer := range gossiper.peers {
 		switch {
@@ -359,7 +358,7 @@
 		due.broadcasts = append(due.broadcasts, broadcast{beats, news})
 	}
 	if beatDue {
-		gossiper.beaten, gossiper.beatenLeaving = now, gossiper.leaving
+		gossiper.beaten = now
 	}
 	if farDue := now.Sub(gossiper.farSent) >= (farTimes-1)*pause; farDue || beatDue {
 		gossiper.farSent = now
@@ -423,17 +422,18 @@
 	case linker.LinkEnded:
 		gossiper.receiver.LinkEnded(from.Incarnation)
 	case linker.News:
-		gossiper.hear(from, message, true)
+		gossiper.hear(from, message)
 		gossiper.receiver.News(from.Incarnation, message)
 	case linker.Delegation:
-		gossiper.hear(from, linker.News{}, false)
+		gossiper.hear(from, linker.News{})
 		gossiper.receiver.Delegated(from.Incarnation, message)
 	default:
-		gossiper.hear(from, linker.News{}, false)
+		gossiper.hear(from, linker.News{})
 	}
 }
 
-func (gossiper *Gossiper) hear(from linker.Hello, news linker.News, isNews bool) {
+// hear notes that an instance was heard of; only broadcast news, which name the waiting tasks, tell its state.
+func (gossiper *Gossiper) hear(from linker.Hello, news linker.News) {
 	now := gossiper.now()
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
@@ -443,7 +443,7 @@
 		gossiper.peers[from.Incarnation] = known
 	}
 	leaving := known.leaving
-	if isNews && len(news.Waiting) > 0 {
+	if len(news.Waiting) > 0 {
 		leaving, known.busy = news.Leaving, news.Busy
 	}
 	changed := !ok || known.gone || leaving != known.leaving
--- a/gossiper/share_test.go
+++ b/gossiper/share_test.go
@@ -119,7 +119,7 @@
 	rooms, beats = large.receivers()
 	is.Equal(len(rooms), 1)
 	is.Equal(len(beats), 0) // not due
-	large.leaving = true
+	large.Leave()
 	_, beats = large.receivers()
 	is.Equal(len(beats), 1) // a planned stop is told at once
 	*now = now.Add(heartbeatTime)
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -117,16 +117,19 @@
 
 // chain returns the declared run time of the longest chain of steps that are not done.
 func (job *job) chain() time.Duration {
-	ends := make([]time.Duration, len(job.Steps))
+	return longestChain(job.Steps, func(step int) bool { return job.open[step] > 0 })
+}
+
+// longestChain returns the declared run time of the longest chain of the steps that count.
+func longestChain(steps []Step, counts func(step int) bool) time.Duration {
+	ends := make([]time.Duration, len(steps))
 	longest := time.Duration(0)
-	for number, step := range job.Steps {
-		start := time.Duration(0)
-		for _, earlier := range step.After {
-			start = max(start, ends[earlier])
+	for number := range steps {
+		for _, earlier := range steps[number].After {
+			ends[number] = max(ends[number], ends[earlier])
 		}
-		ends[number] = start
-		if job.open[number] > 0 {
-			ends[number] += step.Estimate
+		if counts(number) {
+			ends[number] += steps[number].Estimate
 		}
 		longest = max(longest, ends[number])
 	}
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -67,9 +67,7 @@
 func TestRunThatItsTargetDoesNotListStartsAgain(t *testing.T) {
 	is := is.New(t)
 	scheduler := newTestScheduler(2)
-	scheduler.Submit(testJob("j", 1, 1000, 0), at(0))
-	start := drain(scheduler).starts[0]
-	take(scheduler, []StartTask{start}, at(2))
+	start := startOne(scheduler, testJob("j", 1, 1000, 0))
 	scheduler.Looked(start.Target, Look{Incarnation: 1, Sent: at(100), Answered: at(102)})
 	scheduler.Tick(at(105))
 	is.Equal(len(drain(scheduler).starts), 0) // its end may be on the way
@@ -81,9 +79,7 @@
 func TestRestartedTargetLosesItsRuns(t *testing.T) {
 	is := is.New(t)
 	scheduler := newTestScheduler(2)
-	scheduler.Submit(testJob("j", 1, 500, 0), at(0))
-	start := drain(scheduler).starts[0]
-	take(scheduler, []StartTask{start}, at(2))
+	start := startOne(scheduler, testJob("j", 1, 500, 0))
 	scheduler.Looked(start.Target, Look{Incarnation: 2, Sent: at(100), Answered: at(102)})
 	second := drain(scheduler).starts
 	is.Equal(len(second), 1)
@@ -134,9 +130,7 @@
 func TestRunStartsAgainOnceItsLeaseIsOver(t *testing.T) {
 	is := is.New(t)
 	scheduler := newTestScheduler(2)
-	scheduler.Submit(testJob("j", 1, 900, 0), at(0))
-	start := drain(scheduler).starts[0]
-	take(scheduler, []StartTask{start}, at(2))
+	start := startOne(scheduler, testJob("j", 1, 900, 0))
 	scheduler.Renewing(start.Target, at(400))
 	scheduler.Unreachable(start.Target)
 	end := 400 + int((LeaseTime+leaseSlack)/time.Millisecond)
@@ -155,9 +149,7 @@
 func TestPauseIsNoLoss(t *testing.T) {
 	is := is.New(t)
 	scheduler := newTestScheduler(2)
-	scheduler.Submit(testJob("j", 1, 900, 0), at(0))
-	start := drain(scheduler).starts[0]
-	take(scheduler, []StartTask{start}, at(2))
+	start := startOne(scheduler, testJob("j", 1, 900, 0))
 	scheduler.Paused(at(1500))
 	scheduler.Tick(at(1500))
 	is.Equal(len(drain(scheduler).starts), 0)
@@ -171,9 +163,7 @@
 	is := is.New(t)
 	scheduler := New("self", "a")
 	scheduler.SetTargets(testTargets(2), at(0))
-	scheduler.Submit(testJob("j", 1, 900, 0), at(0))
-	start := drain(scheduler).starts[0]
-	take(scheduler, []StartTask{start}, at(2))
+	start := startOne(scheduler, testJob("j", 1, 900, 0))
 	scheduler.PeerReported(Report{Target: start.Target, Lost: true}, at(500))
 	scheduler.Submit(testJob("k", 1, 100, 500), at(500))
 	is.True(drain(scheduler).starts[0].Target != start.Target)
@@ -187,9 +177,7 @@
 	is := is.New(t)
 	scheduler := New("self", "a")
 	scheduler.SetTargets(testTargets(2), at(0))
-	scheduler.Submit(testJob("j", 1, 900, 0), at(0))
-	start := drain(scheduler).starts[0]
-	take(scheduler, []StartTask{start}, at(2))
+	start := startOne(scheduler, testJob("j", 1, 900, 0))
 	scheduler.PeerReported(Report{Target: start.Target, Room: Size{MilliCores: 18000}}, at(45))
 	// The reader hears nothing of the owner, renews the lease until 45+800 ms and ends then.
 	for now := 45; now < 45+800+1000; now += 5 {
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -98,6 +98,11 @@
 	Objective time.Time
 }
 
+// Chain returns the declared run time of the longest chain of the job's steps.
+func (job *Job) Chain() time.Duration {
+	return longestChain(job.Steps, func(int) bool { return true })
+}
+
 // Run is one start of a task.
 type Run struct {
 	Task    string
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -122,17 +122,19 @@
 	return best
 }
 
-// unreadBias returns the part of the run time that an instance adds for a target, below unreadSpread.
-func unreadBias(instance, target string) float64 {
+// Affinity returns a number between 0 and 1 that is drawn once and for all for an instance and a target.
+func Affinity(instance, target string) float64 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(instance))
 	_, _ = hash.Write([]byte{'/'})
 	_, _ = hash.Write([]byte(target))
 	sum := hash.Sum64()
-	// The last bytes of the names reach only the low bits otherwise.
-	sum ^= sum >> 32
-	const steps = 1 << 16
-	return unreadSpread * float64(sum%steps) / steps
+	// FNV leaves the last bytes in the low bits; the mixing spreads them over all.
+	sum ^= sum >> 33
+	sum *= 0xff51afd7ed558ccd
+	sum ^= sum >> 33
+	const mantissa = 1 << 53
+	return (float64(sum>>11) + 0.5) / mantissa
 }
 
 // siblings counts the runs of the task's step on the target.
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -132,9 +132,7 @@
 func TestStragglerStartsElsewhereAfterItsStop(t *testing.T) {
 	is := is.New(t)
 	scheduler := newTestScheduler(2)
-	scheduler.Submit(testJob("j", 1, 100, 0), at(0))
-	start := drain(scheduler).starts[0]
-	take(scheduler, []StartTask{start}, at(2))
+	start := startOne(scheduler, testJob("j", 1, 100, 0))
 	stoppedAt := 0
 	for now := 5; now < 1000 && stoppedAt == 0; now += 5 {
 		if now > 300 {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -194,7 +194,7 @@
 	if !ok {
 		added := newTarget(info, scheduler.group(info))
 		added.suspended = scheduler.suspended[info.Domain]
-		added.unreadBias = unreadBias(scheduler.self, info.ID)
+		added.unreadBias = unreadSpread * Affinity(scheduler.self, info.ID)
 		scheduler.targets[info.ID] = added
 		return
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -91,6 +91,14 @@
 	}
 }
 
+// startOne submits a job of one task at time 0 and answers its start with success.
+func startOne(scheduler *Scheduler, job Job) StartTask {
+	scheduler.Submit(job, at(0))
+	start := drain(scheduler).starts[0]
+	take(scheduler, []StartTask{start}, at(2))
+	return start
+}
+
 func outcome(answer Answer) string {
 	switch outcome := answer.Outcome.(type) {
 	case dispatcher.Complete:
@@ -165,9 +173,7 @@
 func TestCompleteAnswerIsRepeated(t *testing.T) {
 	is := is.New(t)
 	scheduler := newTestScheduler(1)
-	scheduler.Submit(testJob("j", 1, 100, 0), at(0))
-	start := drain(scheduler).starts[0]
-	take(scheduler, []StartTask{start}, at(2))
+	start := startOne(scheduler, testJob("j", 1, 100, 0))
 	scheduler.Ended(start.Target, End{Run: start.Run, Cause: Done}, at(100))
 	is.Equal(outcome(drain(scheduler).answers[0]), "complete")
 	scheduler.Submit(testJob("j", 1, 100, 1500), at(1500))
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -108,7 +108,7 @@
 	news time.Time
 	// looked is when its runs were last looked at, directly or through its reader.
 	looked time.Time
-	// unreadBias is what this instance adds to the cost of the target while another one reads it.
+	// unreadBias is the part of the run time that this instance adds to the cost of the target while another one reads it.
 	unreadBias float64
 	// reader means that this instance reads the ends of the target, hears of all claims, and so knows its room.
 	reader bool
--- a/sleeper/sleeper.go
+++ b/sleeper/sleeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -17,5 +18,8 @@
 	}
 }
 
+// Jitter returns a random duration between half of and one and a half times duration, so that many do not wait in step.
+func Jitter(duration time.Duration) time.Duration { return duration/2 + rand.N(duration) }
+
 // Until waits until deadline and reports false if ctx was done first.
 func Until(ctx context.Context, deadline time.Time) bool { return For(ctx, time.Until(deadline)) }
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -69,7 +68,7 @@
 		if err == nil {
 			last = outcome
 		}
-		if !sleep(ctx, delay/2+rand.N(delay), job.Deadline()) {
+		if !sleep(ctx, sleeper.Jitter(delay), job.Deadline()) {
 			if last != nil {
 				return last, job.Key(), nil
 			}
