Log which runs are lost with a target, and why a task is queued again

Cause: no line named the runs that were on a target that stopped responding or restarted, and a task that was queued again for that reason left no trace, so the hypotheses on tasks that crash their targets could not be told apart.

The scheduler now records lost runs, lost targets and restarted targets as actions; the executor logs and counts them. hyssoplift explain prints these lines for the jobs that they list.

--- a/commander/explain.go
+++ b/commander/explain.go
@@ -42,7 +42,7 @@
 	fields map[string]any
 }
 
-// explain prints the log lines whose job or task field names the job or one of its tasks. Text before the JSON object
+// explain prints the log lines whose job, task or runs field names the job or one of its tasks. Text before the JSON object
 // of a line, such as the name of the instance that wrote it, is printed too.
 func explain(job string, logs io.Reader, output io.Writer) error {
 	var entries []logEntry
@@ -79,13 +79,24 @@
 		return logEntry{}, false
 	}
 	task, _ := entry.fields["task"].(string)
-	if entry.fields["job"] != job && !strings.HasPrefix(task, job+".") {
+	runs, _ := entry.fields["runs"].(string)
+	if entry.fields["job"] != job && !strings.HasPrefix(task, job+".") && !listsRunOf(job, runs) {
 		return logEntry{}, false
 	}
 	entry.time, _ = entry.fields["@timestamp"].(string)
 	return entry, true
 }
 
+// listsRunOf reports whether a list of runs, separated by commas, holds a run of the job.
+func listsRunOf(job, runs string) bool {
+	for run := range strings.SplitSeq(runs, ", ") {
+		if strings.HasPrefix(run, job+".") {
+			return true
+		}
+	}
+	return false
+}
+
 // String formats the entry as text: time, source, message, then the other fields sorted by name.
 func (entry logEntry) String() string {
 	var text strings.Builder
--- a/commander/explain_test.go
+++ b/commander/explain_test.go
@@ -18,6 +18,8 @@
 		`{"@message":"task started","@timestamp":"2026-01-01T00:00:01Z","job":"j1","task":"j1.0.0.0","target":"t"}`,
 		`{"@message":"job answered","@timestamp":"2026-01-01T00:00:03Z","job":"j1","outcome":"complete"}`,
 		`{"@message":"job answered","@timestamp":"2026-01-01T00:00:03Z","job":"j10","outcome":"complete"}`,
+		`{"@message":"target restarted","@timestamp":"2026-01-01T00:00:04Z","runs":"j0.0.0.0/1 since 9 ms, j1.0.0.0/1 since 8 ms"}`,
+		`{"@message":"target restarted","@timestamp":"2026-01-01T00:00:04Z","runs":"j10.0.0.0/1 since 9 ms, xj1.0.0.0/1 since 8 ms"}`,
 		`not a log line about j1`,
 		`{"@message":"cut off j1`,
 	}, "\n")
@@ -26,6 +28,7 @@
 	is.Equal(output.String(), `2026-01-01T00:00:01Z  task started job=j1 target=t task=j1.0.0.0
 2026-01-01T00:00:02Z 0.2 node-2 run ended cause=done task=j1.0.0.0
 2026-01-01T00:00:03Z  job answered job=j1 outcome=complete
+2026-01-01T00:00:04Z  target restarted runs=j0.0.0.0/1 since 9 ms, j1.0.0.0/1 since 8 ms
 `)
 	is.True(Run(t.Context(), []string{"explain", "j2"}, strings.NewReader(logs), &output, &output) != nil)
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -318,6 +318,14 @@
 		}
 	case scheduler.OfferCapacity:
 		executor.peers.Offer(action.To, action.Target, action.FreeCapacity)
+	case scheduler.RunLost:
+		executor.meter.countLostRun(action)
+		executor.logLostRun(action)
+	case scheduler.TargetLost:
+		executor.logTargetLost(action)
+	case scheduler.TargetRestarted:
+		executor.meter.targetRestarts.Inc()
+		executor.logTargetRestart(action)
 	}
 }
 
--- a/executor/log.go
+++ b/executor/log.go
@@ -1,6 +1,8 @@
 package executor
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -51,3 +53,25 @@
 	}
 	executor.logger.Info("run ended", "task", end.Run.Task, "attempt", end.Run.Attempt, "target", target, "cause", end.Cause.String(), "number", end.Seq)
 }
+
+func (executor *Executor) logLostRun(lost scheduler.RunLost) {
+	executor.logger.Info("run lost", "job", lost.Job, "task", lost.Run.Task, "attempt", lost.Run.Attempt, "target", lost.Target,
+		"incarnation", lost.Incarnation, "reason", string(lost.Reason), "losses", lost.Restarts)
+}
+
+func (executor *Executor) logTargetLost(lost scheduler.TargetLost) {
+	executor.logger.Warn("target lost with runs", "target", lost.Target, "incarnation", lost.Incarnation, "refused", lost.Refused, "runs", formatRuns(lost.Runs))
+}
+
+func (executor *Executor) logTargetRestart(restart scheduler.TargetRestarted) {
+	executor.logger.Warn("target restarted", "target", restart.Target, "incarnation", restart.Incarnation, "previous", restart.Previous, "runs", formatRuns(restart.Runs))
+}
+
+// formatRuns lists runs with the time in milliseconds since their claims.
+func formatRuns(runs []scheduler.OccupyingRun) string {
+	formatted := make([]string, len(runs))
+	for i, run := range runs {
+		formatted[i] = fmt.Sprintf("%s/%d since %d ms", run.Run.Task, run.Run.Attempt, run.Age.Milliseconds())
+	}
+	return strings.Join(formatted, ", ")
+}
--- a/executor/meter.go
+++ b/executor/meter.go
@@ -14,6 +14,7 @@
 type meter struct {
 	set            *metrics.Set
 	stops          *metrics.Counter
+	targetRestarts *metrics.Counter
 	polls          *metrics.Counter
 	wait           *metrics.Histogram
 	startDurations *metrics.Histogram
@@ -26,6 +27,7 @@
 	return &meter{
 		set:            set,
 		stops:          set.NewCounter("hyssoplift_stops_total"),
+		targetRestarts: set.NewCounter("hyssoplift_target_restarts_total"),
 		polls:          set.NewCounter("hyssoplift_looks_total"),
 		wait:           set.NewHistogram("hyssoplift_start_wait_seconds"),
 		startDurations: set.NewHistogram("hyssoplift_start_order_seconds"),
@@ -54,6 +56,11 @@
 	meter.startDurations.Update(duration.Seconds())
 }
 
+// countLostRun counts a run of this instance that was lost or stopped.
+func (meter *meter) countLostRun(lost scheduler.RunLost) {
+	meter.set.GetOrCreateCounter(`hyssoplift_runs_lost_total{reason="` + string(lost.Reason) + `"}`).Inc()
+}
+
 // registerGauges registers the gauges that read the executor's state when metrics are written.
 func (meter *meter) registerGauges(executor *Executor) {
 	read := func(value func() int) func() float64 {
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -256,6 +258,7 @@
 	if poller.failures >= unreachableThreshold {
 		executor.mu.Lock()
 		defer executor.mu.Unlock()
-		executor.scheduler.MarkUnreachable(poller.id)
+		executor.scheduler.MarkUnreachable(poller.id, errors.Is(err, syscall.ECONNREFUSED), executor.now())
+		executor.runActions()
 	}
 }
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -80,7 +80,7 @@
 		target.exclude(now)
 		target.recordResponse(now)
 	case StartUnsent:
-		scheduler.setUnreachable(target)
+		scheduler.setUnreachable(target, false, now)
 	case StartTaken, StartStale, StartLate, StartImpossible, StartUnanswered:
 	}
 }
@@ -143,7 +143,7 @@
 		target.heldUntil = time.Time{}
 		scheduler.stopped = append(scheduler.stopped, stoppedRun{targetRun{targetID, run}, now.Add(MaxStopDuration)})
 	case target.recordUnanswered(StopAttempts, startedAt(target, run, now)):
-		scheduler.setUnreachable(target)
+		scheduler.setUnreachable(target, false, now)
 	}
 	task := scheduler.tasks[run.Task]
 	if task == nil || task.state != stopping || !task.latest(targetID, run) {
@@ -151,7 +151,7 @@
 	}
 	if stopped {
 		task.notBefore = now.Add(MaxStopDuration)
-		scheduler.requeueLost(task, now)
+		scheduler.requeueLost(task, LossStopped, now)
 		return
 	}
 	task.state = uncertain
@@ -177,8 +177,11 @@
 }
 
 // requeueLost queues a task again whose run was lost or stopped.
-func (scheduler *Scheduler) requeueLost(task *task, now time.Time) {
+func (scheduler *Scheduler) requeueLost(task *task, reason LossReason, now time.Time) {
 	task.restarts++
+	scheduler.emit(RunLost{
+		Target: task.runTarget.ID, Incarnation: task.runTarget.Incarnation, Run: task.run(), Job: task.job.ID, Reason: reason, Restarts: task.restarts,
+	})
 	if task.restarts > maxRestarts {
 		scheduler.finish(task.job, dispatcher.NewUnknown("a task was lost too often"), "runs of a task were lost or stopped too often", now)
 		return
@@ -236,9 +239,12 @@
 	case !isActive:
 	case end.Cause == Failed:
 		scheduler.handleTaskFailure(task, now)
-	case end.Cause == Stopped, end.Cause == Lapsed:
+	case end.Cause == Stopped:
 		task.notBefore = time.Time{}
-		scheduler.requeueLost(task, now)
+		scheduler.requeueLost(task, LossStopped, now)
+	case end.Cause == Lapsed:
+		task.notBefore = time.Time{}
+		scheduler.requeueLost(task, LossLapsed, now)
 	}
 }
 
@@ -337,11 +343,12 @@
 
 // handleTargetRestart drops the runs and the learned state of the target's previous incarnation.
 func (scheduler *Scheduler) handleTargetRestart(target *target, incarnation int64, now time.Time) {
-	hadIncarnation := target.Incarnation != 0
+	previous := target.Incarnation
 	target.Incarnation = incarnation
-	if !hadIncarnation {
+	if previous == 0 {
 		return
 	}
+	scheduler.emit(TargetRestarted{Target: target.ID, Incarnation: incarnation, Previous: previous, Runs: target.occupyingRuns(now)})
 	target.speed = learnedSpeed{}
 	target.probation, target.failureStreak, target.exclusions = false, 0, 0
 	target.excludedUntil, target.heldUntil = time.Time{}, time.Time{}
@@ -353,19 +360,23 @@
 		task := scheduler.tasks[run.Task]
 		if task != nil && task.latest(target.ID, run) && task.mayBeRunning() && task.state != starting {
 			task.notBefore = time.Time{}
-			scheduler.requeueLost(task, now)
+			scheduler.requeueLost(task, LossRestarted, now)
 		}
 	}
 }
 
-// MarkUnreachable records that the target did not answer; it gets no work until it does.
-func (scheduler *Scheduler) MarkUnreachable(targetID string) {
+// MarkUnreachable records that the target did not answer; it gets no work until it does. refused means that its host
+// refused the connection.
+func (scheduler *Scheduler) MarkUnreachable(targetID string, refused bool, now time.Time) {
 	if target, ok := scheduler.targets[targetID]; ok {
-		scheduler.setUnreachable(target)
+		scheduler.setUnreachable(target, refused, now)
 	}
 }
 
-func (scheduler *Scheduler) setUnreachable(target *target) {
+func (scheduler *Scheduler) setUnreachable(target *target, refused bool, now time.Time) {
+	if !target.unreachable && len(target.allocations) > 0 {
+		scheduler.emit(TargetLost{Target: target.ID, Incarnation: target.Incarnation, Refused: refused, Runs: target.occupyingRuns(now)})
+	}
 	target.unreachable = true
 	if target.readBySelf {
 		scheduler.changedTargets[target.ID] = true
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -135,7 +135,7 @@
 	scheduler := newTestScheduler(2)
 	start := startOne(scheduler, testJob("j", 1, 900, 0))
 	scheduler.RecordLeaseRenewal(start.Target, at(400))
-	scheduler.MarkUnreachable(start.Target)
+	scheduler.MarkUnreachable(start.Target, false, at(400))
 	leaseEnd := 400 + int((LeaseDuration+leaseMargin)/time.Millisecond)
 	restartedAt := 0
 	for now := 400; now < 2500 && restartedAt == 0; now += 5 {
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -219,7 +219,7 @@
 }
 
 // Action is something that the caller of the scheduler has to do: StartTask, StopRun, RelayStop, WithdrawClaim,
-// OfferCapacity or AnswerJob.
+// OfferCapacity or AnswerJob, or to record: RunLost, TargetLost or TargetRestarted.
 type Action interface{ isAction() }
 
 // StartTask asks to start a run on a target.
@@ -291,9 +291,65 @@
 	FreeCapacity Resources
 }
 
-func (StartTask) isAction()     {}
-func (StopRun) isAction()       {}
-func (AnswerJob) isAction()     {}
-func (WithdrawClaim) isAction() {}
-func (RelayStop) isAction()     {}
-func (OfferCapacity) isAction() {}
+// LossReason is why a run is considered lost.
+type LossReason string
+
+// Reasons for the loss of a run. The values are used in logs and metrics.
+const (
+	// LossLapsed means that the lease of the target is over by all requests that are known.
+	LossLapsed LossReason = "lapsed"
+	// LossMissing means that the target lists the run neither as running nor as ended.
+	LossMissing LossReason = "missing"
+	// LossRestarted means that the target has another incarnation.
+	LossRestarted LossReason = "target-restarted"
+	// LossStopped means that the run was stopped.
+	LossStopped LossReason = "stopped"
+	// LossUnanswered means that the start got no answer, and was stopped or has lapsed.
+	LossUnanswered LossReason = "unanswered"
+)
+
+// RunLost records that a task of this instance is queued again because its run was lost or stopped.
+type RunLost struct {
+	Target string
+	// Incarnation is the incarnation of the target; 0 if unknown.
+	Incarnation int64
+	Run         Run
+	Job         string
+	Reason      LossReason
+	// Restarts counts the losses of the task since its job was submitted, including this one.
+	Restarts int
+}
+
+// OccupyingRun is a run that occupies a target, and the time since its instance claimed the capacity.
+type OccupyingRun struct {
+	Run Run
+	Age time.Duration
+}
+
+// TargetLost records that a target with runs stopped responding.
+type TargetLost struct {
+	Target      string
+	Incarnation int64
+	// Refused means that the target's host refuses connections, so that its process is probably gone.
+	Refused bool
+	Runs    []OccupyingRun
+}
+
+// TargetRestarted records that a target has another incarnation than before. Runs lists the runs that were not known to
+// have ended.
+type TargetRestarted struct {
+	Target      string
+	Incarnation int64
+	Previous    int64
+	Runs        []OccupyingRun
+}
+
+func (StartTask) isAction()       {}
+func (StopRun) isAction()         {}
+func (AnswerJob) isAction()       {}
+func (WithdrawClaim) isAction()   {}
+func (RelayStop) isAction()       {}
+func (OfferCapacity) isAction()   {}
+func (RunLost) isAction()         {}
+func (TargetLost) isAction()      {}
+func (TargetRestarted) isAction() {}
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -218,7 +218,7 @@
 		state := instance.scheduler.TargetState(target.id)
 		if target.unreachable(simulation.now) || simulation.losingRequests && simulation.random.IntN(10) == 0 {
 			if target.unreachable(simulation.now) {
-				instance.scheduler.MarkUnreachable(target.id)
+				instance.scheduler.MarkUnreachable(target.id, false, at(simulation.now))
 			}
 			continue
 		}
@@ -330,7 +330,7 @@
 			if _, refused := action.Outcome.(dispatcher.Refused); refused && simulation.started[action.Job] {
 				simulation.recordViolation("job %s was refused after it had started", action.Job)
 			}
-		case WithdrawClaim, OfferCapacity:
+		case WithdrawClaim, OfferCapacity, RunLost, TargetLost, TargetRestarted:
 		}
 	}
 	for _, report := range scheduler.DueReports(at(simulation.now)) {
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -233,6 +233,15 @@
 	return former
 }
 
+// occupyingRuns returns the runs that occupy the target, in a fixed order.
+func (target *target) occupyingRuns(now time.Time) []OccupyingRun {
+	runs := make([]OccupyingRun, 0, len(target.allocations))
+	for _, run := range sortedRuns(target.allocations) {
+		runs = append(runs, OccupyingRun{Run: run, Age: now.Sub(target.allocations[run].claimedAt)})
+	}
+	return runs
+}
+
 // recordResponse records that the target has responded to this instance or its reader.
 func (target *target) recordResponse(now time.Time) {
 	target.lastHeard, target.unanswered = now, 0
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -94,7 +94,7 @@
 				return
 			}
 			if task.state == uncertain && !now.Before(task.notBefore) && !now.Before(task.runTarget.leaseEnd) && !now.Before(scheduler.lossDetectionFrom) {
-				scheduler.requeueLost(task, now)
+				scheduler.requeueLost(task, LossUnanswered, now)
 			}
 		case running:
 			scheduler.checkRun(task, now)
@@ -115,7 +115,11 @@
 	if missing || lapsed {
 		scheduler.releaseRun(task.runTarget, task.run())
 		task.notBefore = time.Time{}
-		scheduler.requeueLost(task, now)
+		reason := LossLapsed
+		if missing {
+			reason = LossMissing
+		}
+		scheduler.requeueLost(task, reason, now)
 		return
 	}
 	overdue := time.Duration(float64(task.predicted)*stragglerFactor) + stragglerSlack
