Show that a task crashes one target after the other

A simulation of three instances: targets crash under some tasks and come back with another incarnation, instances are restarted and paused, requests are lost, and callers send jobs with an unknown outcome again to any instance.

--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -45,7 +45,10 @@
 	leaseEnd        int
 	unreachableFrom int
 	unreachableTo   int
-	speed           float64
+	// downUntil is when the target's process runs again after a crash. Until then, connections to it are refused.
+	downUntil   int
+	incarnation int64
+	speed       float64
 }
 
 type simulatedInstance struct {
@@ -54,6 +57,8 @@
 	crashed      bool
 	pausedUntil  int
 	acknowledged map[string]int64
+	// incarnations holds the incarnations of the targets for which acknowledged counts.
+	incarnations map[string]int64
 }
 
 type simulatedEvent struct {
@@ -78,29 +83,46 @@
 	origin         map[string]int
 	duplicateRuns  int
 	violations     []string
+	end            int
+	// crashing is set in simulations with tasks that crash their targets.
+	crashing *crashingTasks
 }
 
 func newSimulation(seed uint64, naive bool) *simulation {
 	simulation := &simulation{
-		seed:   seed,
+		seed: seed, end: simulationEndMS,
 		random: rand.New(rand.NewPCG(seed, 1)), naive: naive, started: make(map[string]bool),
 		outcomes: make(map[string]dispatcher.Outcome), deadlines: make(map[string]int), origin: make(map[string]int),
 	}
 	infos := testTargets(simulatedTargets)
 	for _, info := range infos {
 		simulation.targets = append(simulation.targets, &simulatedTarget{
-			id: info.ID, runs: make(map[string]*simulatedRun), highestAttempt: make(map[string]int64), speed: 0.6 + simulation.random.Float64(), unreachableFrom: simulationEndMS * 2,
+			id: info.ID, runs: make(map[string]*simulatedRun), highestAttempt: make(map[string]int64), speed: 0.6 + simulation.random.Float64(), unreachableFrom: simulationEndMS * 2, incarnation: 1,
 		})
 	}
 	for number := range simulatedInstances {
-		instance := &simulatedInstance{name: fmt.Sprintf("n%d", number), acknowledged: make(map[string]int64)}
-		instance.scheduler = New(instance.name, "a")
-		instance.scheduler.SetTargets(infos, at(0))
-		simulation.instances = append(simulation.instances, instance)
+		simulation.instances = append(simulation.instances, simulation.newInstance(fmt.Sprintf("n%d", number)))
 	}
 	return simulation
 }
 
+// newInstance returns an instance that has just started.
+func (simulation *simulation) newInstance(name string) *simulatedInstance {
+	instance := &simulatedInstance{name: name, acknowledged: make(map[string]int64), incarnations: make(map[string]int64)}
+	instance.scheduler = New(instance.name, "a")
+	instance.scheduler.SetTargets(simulation.infos(), at(simulation.now))
+	return instance
+}
+
+// infos returns the discovery entries of the targets.
+func (simulation *simulation) infos() []Target {
+	infos := testTargets(simulatedTargets)
+	for index, target := range simulation.targets {
+		infos[index].Incarnation = target.incarnation
+	}
+	return infos
+}
+
 func (simulation *simulation) after(delay int, do func()) {
 	simulation.seq++
 	simulation.events = append(simulation.events, simulatedEvent{simulation.now + delay, simulation.seq, do})
@@ -118,6 +140,8 @@
 	return now >= target.unreachableFrom && now < target.unreachableTo
 }
 
+func (target *simulatedTarget) down(now int) bool { return now < target.downUntil }
+
 // reader returns the instance that reads a target: the first one that is up, starting at the target's index, or -1.
 func (simulation *simulation) reader(target int) int {
 	for offset := range simulatedInstances {
@@ -139,7 +163,7 @@
 		target.unreachableTo = target.unreachableFrom + 300 + simulation.random.IntN(2000)
 	}
 	lossyFrom := simulation.random.IntN(2500)
-	for ; simulation.now < simulationEndMS; simulation.now++ {
+	for ; simulation.now < simulation.end; simulation.now++ {
 		simulation.losingRequests = simulation.now >= lossyFrom && simulation.now < lossyFrom+1500
 		simulation.runEvents()
 		simulation.endRuns()
@@ -215,6 +239,13 @@
 		if !reads {
 			continue
 		}
+		if target.down(simulation.now) {
+			instance.scheduler.MarkUnreachable(target.id, true, at(simulation.now))
+			continue
+		}
+		if instance.incarnations[target.id] != target.incarnation {
+			instance.incarnations[target.id], instance.acknowledged[target.id] = target.incarnation, 0
+		}
 		state := instance.scheduler.TargetState(target.id)
 		if target.unreachable(simulation.now) || simulation.losingRequests && simulation.random.IntN(10) == 0 {
 			if target.unreachable(simulation.now) {
@@ -226,7 +257,7 @@
 			instance.scheduler.RecordLeaseRenewal(target.id, at(simulation.now))
 			target.leaseEnd = max(target.leaseEnd, simulation.now+1000)
 		}
-		poll := PollResult{Incarnation: 1, Sent: at(simulation.now - 1), Answered: at(simulation.now)}
+		poll := PollResult{Incarnation: target.incarnation, Sent: at(simulation.now - 1), Answered: at(simulation.now)}
 		for _, running := range target.sorted() {
 			poll.Running = append(poll.Running, ActiveRun{Run: running.run})
 		}
@@ -327,6 +358,9 @@
 			}
 		case AnswerJob:
 			simulation.outcomes[action.Job] = action.Outcome
+			if simulation.crashing != nil {
+				simulation.crashing.recordAnswer(simulation, action)
+			}
 			if _, refused := action.Outcome.(dispatcher.Refused); refused && simulation.started[action.Job] {
 				simulation.recordViolation("job %s was refused after it had started", action.Job)
 			}
@@ -350,12 +384,16 @@
 			}
 		})
 	}
+	if target.down(simulation.now) {
+		reply(1, StartUnsent, false)
+		return
+	}
 	const timeout = 60
 	late := simulation.losingRequests && simulation.random.IntN(10) == 0
 	if target.unreachable(simulation.now) || late {
 		if late {
 			simulation.after(2000+simulation.random.IntN(2000), func() {
-				if !target.unreachable(simulation.now) {
+				if !target.unreachable(simulation.now) && !target.down(simulation.now) {
 					execute(target)
 				}
 			})
@@ -364,7 +402,16 @@
 		return
 	}
 	simulation.after(1, func() {
+		if target.down(simulation.now) {
+			reply(1, StartUnanswered, false)
+			return
+		}
 		result := execute(target)
+		if target.down(simulation.now) {
+			// The target crashed before it could answer.
+			reply(1, StartUnanswered, false)
+			return
+		}
 		if simulation.losingRequests && simulation.random.IntN(10) == 0 {
 			reply(timeout, StartUnanswered, false)
 			return
@@ -400,6 +447,9 @@
 	target.used += start.Resources.MilliCores
 	ends := simulation.now + int(float64(start.Estimate/time.Millisecond)/target.speed*(0.8+0.4*simulation.random.Float64()))
 	target.runs[start.Run.Task] = &simulatedRun{run: start.Run, milliCores: start.Resources.MilliCores, ends: ends}
+	if simulation.crashing != nil {
+		simulation.crashing.recordStart(simulation, target, start.Run)
+	}
 	return StartTaken
 }
 
@@ -448,7 +498,7 @@
 func (simulation *simulation) checkOutcomes() {
 	for id, deadline := range simulation.deadlines {
 		entry := simulation.instances[simulation.origin[id]]
-		if _, answered := simulation.outcomes[id]; !answered && !entry.crashed && deadline < simulationEndMS-500 {
+		if _, answered := simulation.outcomes[id]; !answered && !entry.crashed && deadline < simulation.end-500 {
 			simulation.recordViolation("job %s of %s has no answer", id, entry.name)
 		}
 	}
