Ask a restarted target which runs go on before starting them again

Callers could see a task run twice at once. An instance that does not read a target learns of its restart by discovery, up to seconds after the reader has reported its capacity as free. It may have started runs on the new incarnation meanwhile, and gave all of them up as lost when the news arrived.

Now a run is only marked when its target restarts. The reader's next list decides; other instances with runs there poll the target once. A run that the new incarnation lists goes on.

--- a/executor/poller.go
+++ b/executor/poller.go
@@ -142,6 +142,8 @@
 		return request, minPollInterval - sincePoll
 	case poller.isReader.Load() && (poller.acknowledgeable > poller.acknowledged || len(poller.withheld) > 0):
 		return PollRequest{Acknowledged: poller.acknowledgeable}, acknowledgeDelay - now.Sub(poller.lastPoll)
+	case !poller.isReader.Load() && state.Unverified:
+		return PollRequest{}, minPollInterval - sincePoll
 	case !poller.isReader.Load() && state.HasOwnRuns && now.Sub(state.LastHeard) >= readerTimeout:
 		return PollRequest{}, probeInterval - sincePoll
 	case !poller.isReader.Load() && state.HasOwnRuns:
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -134,6 +134,7 @@
 func (crashing *crashingTasks) restartInstance(simulation *simulation, number int) {
 	simulation.instances[number].crashed = true
 	for _, id := range simulation.openJobsOf(number) {
+		delete(simulation.origin, id)
 		simulation.after(resendDelayMS, func() { crashing.resend(simulation, id) })
 	}
 	former := simulation.instances[number].name
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -301,8 +301,13 @@
 	for _, end := range poll.Ended {
 		listed[end.Run] = true
 	}
-	for run, allocation := range target.allocations {
-		if !listed[run] && !allocation.confirmedAt.IsZero() && allocation.confirmedAt.Before(poll.Sent) {
+	for _, run := range sortedRuns(target.allocations) {
+		allocation := target.allocations[run]
+		switch {
+		case listed[run] || allocation.confirmedAt.IsZero() || !allocation.confirmedAt.Before(poll.Sent):
+		case allocation.restarted && target.readBySelf:
+			scheduler.handleRunLostInRestart(target, run, now)
+		default:
 			scheduler.handleMissingRun(target, run, allocation, now)
 		}
 	}
@@ -321,7 +326,7 @@
 		target.allocate(active.Run, known)
 		scheduler.changedTargets[target.ID] = true
 	}
-	known.confirmedAt, known.missingSince = now, time.Time{}
+	known.confirmedAt, known.missingSince, known.restarted = now, time.Time{}, false
 	// Another instance may have renewed the lease just before the poll.
 	target.extendLease(now)
 }
@@ -341,7 +346,8 @@
 	}
 }
 
-// handleTargetRestart drops the runs and the learned state of the target's previous incarnation.
+// handleTargetRestart drops the learned state of the target's previous incarnation. Whether its runs have ended shows
+// only in the target's list: an instance that had not learned of the restart may have started runs since.
 func (scheduler *Scheduler) handleTargetRestart(target *target, incarnation int64, now time.Time) {
 	previous := target.Incarnation
 	target.Incarnation = incarnation
@@ -352,16 +358,19 @@
 	target.speed = learnedSpeed{}
 	target.probation, target.failureStreak, target.exclusions = false, 0, 0
 	target.excludedUntil, target.heldUntil = time.Time{}, time.Time{}
-	for _, run := range sortedRuns(target.allocations) {
-		if target.allocations[run].confirmedAt.IsZero() {
-			continue
-		}
-		scheduler.releaseRun(target, run)
-		task := scheduler.tasks[run.Task]
-		if task != nil && task.latest(target.ID, run) && task.mayBeRunning() && task.state != starting {
-			task.notBefore = time.Time{}
-			scheduler.requeueLost(task, LossRestarted, now)
-		}
+	for _, allocation := range target.allocations {
+		allocation.restarted = true
+	}
+}
+
+// handleRunLostInRestart handles a run that a restarted target does not list. The reader receives all ends, so the run
+// has ended with the previous incarnation.
+func (scheduler *Scheduler) handleRunLostInRestart(target *target, run Run, now time.Time) {
+	scheduler.releaseRun(target, run)
+	task := scheduler.tasks[run.Task]
+	if task != nil && task.latest(target.ID, run) && task.mayBeRunning() && task.state != starting {
+		task.notBefore = time.Time{}
+		scheduler.requeueLost(task, LossRestarted, now)
 	}
 }
 
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -299,3 +299,22 @@
 	}
 	is.True(stopped > 0)
 }
+
+// An instance that learns late that a target has restarted must not give up the runs that it has started on the new
+// incarnation meanwhile.
+func TestRunOnNewIncarnationOutlivesLateNewsOfTheRestart(t *testing.T) {
+	is := is.New(t)
+	info := testTarget(0)
+	info.Incarnation = 1
+	scheduler := New("self", "a")
+	scheduler.SetTargets([]Target{info}, at(0))
+	start := startOne(scheduler, testJob("j", 1, 900, 0))
+	info.Incarnation = 2
+	scheduler.SetTargets([]Target{info}, at(100))
+	is.True(scheduler.TargetState("t0").Unverified)
+	is.Equal(len(drain(scheduler).starts), 0)
+	scheduler.HandlePoll("t0", PollResult{Incarnation: 2, Running: []ActiveRun{{Run: start.Run}}, Sent: at(101), Answered: at(102)})
+	scheduler.Tick(at(400))
+	is.True(!scheduler.TargetState("t0").Unverified)
+	is.Equal(len(drain(scheduler).starts), 0)
+}
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -236,7 +236,7 @@
 	for index, target := range simulation.targets {
 		reads := simulation.reader(index) == number
 		instance.scheduler.SetReader(target.id, reads, at(simulation.now))
-		if !reads {
+		if !reads && !instance.scheduler.TargetState(target.id).Unverified {
 			continue
 		}
 		if target.down(simulation.now) {
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -64,6 +64,8 @@
 	confirmedAt time.Time
 	// missingSince is when the target first omitted the run from its list, or zero.
 	missingSince time.Time
+	// restarted means that the target has restarted since the run was claimed, and has not listed the run since.
+	restarted bool
 	// stopRequestedAt is when a stop was last requested for lack of a live owner.
 	stopRequestedAt time.Time
 }
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -211,6 +211,8 @@
 	// does.
 	Occupied   bool
 	HasOwnRuns bool
+	// Unverified means that the target has restarted, and that it is not known whether a run of this instance goes on.
+	Unverified bool
 	// Unreachable means that the target did not answer this instance, and UnreachableByReader that it did not answer
 	// its reader.
 	Unreachable         bool
@@ -227,7 +229,10 @@
 	}
 	state := TargetState{Occupied: len(target.allocations) > 0, Unreachable: target.unreachable, UnreachableByReader: target.unreachableByReader, LastHeard: target.lastHeard}
 	for _, allocation := range target.allocations {
-		state.HasOwnRuns = state.HasOwnRuns || allocation.owner == scheduler.self
+		if allocation.owner == scheduler.self {
+			state.HasOwnRuns = true
+			state.Unverified = state.Unverified || allocation.restarted
+		}
 	}
 	return state
 }
