Ignore ends of an earlier submission in claims of the present one

Callers could see a task run twice. Attempts of a job that is sent again have the same numbers. If its task went to the same target again, the reader answered the claim with the recorded end of the earlier run, and the owner started the task elsewhere while it ran.

An end that was recorded before it, less the time that a claim may be under way, does not answer the claim.

--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -423,7 +423,8 @@
 // it returns the end and true.
 func (scheduler *Scheduler) HandlePeerClaim(owner string, claim Claim, now time.Time) (End, bool) {
 	claimedAt := now.Add(-claim.Age)
-	if recorded, ok := scheduler.foreignEnds[targetRun{claim.Target, claim.Run}]; ok {
+	// An end from before the start belongs to a run of an earlier submission, whose attempts had the same numbers.
+	if recorded, ok := scheduler.foreignEnds[targetRun{claim.Target, claim.Run}]; ok && !recorded.at.Before(claimedAt.Add(-maxClaimTransit)) {
 		return recorded.End, true
 	}
 	target, ok := scheduler.targets[claim.Target]
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -318,3 +318,18 @@
 	is.True(!scheduler.TargetState("t0").Unverified)
 	is.Equal(len(drain(scheduler).starts), 0)
 }
+
+// Attempts of a job that is submitted again have the same numbers. The end of a run of the earlier submission must not
+// answer the claim of the present one.
+func TestClaimIsNotAnsweredWithTheEndOfAnEarlierSubmission(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(1)
+	run := Run{"p.0.0.0", 1}
+	scheduler.HandleEnd("t0", End{Seq: 1, Run: run, Cause: Stopped}, at(10))
+	claim := Claim{Target: "t0", Run: run, Resources: Resources{MilliCores: 14000}, Age: 200 * time.Millisecond}
+	_, ended := scheduler.HandlePeerClaim("peer", claim, at(1500))
+	is.True(!ended)
+	claim.Age = 1495 * time.Millisecond
+	_, ended = scheduler.HandlePeerClaim("peer", claim, at(1500))
+	is.True(ended)
+}
