Restrict second crashes to an eighth of the targets, and routes to a quarter

Cause: at a quarter and a third, tasks that crash their targets held up to 18 of 48 targets down (27 if half of a class crash them), so that sound jobs of other classes were refused for overload.

Ruled out: a sixth, which refuses sound jobs of the class when few of its jobs crash targets.

On deployments of a few targets, a task may put a second target at risk only if half of them would be left.

--- a/scheduler/loss.go
+++ b/scheduler/loss.go
@@ -11,11 +11,13 @@
 
 const (
 	// maxDownDivisor: a task that may have crashed a target starts again only while fewer than 1/maxDownDivisor of the
-	// targets of its service are down after crashes, so that its second crash costs the other jobs little.
-	maxDownDivisor = 4
+	// targets of its service are down after crashes, so that its second crash costs the other jobs little. Below minDown
+	// targets, it starts again if half of them would be left.
+	maxDownDivisor = 8
+	minDown        = 2
 	// routeDownDivisor: while 1/routeDownDivisor of the targets of a service are down after crashes by tasks of one route,
 	// no further job of that route starts; the remaining targets serve the other routes.
-	routeDownDivisor = 3
+	routeDownDivisor = 4
 	// maxStartDelay is the time from a claim within which the target has received the start request, if it ever does.
 	maxStartDelay = 60 * time.Millisecond
 	// maxClaimTransit is how long a claim may be under way. The target of a claim that arrives later was lost before.
@@ -288,8 +290,7 @@
 // targets are down already.
 func (scheduler *Scheduler) chooseIsolated(task *task, candidates []candidate, now time.Time) *target {
 	step := task.spec()
-	down := scheduler.isolator.Down(scheduler.lists)
-	if down > 0 && down >= len(scheduler.byService[task.job.Service])/maxDownDivisor {
+	if !scheduler.maySpareTarget(task.job.Service) {
 		return nil
 	}
 	for _, sibling := range task.job.tasks {
@@ -316,6 +317,16 @@
 	return best
 }
 
+// maySpareTarget reports whether so few targets of a service are down after crashes that another one may be put at risk.
+func (scheduler *Scheduler) maySpareTarget(service string) bool {
+	down := scheduler.isolator.Down(func(targetID string) bool {
+		target, ok := scheduler.targets[targetID]
+		return ok && target.Service == service
+	})
+	targets := len(scheduler.byService[service])
+	return down == 0 || down < max(minDown, targets/maxDownDivisor) && 2*(down+1) <= targets
+}
+
 // fitsIsolated reports whether a task fits beside the other tasks of its job on a target that runs only these. Each of
 // them claims the whole target.
 func (target *target) fitsIsolated(added *task) bool {
