Follow the capacity of targets that shrinks and grows

Cause: a change of a target's capacity marked nothing as changed, so the other instances used the reader's last report for up to a second, and started tasks that no longer fitted. A job that fitted no target while capacity was shrunk was refused as impossible, without a time for a retry.

Ruled out: targets that enforce their capacity are not brought over it; they reject such starts.

The reader reports a changed capacity at once, a report counts at most up to the capacity that discovery shows, and a job that would fit the largest capacity seen is refused as unavailable with a time for a retry.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -21,9 +21,13 @@
 		return scheduler.refusal(job, dispatcher.ReasonUnavailable, "no target of the service is known", now), false
 	}
 	for number := range job.Steps {
-		if !scheduler.feasible(job.Service, &job.Steps[number]) {
+		switch scheduler.feasibility(job.Service, &job.Steps[number]) {
+		case never:
 			refused := dispatcher.NewRefused(dispatcher.ReasonImpossible, "no target is large enough for a task or has its label", "", time.Time{})
 			return refused, false
+		case later:
+			return scheduler.refusal(job, dispatcher.ReasonUnavailable, "all targets that were large enough for a task have shrunk", now), false
+		case present:
 		}
 	}
 	if !job.mayHaveStarted && scheduler.routeSuspended(job) {
@@ -50,14 +54,31 @@
 	return max(0, min(slack, total/maxWaitDivisor))
 }
 
-// feasible reports whether any target could ever run a task of the step.
-func (scheduler *Scheduler) feasible(service string, step *Step) bool {
+// feasibility states whether the targets of a service can run a task.
+type feasibility int
+
+const (
+	// Never means that no target has been large enough or has the label.
+	never feasibility = iota
+	// Later means that targets were large enough before their capacity shrank.
+	later
+	// Present means that some target is large enough.
+	present
+)
+
+// feasibility returns whether any target of the service could run a task of the step if it were empty.
+func (scheduler *Scheduler) feasibility(service string, step *Step) feasibility {
+	best := never
 	for _, target := range scheduler.byService[service] {
-		if step.Resources.Fits(target.Capacity) && target.hasLabel(step.Label) {
-			return true
+		switch {
+		case !target.hasLabel(step.Label):
+		case step.Resources.Fits(target.Capacity):
+			return present
+		case step.Resources.Fits(target.largestCapacity):
+			best = later
 		}
 	}
-	return false
+	return best
 }
 
 // load returns how much work is queued ahead of a job and the expected time until the last task of its first steps gets
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -41,6 +41,16 @@
 	return Resources{resources.MilliCores - other.MilliCores, resources.MemoryMB - other.MemoryMB, resources.Accelerators - other.Accelerators}
 }
 
+// max returns the larger amount of each resource.
+func (resources Resources) max(other Resources) Resources {
+	return Resources{max(resources.MilliCores, other.MilliCores), max(resources.MemoryMB, other.MemoryMB), max(resources.Accelerators, other.Accelerators)}
+}
+
+// min returns the smaller amount of each resource.
+func (resources Resources) min(other Resources) Resources {
+	return Resources{min(resources.MilliCores, other.MilliCores), min(resources.MemoryMB, other.MemoryMB), min(resources.Accelerators, other.Accelerators)}
+}
+
 // Target describes one incarnation of a target, as found by service discovery.
 type Target struct {
 	ID       string
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -218,7 +218,11 @@
 		scheduler.handleTargetRestart(known, info.Incarnation, now)
 	}
 	info.Incarnation = known.Incarnation
+	if info.Capacity != known.Capacity && known.readBySelf {
+		scheduler.changedTargets[info.ID] = true
+	}
 	known.Target = info
+	known.largestCapacity = known.largestCapacity.max(info.Capacity)
 	known.groupSpeed = scheduler.groupSpeed(info)
 	known.deletedAt = time.Time{}
 }
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -96,10 +96,12 @@
 // target is the scheduler's view of one target.
 type target struct {
 	Target
-	allocations map[Run]*allocation
-	used        Resources
-	speed       learnedSpeed
-	groupSpeed  *learnedSpeed
+	// largestCapacity is the largest capacity that the target has had; capacity may shrink and grow again.
+	largestCapacity Resources
+	allocations     map[Run]*allocation
+	used            Resources
+	speed           learnedSpeed
+	groupSpeed      *learnedSpeed
 	// deletedAt is when the target's discovery entry disappeared, or zero.
 	deletedAt time.Time
 	// heldUntil blocks new work after a rejection for lack of capacity, or while the capacity is offered to another
@@ -149,7 +151,7 @@
 }
 
 func newTarget(info Target, groupSpeed *learnedSpeed) *target {
-	return &target{Target: info, allocations: make(map[Run]*allocation), groupSpeed: groupSpeed}
+	return &target{Target: info, largestCapacity: info.Capacity, allocations: make(map[Run]*allocation), groupSpeed: groupSpeed}
 }
 
 // freeCapacity returns the estimated free capacity. The reader has all claims; other instances combine the reader's
@@ -158,7 +160,8 @@
 	if target.readBySelf || target.reportedAt.IsZero() || now.Sub(target.reportedAt) > reportTTL {
 		return target.Capacity.Minus(target.used)
 	}
-	freeCapacity := target.reportedFree
+	// The capacity may have shrunk since the report.
+	freeCapacity := target.reportedFree.min(target.Capacity)
 	includedBefore := target.reportedAt.Add(-reportLag)
 	for _, allocation := range target.allocations {
 		if allocation.claimedAt.After(includedBefore) {
