--- a/executor/soak_test.go
+++ b/executor/soak_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -42,8 +43,18 @@
 	violations []string
 	// started counts the starts of each job.
 	started map[string]int
+	// crashes counts the targets that crashed under each task that crashes its targets, and startsAfter the starts of the
+	// task after crashesAllowed crashes.
+	crashes     map[string]int
+	startsAfter map[string]int
 }
 
+// crashesAllowed is the number of crashes under a task after which it must not start again and again.
+const crashesAllowed = 3
+
+// crashingBody is the body of jobs whose tasks crash their targets.
+const crashingBody = "crash"
+
 // placedRun is a run on a target and the instance that started it.
 type placedRun struct {
 	target    string
@@ -59,6 +70,9 @@
 }
 
 type leasedTarget struct {
+	incarnation int64
+	// downUntil is when the target is back after a crash.
+	downUntil      time.Time
 	leaseEnd       time.Time
 	running        map[scheduler.Run]time.Time
 	ended          []scheduler.End
@@ -66,9 +80,9 @@
 }
 
 func newLeasedTargets(count int, runTime time.Duration) *leasedTargets {
-	targets := &leasedTargets{runTime: runTime, targets: make(map[string]*leasedTarget), runs: make(map[string]placedRun), started: make(map[string]int)}
+	targets := &leasedTargets{runTime: runTime, targets: make(map[string]*leasedTarget), runs: make(map[string]placedRun), started: make(map[string]int), crashes: make(map[string]int), startsAfter: make(map[string]int)}
 	for number := range count {
-		targets.targets[fmt.Sprintf("t%d", number)] = &leasedTarget{running: make(map[scheduler.Run]time.Time), highestAttempt: make(map[string]int64)}
+		targets.targets[fmt.Sprintf("t%d", number)] = &leasedTarget{incarnation: 1, running: make(map[scheduler.Run]time.Time), highestAttempt: make(map[string]int64)}
 	}
 	return targets
 }
@@ -76,7 +90,7 @@
 func (targets *leasedTargets) infos() []scheduler.Target {
 	infos := make([]scheduler.Target, 0, len(targets.targets))
 	for id := range targets.targets {
-		infos = append(infos, scheduler.Target{ID: id, Service: "work", Domain: "a", Capacity: scheduler.Resources{MilliCores: 8000, MemoryMB: 1 << 20}})
+		infos = append(infos, scheduler.Target{ID: id, Service: "work", Domain: "a", Capacity: scheduler.Resources{MilliCores: 8000, MemoryMB: 1 << 20}, Incarnation: 1})
 	}
 	return infos
 }
@@ -103,6 +117,17 @@
 	}
 }
 
+// crash ends all runs of a target, which is back later with another incarnation; the caller holds the lock.
+func (targets *leasedTargets) crash(target *leasedTarget, task string, now time.Time) {
+	targets.crashes[task]++
+	for run := range target.running {
+		delete(targets.runs, run.Task)
+	}
+	clear(target.running)
+	clear(target.highestAttempt)
+	target.ended, target.leaseEnd, target.incarnation, target.downUntil = nil, time.Time{}, target.incarnation+1, now.Add(400*time.Millisecond)
+}
+
 func (client leasedClient) Start(_ context.Context, on scheduler.Target, start scheduler.StartTask, lease time.Time) scheduler.StartResult {
 	now := time.Now()
 	client.mu.Lock()
@@ -113,6 +138,8 @@
 		return scheduler.StartTaken
 	}
 	switch {
+	case now.Before(target.downUntil):
+		return scheduler.StartUnsent
 	case now.After(lease):
 		return scheduler.StartLate
 	case start.Run.Attempt <= target.highestAttempt[start.Run.Task]:
@@ -127,6 +154,13 @@
 	client.runs[start.Run.Task] = placedRun{on.ID, client.instance, start.Run.Attempt, now}
 	client.started[start.Job]++
 	target.running[start.Run] = now
+	if start.Body == crashingBody {
+		if client.crashes[start.Run.Task] >= crashesAllowed {
+			client.startsAfter[start.Run.Task]++
+		}
+		client.crash(target, start.Run.Task, now)
+		return scheduler.StartUnanswered
+	}
 	if lease.After(target.leaseEnd) {
 		target.leaseEnd = lease
 	}
@@ -137,6 +171,9 @@
 	targets.mu.Lock()
 	defer targets.mu.Unlock()
 	target := targets.targets[on.ID]
+	if time.Now().Before(target.downUntil) {
+		return syscall.ECONNREFUSED
+	}
 	if _, ok := target.running[run]; ok {
 		targets.end(target, run, scheduler.Stopped)
 	}
@@ -148,6 +185,11 @@
 	sent := time.Now()
 	targets.mu.Lock()
 	target := targets.targets[on.ID]
+	incarnation := target.incarnation
+	if sent.Before(target.downUntil) {
+		targets.mu.Unlock()
+		return scheduler.PollResult{}, syscall.ECONNREFUSED
+	}
 	if request.Lease.After(target.leaseEnd) {
 		target.leaseEnd = request.Lease
 	}
@@ -160,7 +202,10 @@
 	targets.mu.Lock()
 	defer targets.mu.Unlock()
 	targets.endRuns(now)
-	poll := scheduler.PollResult{Incarnation: 1, Sent: sent, Answered: now}
+	if target.incarnation != incarnation {
+		return scheduler.PollResult{}, syscall.ECONNRESET
+	}
+	poll := scheduler.PollResult{Incarnation: incarnation, Sent: sent, Answered: now}
 	for run := range target.running {
 		poll.Running = append(poll.Running, scheduler.ActiveRun{Run: run})
 	}
@@ -253,8 +298,8 @@
 	t       *testing.T
 	members []*member
 	proxies []*proxy
-	// complete, refused and unknown count outcomes, and cancelled counts callers that left.
-	complete, refused, unknown, cancelled atomic.Int64
+	// complete, failed, refused and unknown count outcomes, and cancelled counts callers that left.
+	complete, failed, refused, unknown, cancelled atomic.Int64
 }
 
 func newSoak(t *testing.T) *soak {
@@ -277,11 +322,14 @@
 
 // submitUntilKnown submits a job, up to three times, until its outcome is not unknown or its caller leaves.
 func (soak *soak) submitUntilKnown(random *rand.Rand, id string) {
-	leaves := random.IntN(8) == 0
+	leaves, crashes := random.IntN(8) == 0, random.IntN(60) == 0
 	for attempt := range 3 {
 		member := soak.members[random.IntN(len(soak.members))]
 		job := memoryJob(id, 1+random.IntN(3))
 		job.Deadline = job.Arrived.Add(2 * time.Second)
+		if crashes {
+			job.Body, job.Deadline = crashingBody, job.Arrived.Add(6*time.Second)
+		}
 		ctx, cancel := context.WithCancel(context.Background())
 		if leaves {
 			time.AfterFunc(time.Duration(random.IntN(200))*time.Millisecond, cancel)
@@ -292,6 +340,14 @@
 		case dispatcher.Complete:
 			soak.complete.Add(1)
 			return
+		case dispatcher.Failed:
+			if !crashes {
+				soak.mu.Lock()
+				soak.violations = append(soak.violations, fmt.Sprintf("%s is sound and was answered failed", id))
+				soak.mu.Unlock()
+			}
+			soak.failed.Add(1)
+			return
 		case dispatcher.Refused:
 			soak.refused.Add(1)
 			soak.mu.Lock()
@@ -326,8 +382,9 @@
 	}
 }
 
-// While links between instances are reset or stalled, no task may run twice at once, no started job may be refused, and
-// every caller must get an answer. Delegated jobs are at risk, since their runs belong to an instance that may have
+// While links between instances are reset or stalled and tasks crash their targets, no task may run twice at once, no
+// started job may be refused, no sound job may be answered as failed, no task may crash target after target, and every
+// caller must get an answer. Delegated jobs are at risk, since their runs belong to an instance that may have
 // lost track of them.
 func TestFaultSoakOfDelegation(t *testing.T) {
 	if testing.Short() {
@@ -355,7 +412,12 @@
 			for _, violation := range soak.violations {
 				t.Errorf("seed %d: %s", seed, violation)
 			}
-			t.Logf("complete %d, refused %d, unknown %d, cancelled %d", soak.complete.Load(), soak.refused.Load(), soak.unknown.Load(), soak.cancelled.Load())
+			for task, starts := range soak.startsAfter {
+				if starts >= crashesAllowed {
+					t.Errorf("seed %d: %s was started %d times after %d targets had crashed under it", seed, task, starts, crashesAllowed)
+				}
+			}
+			t.Logf("complete %d, failed %d, refused %d, unknown %d, cancelled %d", soak.complete.Load(), soak.failed.Load(), soak.refused.Load(), soak.unknown.Load(), soak.cancelled.Load())
 			if soak.complete.Load() == 0 {
 				t.Errorf("seed %d: no job completed", seed)
 			}
