Keep the incarnation of a run whose claim is repeated after a restart

A sound job could be answered as failed: a claim that was repeated just after its target had restarted replaced the reader's entry, which came from a list of the former incarnation, and counted as a run on the new one. If the new incarnation was lost too, its crash counted under the task.

The entry keeps the incarnation on which the run was listed, and the end of a run is recorded as a crash only for an incarnation that has ended.

--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -216,6 +216,7 @@
 // formerlyFailingSeeds are seeds beyond the first crashSimulationSeeds that have failed.
 var formerlyFailingSeeds = []uint64{
 	604, // The end of a run of an earlier submission was taken for the present one, which then ran twice.
+	255, // A claim for a run that the former incarnation had listed counted as one on the new incarnation.
 	639, // A claim for a target that was lost before counted as a run there.
 	688, // A start that got no answer was left out of the runs on the lost target.
 	756, // A repeated claim for a run of the former incarnation counted as one on the new incarnation.
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -389,7 +390,8 @@
 // handleRunLostInRestart handles a run that a restarted target does not list. The reader receives all ends, so the run
 // has ended with the previous incarnation.
 func (scheduler *Scheduler) handleRunLostInRestart(target *target, run Run, now time.Time) {
-	if allocation := scheduler.releaseRun(target, run); allocation != nil {
+	allocation := scheduler.releaseRun(target, run)
+	if allocation != nil && (target.replaced || allocation.incarnation < target.Incarnation) {
 		scheduler.recordRunLoss(target, run, allocation, isolator.Restarted, now, now)
 	}
 	task := scheduler.tasks[run.Task]
@@ -436,13 +438,12 @@
 		return End{}, false
 	}
 	added := &allocation{owner: owner, resources: claim.Resources, estimate: claim.Estimate, claimedAt: claimedAt, repeatedAt: now}
+	incarnation := cmp.Or(claim.Incarnation, target.Incarnation)
 	if known, ok := target.allocations[claim.Run]; ok {
-		added.confirmedAt = known.confirmedAt
+		added.confirmedAt, added.restarted, incarnation = known.confirmedAt, known.restarted, known.incarnation
 	}
 	target.allocate(claim.Run, added)
-	if claim.Incarnation != 0 && added.confirmedAt.IsZero() {
-		added.incarnation = claim.Incarnation
-	}
+	added.incarnation = incarnation
 	target.extendLease(now)
 	scheduler.recordRunResources(claim.Resources)
 	if target.unreachable {
