Share a loss once, not from every instance that observes the restart

Each instance that learned of a restart by discovery, or that merged a loss it knew more about, sent the loss to all others: with 9 instances 72 messages for a crash, with 150 some 22,000. Every instance observes incarnations by itself, so only new runs, evidence of the reader and corrections are sent now.

The targets that are down after crashes are kept in a set of their own, since the queue asks for them at each placement.

Ruled out: sending from the reader alone; the owner knows the route and the age.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -327,7 +327,9 @@
 		executor.logLostRun(action)
 	case scheduler.LossRecorded:
 		executor.logLoss(action)
-		executor.peers.BroadcastLoss(&action.Loss)
+		if action.Share {
+			executor.peers.BroadcastLoss(&action.Loss)
+		}
 	case scheduler.LossWithdrawn:
 		executor.logWithdrawnLoss(action)
 		executor.peers.BroadcastResponding(action.Target, action.Incarnation)
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -47,11 +47,13 @@
 type Isolator struct {
 	losses map[lossKey]*Loss
 	byTask map[string][]*Loss
+	// refused holds the losses whose evidence is Refused: targets that probably crashed and are not back.
+	refused map[*Loss]bool
 }
 
 // New returns an isolator that knows of no loss.
 func New() *Isolator {
-	return &Isolator{losses: make(map[lossKey]*Loss), byTask: make(map[string][]*Loss)}
+	return &Isolator{losses: make(map[lossKey]*Loss), byTask: make(map[string][]*Loss), refused: make(map[*Loss]bool)}
 }
 
 // Empty reports whether no loss is known.
@@ -80,9 +82,19 @@
 			isolator.byTask[suspect.Task] = append(losses, known)
 		}
 	}
+	isolator.indexEvidence(known)
 	return known.clone(), changed
 }
 
+// indexEvidence updates the set of refused losses.
+func (isolator *Isolator) indexEvidence(loss *Loss) {
+	if loss.Evidence == Refused {
+		isolator.refused[loss] = true
+	} else {
+		delete(isolator.refused, loss)
+	}
+}
+
 // makeSpace drops the oldest loss if there are maxLosses.
 func (isolator *Isolator) makeSpace() {
 	if len(isolator.losses) < maxLosses {
@@ -93,6 +105,7 @@
 
 func (isolator *Isolator) remove(loss *Loss) {
 	delete(isolator.losses, lossKey{loss.Target, loss.Incarnation})
+	delete(isolator.refused, loss)
 	for _, suspect := range loss.Suspects {
 		isolator.forget(suspect.Task, loss)
 	}
@@ -118,6 +131,7 @@
 	for _, loss := range isolator.sorted() {
 		if (loss.Target == target || loss.Address == address && address != "") && loss.Incarnation < incarnation && loss.Evidence < Restarted {
 			loss.Evidence = Restarted
+			isolator.indexEvidence(loss)
 			confirmed = append(confirmed, loss.clone())
 		}
 	}
@@ -216,8 +230,8 @@
 // which listed returns true; others were taken away.
 func (isolator *Isolator) Down(listed func(target string) bool) int {
 	down := 0
-	for _, loss := range isolator.losses {
-		if loss.Evidence == Refused && listed(loss.Target) {
+	for loss := range isolator.refused {
+		if listed(loss.Target) {
 			down++
 		}
 	}
@@ -228,9 +242,11 @@
 // target counts in proportion to the tasks of the route among those that had just started there, if listed returns true
 // for it.
 func (isolator *Isolator) DownBy(route string, listed func(target string) bool) float64 {
-	down := 0.0
-	for _, loss := range isolator.losses {
-		if loss.Evidence != Refused || !listed(loss.Target) {
+	// The sum must not depend on the order of the losses.
+	const shareUnit = 1 << 20
+	down := 0
+	for loss := range isolator.refused {
+		if !listed(loss.Target) {
 			continue
 		}
 		starting, own := 0, 0
@@ -243,10 +259,10 @@
 			}
 		}
 		if own > 0 {
-			down += float64(own) / float64(starting)
+			down += own * shareUnit / starting
 		}
 	}
-	return down
+	return float64(down) / shareUnit
 }
 
 // Losses returns all losses in a fixed order.
--- a/scheduler/loss.go
+++ b/scheduler/loss.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -10,20 +9,10 @@
 )
 
 const (
-	// maxDownDivisor: a task that may have crashed a target starts again only while fewer than 1/maxDownDivisor of the
-	// targets of its service are down after crashes, so that its second crash costs the other jobs little. Below minDown
-	// targets, it starts again if half of them would be left.
-	maxDownDivisor = 8
-	minDown        = 2
-	// routeDownDivisor: while 1/routeDownDivisor of the targets of a service are down after crashes by tasks of one route,
-	// no further job of that route starts; the remaining targets serve the other routes.
-	routeDownDivisor = 4
 	// maxStartDelay is the time from a claim within which the target has received the start request, if it ever does.
 	maxStartDelay = 60 * time.Millisecond
 	// maxClaimTransit is how long a claim may be under way. The target of a claim that arrives later was lost before.
 	maxClaimTransit = 50 * time.Millisecond
-	// minRouteDown is the number of targets below which no route is suspended: a single job must not stop its whole route.
-	minRouteDown = 2
 )
 
 // recordLoss records that a target was lost with the runs that occupied it. A target that drains is expected to end.
@@ -128,8 +117,8 @@
 				added = true
 			}
 		}
-		if target.Incarnation > loss.Incarnation && loss.Evidence < isolator.Restarted {
-			loss.Evidence, added = isolator.Restarted, true
+		if target.Incarnation > loss.Incarnation {
+			loss.Evidence = isolator.Restarted
 		}
 	}
 	for i := range loss.Suspects {
@@ -171,9 +160,7 @@
 	if !changed {
 		return
 	}
-	if share {
-		scheduler.emit(LossRecorded{merged})
-	}
+	scheduler.emit(LossRecorded{Loss: merged, Share: share})
 	scheduler.applyLoss(&merged, now)
 }
 
@@ -189,16 +176,19 @@
 	}
 }
 
+// convictionDetail is the detail of the answer to a job of which a task has crashed too many targets.
+const convictionDetail = "targets crashed under a task of the job"
+
 // giveUpConvicted answers a job of which one task has crashed too many targets.
 func (scheduler *Scheduler) giveUpConvicted(job *job, now time.Time) {
-	const reason = "targets crashed under a task of the job"
-	scheduler.finish(job, dispatcher.NewFailed(reason, nil), reason, now)
+	scheduler.finish(job, dispatcher.NewFailed(convictionDetail, nil), convictionDetail, now)
 }
 
 // observeIncarnation confirms the crashes of earlier incarnations of a target, and of earlier targets at its address.
+// The other instances learn of the incarnation in the same way, by discovery or from the target's reader.
 func (scheduler *Scheduler) observeIncarnation(targetID, address string, incarnation int64, now time.Time) {
 	for _, loss := range scheduler.isolator.ObserveIncarnation(targetID, address, incarnation) {
-		scheduler.emit(LossRecorded{loss})
+		scheduler.emit(LossRecorded{Loss: loss})
 		scheduler.applyLoss(&loss, now)
 	}
 }
@@ -241,103 +231,3 @@
 
 // Losses returns all known losses, for an instance that may have missed them.
 func (scheduler *Scheduler) Losses() []isolator.Loss { return scheduler.isolator.Losses() }
-
-// submitSuspected handles the submission of a job of which a task was on a lost target, in this or an earlier
-// submission. It reports whether the job was answered.
-func (scheduler *Scheduler) submitSuspected(job *job, now time.Time) bool {
-	for _, task := range job.tasks {
-		if !scheduler.isolator.Suspected(task.name) {
-			continue
-		}
-		job.suspected = true
-		// The task has run, so the caller must not be told otherwise.
-		job.mayHaveStarted = true
-		if scheduler.isolator.Assess(task.name) == isolator.Convicted {
-			scheduler.emit(AnswerJob{
-				Job: job.ID, Outcome: dispatcher.NewFailed("targets crashed under a task of the job", nil), Started: true, Arrived: job.Arrived, Objective: job.Objective,
-			})
-			return true
-		}
-	}
-	return false
-}
-
-// held reports whether no task of the job may start now: it is not known yet how many targets crashed under one of them,
-// or its route has crashed too many targets.
-func (scheduler *Scheduler) held(job *job) bool {
-	if job.suspected {
-		for _, task := range job.tasks {
-			if scheduler.isolator.Assess(task.name) >= isolator.Held {
-				return true
-			}
-		}
-	}
-	return !job.mayHaveStarted && scheduler.routeSuspended(job)
-}
-
-// routeSuspended reports whether tasks of the job's route have crashed so many targets that are not back that no further
-// job of the route may start.
-func (scheduler *Scheduler) routeSuspended(job *job) bool {
-	if scheduler.isolator.Empty() {
-		return false
-	}
-	limit := max(minRouteDown, float64(len(scheduler.byService[job.Service]))/routeDownDivisor)
-	return scheduler.isolator.DownBy(job.Route, scheduler.lists) >= limit
-}
-
-// chooseIsolated returns a target for a task that may have crashed another one: without runs of other jobs, so that a
-// second crash harms no others and leaves no doubt about its cause. It returns nil if there is none, or if too many
-// targets are down already.
-func (scheduler *Scheduler) chooseIsolated(task *task, candidates []candidate, now time.Time) *target {
-	step := task.spec()
-	if !scheduler.maySpareTarget(task.job.Service) {
-		return nil
-	}
-	for _, sibling := range task.job.tasks {
-		if target := sibling.runTarget; target != nil && target.isolatedJob == task.job.ID && target.usable(now) && !task.avoided[target.ID] && target.fitsIsolated(task) {
-			return target
-		}
-	}
-	var best *target
-	bestCost := time.Duration(math.MaxInt64)
-	for i := range candidates {
-		candidate := candidates[i].target
-		if candidate.Service != task.job.Service || len(candidate.allocations) > 0 || candidates[i].free != candidate.Capacity ||
-			!step.Resources.Fits(candidate.Capacity) || !candidate.hasLabel(step.Label) || task.avoided[candidate.ID] {
-			continue
-		}
-		cost := candidate.predict(step.Estimate)
-		if !candidate.readBySelf {
-			cost += nonReaderCost
-		}
-		if cost < bestCost {
-			best, bestCost = candidate, cost
-		}
-	}
-	return best
-}
-
-// maySpareTarget reports whether so few targets of a service are down after crashes that another one may be put at risk.
-func (scheduler *Scheduler) maySpareTarget(service string) bool {
-	down := scheduler.isolator.Down(func(targetID string) bool {
-		target, ok := scheduler.targets[targetID]
-		return ok && target.Service == service
-	})
-	targets := len(scheduler.byService[service])
-	return down == 0 || down < max(minDown, targets/maxDownDivisor) && 2*(down+1) <= targets
-}
-
-// fitsIsolated reports whether a task fits beside the other tasks of its job on a target that runs only these. Each of
-// them claims the whole target.
-func (target *target) fitsIsolated(added *task) bool {
-	free := target.Capacity
-	onTarget := 0
-	for _, sibling := range added.job.tasks {
-		if sibling.runTarget != target || !sibling.mayBeRunning() {
-			continue
-		}
-		free = free.Minus(sibling.spec().Resources)
-		onTarget++
-	}
-	return onTarget == len(target.allocations) && added.spec().Resources.Fits(free)
-}
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -341,9 +341,11 @@
 	Age time.Duration
 }
 
-// LossRecorded asks to send a loss to all other instances, since it is new or something new is known about it.
+// LossRecorded records that a loss is new, or that something new is known about it. If Share is set, it asks to send the
+// loss to all other instances.
 type LossRecorded struct {
 	isolator.Loss
+	Share bool
 }
 
 // LossWithdrawn asks to tell all other instances that an incarnation of a target responds again.
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -393,7 +393,9 @@
 				simulation.recordViolation("job %s was refused after it had started", action.Job)
 			}
 		case LossRecorded:
-			simulation.broadcast(number, func(peer *Scheduler) { peer.HandlePeerLoss(action.Loss, at(simulation.now)) })
+			if action.Share {
+				simulation.broadcast(number, func(peer *Scheduler) { peer.HandlePeerLoss(action.Loss, at(simulation.now)) })
+			}
 		case LossWithdrawn:
 			simulation.broadcast(number, func(peer *Scheduler) {
 				peer.HandlePeerWithdrawnLoss(action.Target, action.Incarnation, at(simulation.now))
