--- a/scheduler/capacity_test.go
+++ b/scheduler/capacity_test.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// A job that no target can take while capacity is shrunk must not be told that it can never run.
+// A job that no target can take while capacity is shrunk must not be refused as impossible.
 func TestShrunkCapacityIsNotForEver(t *testing.T) {
 	is := is.New(t)
 	scheduler := newTestScheduler(1)
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -194,15 +194,7 @@
 // runCrashSimulation runs the simulation to its end and returns the largest number of starts of one task after
 // crashesAllowed targets have crashed under it.
 func (simulation *simulation) runCrashSimulation() int {
-	lossyFrom := simulation.random.IntN(6000)
-	for ; simulation.now < simulation.end; simulation.now++ {
-		simulation.losingRequests = simulation.now >= lossyFrom && simulation.now < lossyFrom+1500
-		simulation.runEvents()
-		simulation.endRuns()
-		if simulation.now%simulationStepMS == 0 {
-			simulation.step()
-		}
-	}
+	simulation.play(simulation.random.IntN(6000))
 	most := 0
 	for _, starts := range simulation.crashing.startsAfter {
 		most = max(most, starts)
--- a/scheduler/isolate.go
+++ b/scheduler/isolate.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		job.suspected = true
-		// The task has run, so the caller must not be told otherwise.
+		// The task has run, so the job must not be refused as not run.
 		job.mayHaveStarted = true
 		if scheduler.isolator.Assess(task.name) == isolator.Convicted {
 			scheduler.emit(AnswerJob{
--- a/scheduler/loss.go
+++ b/scheduler/loss.go
@@ -38,7 +38,7 @@
 	case allocation.incarnation != target.Incarnation || allocation.claimedAt.After(lostAt.Add(maxClaimTransit)):
 		return false
 	case allocation.owner == scheduler.self:
-		// The result of a start request that is under way will tell.
+		// The result of a start request that is under way decides.
 		return !allocation.confirmedAt.IsZero() || allocation.unanswered
 	}
 	return !target.neverListed(allocation)
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -348,7 +348,7 @@
 	Share bool
 }
 
-// LossWithdrawn asks to tell all other instances that an incarnation of a target responds again.
+// LossWithdrawn asks to notify all other instances that an incarnation of a target responds again.
 type LossWithdrawn struct {
 	Target      string
 	Incarnation int64
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -166,6 +166,12 @@
 		target.unreachableTo = target.unreachableFrom + 300 + simulation.random.IntN(2000)
 	}
 	lossyFrom := simulation.random.IntN(2500)
+	simulation.play(lossyFrom)
+	simulation.checkOutcomes()
+}
+
+// play runs the simulation to its end; requests are lost for 1,500 ms from lossyFrom.
+func (simulation *simulation) play(lossyFrom int) {
 	for ; simulation.now < simulation.end; simulation.now++ {
 		simulation.losingRequests = simulation.now >= lossyFrom && simulation.now < lossyFrom+1500
 		simulation.runEvents()
@@ -174,7 +180,6 @@
 			simulation.step()
 		}
 	}
-	simulation.checkOutcomes()
 }
 
 func (simulation *simulation) runEvents() {
