--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -360,13 +360,3 @@
 		}
 	}
 }
-
-// runner returns the runner with an id.
-func (world *world) runner(id string) *runner {
-	for _, runner := range world.runners {
-		if runner.id == id {
-			return runner
-		}
-	}
-	return nil
-}
