--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -29,15 +29,21 @@
 
 // step is a step of a job.
 type step struct {
-	Count        int   `json:"count"`
-	CPU          int64 `json:"cpu"`
-	MemMB        int64 `json:"memMb"`
-	EstRuntimeMS int64 `json:"estRuntimeMs"`
+	Count         int    `json:"count"`
+	CPU           int64  `json:"cpu"`
+	MemMB         int64  `json:"memMb"`
+	EstRuntimeMS  int64  `json:"estRuntimeMs"`
+	RequiredLabel string `json:"requiredLabel,omitempty"`
+	AntiAffinity  int    `json:"antiAffinity,omitempty"`
 }
 
 // newClient returns a client with a job of one step.
 func (world *world) newClient(count int, work work, estimate, limit time.Duration) *client {
-	steps := []step{{Count: count, CPU: work.CPU, MemMB: 64, EstRuntimeMS: estimate.Milliseconds()}}
+	return world.newClientWithSteps(work, []step{{Count: count, CPU: work.CPU, MemMB: 64, EstRuntimeMS: estimate.Milliseconds()}}, limit)
+}
+
+// newClientWithSteps returns a client with a job whose tasks all do the same work.
+func (world *world) newClientWithSteps(work work, steps []step, limit time.Duration) *client {
 	body, err := json.Marshal(map[string]any{"spec": work.spec(), "bestEffort": true, "phases": steps})
 	if err != nil {
 		panic(err)
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -70,7 +70,9 @@
 	closed    map[string]int64
 	changed   chan struct{}
 	intervals []*interval
+	server    *http.Server
 	labels    []string
+	down      bool
 	// mute, if set, decides whether an order gets no answer and is carried out late. It is called without the lock.
 	mute func(operation string, run runKey) bool
 	// onStart, if set, is called after a run has begun.
@@ -89,12 +91,9 @@
 
 // serve serves the runner's calls and writes its heartbeats until the process ends.
 func (runner *runner) serve() error {
-	listener, err := net.Listen("tcp", runner.address)
-	if err != nil {
+	if err := runner.listen(); err != nil {
 		return err
 	}
-	server := &http.Server{Handler: runner, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = server.Serve(listener) }()
 	go func() {
 		for {
 			runner.beat()
@@ -112,9 +111,56 @@
 	return nil
 }
 
+func (runner *runner) listen() error {
+	listener, err := net.Listen("tcp", runner.address)
+	if err != nil {
+		return err
+	}
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	server := &http.Server{Handler: runner, ReadHeaderTimeout: 5 * time.Second}
+	runner.server = server
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// crash ends the runner with all that runs on it. Its host refuses connections from then on.
+func (runner *runner) crash() {
+	runner.mu.Lock()
+	now := time.Now()
+	runner.down = true
+	for key := range runner.running {
+		runner.end(key, "lost in a crash", now)
+	}
+	server := runner.server
+	runner.mu.Unlock()
+	_ = server.Close()
+	runner.record.note("runner %s: crashed", runner.id)
+}
+
+// restart starts a crashed runner again under its id; it knows nothing of before.
+func (runner *runner) restart() error {
+	runner.mu.Lock()
+	now := time.Now()
+	runner.down, runner.started, runner.born = false, now, now.UnixMilli()
+	runner.seq, runner.number, runner.leaseEnd = 0, 0, time.Time{}
+	runner.finished, runner.closed = nil, make(map[string]int64)
+	runner.mu.Unlock()
+	if err := runner.listen(); err != nil {
+		return err
+	}
+	runner.beat()
+	runner.record.note("runner %s: started again", runner.id)
+	return nil
+}
+
 // beat writes the runner's entry into the store.
 func (runner *runner) beat() {
 	runner.mu.Lock()
+	if runner.down {
+		runner.mu.Unlock()
+		return
+	}
 	runner.seq++
 	state := "ready"
 	if runner.draining {
@@ -207,6 +253,9 @@
 	runner.mu.Lock()
 	defer runner.mu.Unlock()
 	now := time.Now()
+	if runner.down {
+		return http.StatusServiceUnavailable, nil
+	}
 	runner.advance(now)
 	answer := map[string]any{"clockMs": now.Sub(runner.started).Milliseconds(), "born": runner.born}
 	key := runKey{body.Task, body.Attempt}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -47,6 +47,19 @@
 	return offset
 }
 
+// newest returns the newest value of a key, or nothing.
+func (store *store) newest(name, key string) []byte {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	var newest []byte
+	for _, data := range store.topic(name).records {
+		if string(data[1:1+int(data[0])]) == key {
+			newest = data[1+int(data[0]):]
+		}
+	}
+	return newest
+}
+
 // put appends a keyed record whose value is encoded as JSON; no value drops the key.
 func (store *store) put(name, key string, value any) {
 	data := append([]byte{byte(len(key))}, key...)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,9 @@
 type machine struct {
 	name, zone, ip string
 	index          int
+	// cut means that the machine is cut off from the other machines and the store, and storePort is the port of its store.
+	cut       atomic.Bool
+	storePort int
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -44,6 +48,8 @@
 	runners  []*runner
 	// ports: callers, readiness, first and last port for instances, store, runners.
 	ports [6]int
+	// mesh means that machines reach each other and the store through proxies.
+	mesh bool
 	// boot is true for the first start of all machines.
 	boot bool
 }
@@ -89,10 +95,15 @@
 		for index := range zone.machines {
 			number := len(world.machines) + 1
 			world.machines = append(world.machines, &machine{
-				name: fmt.Sprintf("frontend-%s-%d", zone.name, index+1), zone: zone.name, ip: fmt.Sprintf("127.0.2.%d", number), index: number - 1,
+				name: fmt.Sprintf("frontend-%s-%d", zone.name, index+1), zone: zone.name, ip: fmt.Sprintf("127.0.2.%d", number), index: number - 1, storePort: world.ports[4],
 			})
 		}
 	}
+	if world.mesh {
+		if err := world.joinMesh(); err != nil {
+			return err
+		}
+	}
 	for _, machine := range world.machines {
 		if err := world.startInstance(machine); err != nil {
 			return err
@@ -223,7 +234,7 @@
 partMb = 200
 ttlMinMs = 1000
 `, machine.name, machine.ip, machine.zone, world.ports[2], max(world.ports[2], world.ports[3]), world.boot, strings.Join(zones, "\n"),
-		machine.ip, world.ports[0], machine.ip, world.ports[1], world.ports[4])
+		machine.ip, world.ports[0], machine.ip, world.ports[1], machine.storePort)
 }
 
 // startInstance starts the instance of a machine with the command of the deploy file.
