Stop a run until it has ended, and let its lease lapse if it cannot be stopped

The target had left both requests to stop the first run unanswered.

Cause: that a run must end was known by its task only, which is dropped with the job. Nobody asked again, and the reader of the target went on renewing the lease, which covers all runs of a target, since the owner of the run was alive.

Evidence: one "stop not answered" in the owner's log, and twelve renewals of the lease between it and the end of the run in the target's record. Ruled out: that asking again suffices. In the case each request to stop the run is lost.

Change: a run that must end is remembered apart from its job until a stop is accepted, its end is listed or its lease is over, and its stop is requested again by the owner and the reader. If its job is gone and two requests have got no answer, all instances suspend the renewals of the lease, by polls and by starts, and none starts the task. The answer to a later stop ends the suspension. The message is sent only to instances that have announced that they understand it.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -320,6 +320,9 @@
 		if reader := executor.reader(action.Target); reader != executor.self.Incarnation {
 			executor.peers.RelayStop(reader, action.Target, action.Run)
 		}
+	case scheduler.SuspendRenewals:
+		executor.logSuspension(action)
+		executor.peers.BroadcastSuspension(action.Suspension)
 	case scheduler.OfferCapacity:
 		executor.peers.Offer(action.To, action.Target, action.FreeCapacity)
 	case scheduler.RunLost:
--- a/executor/log.go
+++ b/executor/log.go
@@ -47,6 +47,16 @@
 	executor.logger.Info("run stopped", "task", stop.Run.Task, "attempt", stop.Run.Attempt, "target", stop.RunTarget.ID, "reason", stop.Reason)
 }
 
+func (executor *Executor) logSuspension(suspend scheduler.SuspendRenewals) {
+	if suspend.Until.IsZero() {
+		executor.logger.Info("lease renewals resumed", "task", suspend.Run.Task, "attempt", suspend.Run.Attempt, "target", suspend.Target)
+		return
+	}
+	executor.meter.suspensions.Inc()
+	executor.logger.Warn("lease renewals suspended, the target does not stop a run", "task", suspend.Run.Task, "attempt", suspend.Run.Attempt,
+		"target", suspend.Target, "incarnation", suspend.Incarnation, "for-ms", suspend.Until.Sub(executor.now()).Milliseconds())
+}
+
 func (executor *Executor) logEnd(target string, end scheduler.End, owner string) {
 	if owner != executor.self.Incarnation {
 		return
--- a/executor/meter.go
+++ b/executor/meter.go
@@ -14,6 +14,7 @@
 type meter struct {
 	set            *metrics.Set
 	stops          *metrics.Counter
+	suspensions    *metrics.Counter
 	targetRestarts *metrics.Counter
 	tasksGivenUp   *metrics.Counter
 	polls          *metrics.Counter
@@ -29,6 +30,7 @@
 	return &meter{
 		set:            set,
 		stops:          set.NewCounter("hyssoplift_stops_total"),
+		suspensions:    set.NewCounter("hyssoplift_lease_suspensions_total"),
 		targetRestarts: set.NewCounter("hyssoplift_target_restarts_total"),
 		tasksGivenUp:   set.NewCounter("hyssoplift_tasks_given_up_total"),
 		polls:          set.NewCounter("hyssoplift_looks_total"),
--- a/executor/peers.go
+++ b/executor/peers.go
@@ -24,7 +24,10 @@
 		}
 	}
 	for _, id := range update.Stops {
-		executor.scheduler.HandlePeerStop(id.Target, runOf(id))
+		executor.scheduler.HandlePeerStop(id.Target, runOf(id), now)
+	}
+	for _, suspension := range update.Suspensions {
+		executor.scheduler.HandlePeerSuspension(from, decodeSuspension(suspension, now), now)
 	}
 	for _, free := range update.FreeCapacity {
 		resources := scheduler.Resources{MilliCores: free.MilliCores, MemoryMB: free.MemoryMB, Accelerators: free.Accelerators}
@@ -78,6 +81,17 @@
 	executor.wake(claim.Target)
 }
 
+// decodeSuspension decodes a suspension; without a remaining time, it has ended.
+func decodeSuspension(suspension linker.Suspension, now time.Time) scheduler.Suspension {
+	decoded := scheduler.Suspension{
+		Target: suspension.Target, Incarnation: suspension.Incarnation, Run: scheduler.Run{Task: suspension.Task, Attempt: suspension.Attempt},
+	}
+	if remaining := milliseconds(suspension.RemainingMS); remaining > 0 {
+		decoded.Until = now.Add(min(remaining, scheduler.MaxSuspension))
+	}
+	return decoded
+}
+
 // decodeLoss decodes a loss that another instance recorded. Negative times count as zero.
 func decodeLoss(loss *linker.Loss, now time.Time) isolator.Loss {
 	decoded := isolator.Loss{
@@ -104,13 +118,16 @@
 	return min(max(0, time.Duration(min(count, int64(time.Hour/time.Millisecond)))*time.Millisecond), time.Hour)
 }
 
-// PeerConnected sends the known losses to an instance that may have missed some.
+// PeerConnected sends the known losses and suspensions to an instance that may have missed some.
 func (executor *Executor) PeerConnected(from string) {
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
 	for _, loss := range executor.scheduler.Losses() {
 		executor.peers.SendLoss(from, &loss)
 	}
+	for _, suspension := range executor.scheduler.Suspensions() {
+		executor.peers.SendSuspension(from, suspension)
+	}
 }
 
 func runOf(id linker.RunID) scheduler.Run {
--- a/executor/poller_test.go
+++ b/executor/poller_test.go
@@ -143,3 +143,20 @@
 	_, pause = poller.nextPoll(state, now.Add(unverifiedPollInterval))
 	is.True(pause <= 0)
 }
+
+// A poll must not renew a lease whose renewals another instance has suspended: the lease covers a run that must end.
+func TestPollRenewsNoSuspendedLease(t *testing.T) {
+	is := is.New(t)
+	client := &restartedClient{incarnation: 1}
+	executor, poller := newAcknowledgingPoller(t, client, true)
+	run := startOn(executor)
+	suspension := linker.Suspension{Target: "t", Incarnation: 1, Task: run.Task, Attempt: run.Attempt, RemainingMS: 60_000}
+	executor.HandleStateUpdate("peer", linker.StateUpdate{Suspensions: []linker.Suspension{suspension}})
+	executor.pollNext(t.Context(), poller)
+	is.True(client.requests[0].Lease.IsZero())
+	suspension.RemainingMS = 0
+	executor.HandleStateUpdate("peer", linker.StateUpdate{Suspensions: []linker.Suspension{suspension}})
+	time.Sleep(minPollInterval)
+	executor.pollNext(t.Context(), poller)
+	is.True(!client.requests[1].Lease.IsZero())
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -189,6 +189,32 @@
 	update.Stops = append(update.Stops, linker.RunID{Target: target, Task: run.Task, Attempt: run.Attempt})
 }
 
+// BroadcastSuspension asks all instances without delay to suspend the renewals of a target's lease, or to resume them.
+func (gossiper *Gossiper) BroadcastSuspension(suspension scheduler.Suspension) {
+	encoded := encodeSuspension(suspension, gossiper.now())
+	gossiper.updateAll(linker.RevisionOwnership, func(update *linker.StateUpdate) { update.Suspensions = append(update.Suspensions, encoded) })
+}
+
+// SendSuspension asks an instance without delay to suspend the renewals of a target's lease.
+func (gossiper *Gossiper) SendSuspension(to string, suspension scheduler.Suspension) {
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	if peer, ok := gossiper.peers[to]; ok && peer.hello.Revision >= linker.RevisionOwnership {
+		update := gossiper.updateFor(to, true)
+		update.Suspensions = append(update.Suspensions, encodeSuspension(suspension, gossiper.now()))
+	}
+}
+
+func encodeSuspension(suspension scheduler.Suspension, now time.Time) linker.Suspension {
+	encoded := linker.Suspension{
+		Target: suspension.Target, Incarnation: suspension.Incarnation, Task: suspension.Run.Task, Attempt: suspension.Run.Attempt,
+	}
+	if !suspension.Until.IsZero() {
+		encoded.RemainingMS = max(1, suspension.Until.Sub(now).Milliseconds())
+	}
+	return encoded
+}
+
 // SendRunEnd sends the end of a run to its owner without delay, since a caller waits for it.
 func (gossiper *Gossiper) SendRunEnd(owner, target string, end scheduler.End) {
 	gossiper.mu.Lock()
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -317,3 +317,16 @@
 		is.True(receiver.delays[0] >= pause && receiver.delays[0] <= pause+time.Millisecond)
 	}
 }
+
+// An instance of an earlier revision refuses messages with unknown fields and would close the link.
+func TestEarlierRevisionsReceiveNoNewFields(t *testing.T) {
+	is := is.New(t)
+	gossiper, _, now := newTestGossiper(1)
+	for incarnation, revision := range map[string]int{"former": 0, "present": linker.Revision} {
+		hello := linker.Hello{Domain: "a", Incarnation: incarnation, Weight: 1, Revision: revision}
+		gossiper.Receive(hello, hello)
+	}
+	gossiper.BroadcastSuspension(scheduler.Suspension{Target: "t", Until: now.Add(time.Second)})
+	is.Equal(len(gossiper.outbox), 1)
+	is.Equal(gossiper.outbox["present"].Suspensions[0].RemainingMS, int64(1000))
+}
--- a/gossiper/losses.go
+++ b/gossiper/losses.go
@@ -18,29 +18,29 @@
 // BroadcastLoss sends a loss to all instances without delay.
 func (gossiper *Gossiper) BroadcastLoss(loss *isolator.Loss) {
 	now := gossiper.now()
-	gossiper.updateAll(func(update *linker.StateUpdate) { update.Losses = append(update.Losses, encodeLoss(loss, now)) })
+	gossiper.updateAll(0, func(update *linker.StateUpdate) { update.Losses = append(update.Losses, encodeLoss(loss, now)) })
 }
 
 // BroadcastResponding notifies all instances without delay that an incarnation of a target that counted as lost responds.
 func (gossiper *Gossiper) BroadcastResponding(target string, incarnation int64) {
-	gossiper.updateAll(func(update *linker.StateUpdate) {
+	gossiper.updateAll(0, func(update *linker.StateUpdate) {
 		update.Responding = append(update.Responding, linker.TargetIncarnation{Target: target, Incarnation: incarnation})
 	})
 }
 
 // BroadcastRestart notifies all instances without delay that a target has a new incarnation.
 func (gossiper *Gossiper) BroadcastRestart(target string, incarnation int64) {
-	gossiper.updateAll(func(update *linker.StateUpdate) {
+	gossiper.updateAll(0, func(update *linker.StateUpdate) {
 		update.Restarts = append(update.Restarts, linker.TargetIncarnation{Target: target, Incarnation: incarnation})
 	})
 }
 
-// updateAll extends the pending state updates to all instances that are not lost.
-func (gossiper *Gossiper) updateAll(extend func(*linker.StateUpdate)) {
+// updateAll extends the pending state updates to all instances that are not lost and understand the revision.
+func (gossiper *Gossiper) updateAll(revision int, extend func(*linker.StateUpdate)) {
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
 	for incarnation, peer := range gossiper.peers {
-		if !peer.lost {
+		if !peer.lost && peer.hello.Revision >= revision {
 			extend(gossiper.updateFor(incarnation, true))
 		}
 	}
--- a/linker/codec.go
+++ b/linker/codec.go
@@ -18,8 +18,8 @@
 
 	// partBytes is the payload size of a part. The rest of the frame is left for the encoding around it.
 	partBytes = 512 << 10
-	// maxMapPairs exceeds the number of fields of every message. The CBOR library allows no value below 16.
-	maxMapPairs = 16
+	// maxMapPairs exceeds the number of fields of every message.
+	maxMapPairs = 32
 	// maxNesting exceeds the nesting depth of a sync response, the most deeply nested message.
 	maxNesting = 8
 	// maxTextBytes bounds names, keys and other short texts.
@@ -268,6 +268,9 @@
 			texts = append(texts, names[i].Target, names[i].Task)
 		}
 	}
+	for i := range update.Suspensions {
+		texts = append(texts, update.Suspensions[i].Target, update.Suspensions[i].Task)
+	}
 	for i := range update.FreeCapacity {
 		texts = append(texts, update.FreeCapacity[i].Target)
 	}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -119,7 +119,7 @@
 // other than responses, and with LinkEnded after the last message of a link. receive must not block and may be called
 // from several goroutines at once.
 func New(self Hello, limits Limits, logger hclog.Logger, receive func(from Hello, message Message)) *Linker {
-	self.Version = Version
+	self.Version, self.Revision = Version, Revision
 	return newLinker(self, limits, logger, receive)
 }
 
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -92,7 +92,7 @@
 func sampleMessages() []Message {
 	outcome := EncodeOutcome(dispatcher.NewFailed("cut", []dispatcher.TaskFate{{Name: "t", Fate: dispatcher.FateFinished, Detail: "d"}}), time.Time{})
 	return []Message{
-		Hello{Version: 1, Domain: "d", Name: "n", Incarnation: "i", Address: "a:1"},
+		Hello{Version: 1, Domain: "d", Name: "n", Incarnation: "i", Address: "a:1", Weight: 2, Revision: 3},
 		Heartbeat{View: 7, Suspects: []string{"a"}, BundleVersion: 3, Load: 5, Synced: true, Leaving: true},
 		KeeperMessage{keeper.Record{Key: "k", Digest: dispatcher.Digest{1, 2}, View: 7, State: keeper.StatePending, Sequence: 3}},
 		KeeperMessage{keeper.RecordAck{Key: "k", View: 7, Sequence: 3}},
@@ -120,6 +120,7 @@
 		StateUpdate{
 			Claims:       []Claim{{Target: "t", Task: "k", Attempt: 1, MilliCores: 2, MemoryMB: 3, Accelerators: 4, EstimateMS: 5, Incarnation: 6, AgeMS: 7}},
 			Losses:       []Loss{{Target: "t", Incarnation: 1, Address: "a", Evidence: 2, AgeMS: 3, Observer: "o", Runs: []LostRun{{Task: "k", Attempt: 4, Route: "r", AgeMS: 5, Cleared: true, Fate: 3}}}},
+			Suspensions:  []Suspension{{Target: "t", Incarnation: 1, Task: "k", Attempt: 2, RemainingMS: 3}},
 			Responding:   []TargetIncarnation{{Target: "t", Incarnation: 1}},
 			Restarts:     []TargetIncarnation{{Target: "t", Incarnation: 2}},
 			Ends:         []RunEnd{{Target: "t", Task: "k", Attempt: 1, Number: 2, Cause: 1}},
--- a/linker/message.go
+++ b/linker/message.go
@@ -5,9 +5,18 @@
 	"github.com/hyssoplift/hyssoplift/keeper"
 )
 
-// Version is the version of the protocol between instances.
+// Version is the version of the protocol between instances. Instances with different versions do not talk to each other.
 const Version = 3
 
+// Revisions extend the messages of a version. A field of a revision is sent only to instances that have announced at least
+// this revision, since the others refuse messages with unknown fields.
+const (
+	// RevisionOwnership adds the fields with which instances agree that a run must end.
+	RevisionOwnership = 1
+	// Revision is the revision of this instance.
+	Revision = RevisionOwnership
+)
+
 // Hello identifies an instance. It is the first frame in each direction.
 type Hello struct {
 	Version     int    `cbor:"version"`
@@ -19,6 +28,8 @@
 	// Weight is the instance's share of common work relative to other instances, for example its share of a CPU; 0
 	// counts as 1.
 	Weight float64 `cbor:"weight,omitempty"`
+	// Revision is the newest revision of the messages that the instance understands.
+	Revision int `cbor:"revision,omitempty"`
 }
 
 // maxWeight is the largest weight that counts, so that one instance cannot attract all work.
@@ -193,6 +204,17 @@
 	Attempt int64
 }
 
+// Suspension is a lease that must not be renewed, because a run of its target must end and does not answer stop requests.
+type Suspension struct {
+	_           struct{} `cbor:",toarray"`
+	Target      string
+	Incarnation int64
+	Task        string
+	Attempt     int64
+	// RemainingMS is for how long the lease must not be renewed, in milliseconds; 0 ends the suspension.
+	RemainingMS int64
+}
+
 // FreeCapacity is the free capacity of a target as determined by its reader, the instance that polls the target and
 // renews its lease.
 type FreeCapacity struct {
@@ -250,6 +272,8 @@
 	Claims    []Claim `cbor:"claims,omitempty"`
 	Withdrawn []RunID `cbor:"withdrawn,omitempty"`
 	Stops     []RunID `cbor:"stops,omitempty"`
+	// Suspensions lists leases that must not be renewed.
+	Suspensions []Suspension `cbor:"suspensions,omitempty"`
 	// Abandoned lists delegated jobs that the callers of the sender no longer need. It is sent to the delegate.
 	Abandoned []string `cbor:"abandoned,omitempty"`
 	// Ends is sent to the owner of the runs.
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -33,7 +33,7 @@
 			}
 			scheduler.recordStartOnLost(target, run, now)
 			scheduler.recordLateStart(target, run, now)
-			scheduler.emit(StopRun{RunTarget: target.Target, Run: run, Reason: "start was not answered"})
+			scheduler.requestStop(target, run, "start was not answered", !current, now)
 		}
 		if current {
 			task.state = stopping
@@ -72,12 +72,12 @@
 	case current && lost:
 		// The run was listed, and was lost with its target, before the answer to the start arrived.
 		task.state, task.accepted = stopping, true
-		scheduler.emit(StopRun{RunTarget: target.Target, Run: run, Reason: "run was lost before its start was answered"})
+		scheduler.requestStop(target, run, "run was lost before its start was answered", false, now)
 	case current:
 		task.state, task.accepted = running, true
 	case target != nil && (task == nil || !task.latest(target.ID, run) || task.state == waiting):
 		// While the start request was in flight, the job was abandoned or the task put back into the queue.
-		scheduler.emit(StopRun{RunTarget: target.Target, Run: run, Reason: "run is no longer needed"})
+		scheduler.requestStop(target, run, "run is no longer needed", true, now)
 	}
 }
 
@@ -90,6 +90,7 @@
 		scheduler.clearSuspect(target, run, now)
 	}
 	allocation := scheduler.releaseRun(target, run)
+	scheduler.forgetStop(targetRun{target.ID, run})
 	scheduler.emit(WithdrawClaim{Target: target.ID, Run: run})
 	if allocation != nil && (allocation.incarnation != target.Incarnation || allocation.address != target.Address) {
 		// The answer came from a former incarnation, or from another target at its address.
@@ -159,7 +160,7 @@
 // was otherwise sent StopAttempts times.
 func (scheduler *Scheduler) HandleStopResult(targetID string, run Run, stopped bool, now time.Time) {
 	target := scheduler.targets[targetID]
-	scheduler.handleVoidResult(targetID, run, stopped)
+	scheduler.recordStopResult(targetRun{targetID, run}, stopped, now)
 	switch {
 	case target == nil:
 	case stopped:
@@ -170,7 +171,7 @@
 		scheduler.setUnreachable(target, false, now)
 	}
 	task := scheduler.tasks[run.Task]
-	if task == nil || task.state != stopping || !task.latest(targetID, run) {
+	if task == nil || task.state != stopping && task.state != uncertain || !task.latest(targetID, run) {
 		return
 	}
 	if stopped {
@@ -181,7 +182,6 @@
 	task.state = uncertain
 	// A start request expires with the lease that it asks for, which counts from when the request was sent.
 	task.notBefore = task.startedAt.Add(LeaseDuration + leaseMargin)
-	scheduler.emit(RelayStop{Target: targetID, Run: run})
 }
 
 // releaseStopped releases the capacity of runs whose stop was accepted long enough ago. A run that the target never had
@@ -221,6 +221,7 @@
 
 // HandleEnd processes the end of a run, as listed by the target or forwarded by its reader.
 func (scheduler *Scheduler) HandleEnd(targetID string, end End, now time.Time) {
+	scheduler.forgetStop(targetRun{targetID, end.Run})
 	if target, ok := scheduler.targets[targetID]; ok {
 		if end.Cause != NeverRan {
 			target.recordResponse(now)
@@ -263,7 +264,7 @@
 	switch {
 	case end.Cause == Done && task.state != done:
 		if task.mayBeRunning() && !isActive {
-			scheduler.emit(StopRun{RunTarget: task.runTarget.Target, Run: task.run(), Reason: "an earlier run succeeded"})
+			scheduler.requestStop(task.runTarget, task.run(), "an earlier run succeeded", false, now)
 		}
 		scheduler.completeTask(task, now)
 	case !isActive && task.state == waiting && isLatest:
@@ -390,6 +391,7 @@
 	}
 	if now.Sub(allocation.missingSince) >= missingTimeout || allocation.owner != scheduler.self {
 		scheduler.releaseRun(target, run)
+		scheduler.forgetStop(targetRun{target.ID, run})
 	}
 }
 
@@ -409,12 +411,14 @@
 	for _, allocation := range target.allocations {
 		allocation.restarted = true
 	}
+	scheduler.updateSuspended(target.ID)
 }
 
 // handleRunLostInRestart handles a run that a restarted target does not list. The reader receives all ends, so the run
 // has ended with the previous incarnation. A new reader does not know of ends that the former one has acknowledged.
 func (scheduler *Scheduler) handleRunLostInRestart(target *target, run Run, now time.Time) {
 	allocation := scheduler.releaseRun(target, run)
+	scheduler.forgetStop(targetRun{target.ID, run})
 	if allocation != nil && (target.replaced || allocation.incarnation < target.Incarnation) {
 		scheduler.recordRunLoss(target, run, allocation, isolator.Restarted, now, now)
 	}
@@ -496,10 +500,11 @@
 	scheduler.typicalMilliCores += (resources.MilliCores - scheduler.typicalMilliCores) / smoothingDivisor
 }
 
-// HandlePeerStop stops a run on behalf of an instance that cannot reach the target.
-func (scheduler *Scheduler) HandlePeerStop(targetID string, run Run) {
-	if target, ok := scheduler.targets[targetID]; ok {
-		scheduler.emit(StopRun{RunTarget: target.Target, Run: run, Reason: "requested by an instance that cannot reach the target"})
+// HandlePeerStop stops a run on behalf of an instance that got no answer from the target.
+func (scheduler *Scheduler) HandlePeerStop(targetID string, run Run, now time.Time) {
+	target, ok := scheduler.targets[targetID]
+	if _, pending := scheduler.pendingStops[targetRun{targetID, run}]; ok && !pending {
+		scheduler.requestStop(target, run, "requested by an instance that got no answer", false, now)
 	}
 }
 
--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -25,10 +25,7 @@
 	// incarnation and address are those of the target that was last asked to stop the run.
 	incarnation int64
 	address     string
-	// repeated means that the stop was requested again, and failed that this request got no answer.
-	repeated bool
-	failed   bool
-	until    time.Time
+	until       time.Time
 }
 
 // recordLateStart remembers a start that got no answer and whose stop is requested now.
@@ -53,38 +50,22 @@
 	}
 }
 
-// repeatVoids repeats the requests of voidLateStarts that got no answer, and forgets starts that are carried out no more.
-func (scheduler *Scheduler) repeatVoids(now time.Time) {
+// expireLateStarts forgets starts that are carried out no more.
+func (scheduler *Scheduler) expireLateStarts(now time.Time) {
 	scheduler.lateStarts = slices.DeleteFunc(scheduler.lateStarts, func(late lateStart) bool { return !now.Before(late.until) })
-	for i := range scheduler.lateStarts {
-		late := &scheduler.lateStarts[i]
-		if target, ok := scheduler.targets[late.target]; ok && late.failed && !target.unreachable && !target.unreachableByReader {
-			scheduler.void(late, target, now)
-		}
-	}
 }
 
 // void requests the stop of a start without an answer on the present incarnation of its target.
 func (scheduler *Scheduler) void(late *lateStart, target *target, now time.Time) {
-	late.incarnation, late.address, late.failed = target.Incarnation, target.Address, false
+	late.incarnation, late.address = target.Incarnation, target.Address
 	task := scheduler.tasks[late.run.Task]
 	if !now.Before(late.until) || task != nil && task.latest(late.target, late.run) && task.startedAt.After(late.startedAt) {
 		// In a later submission, the run has been started there again; the late start would only repeat that.
 		return
 	}
-	late.repeated = true
 	if allocation, ok := target.allocations[late.run]; ok && allocation.unanswered && allocation.incarnation < target.Incarnation {
 		// The stop will release the claim, which shows that the run may have been on the former incarnation.
 		scheduler.recordRunLoss(target, late.run, allocation, isolator.Restarted, now, now)
 	}
-	scheduler.emit(StopRun{RunTarget: target.Target, Run: late.run, Reason: "start was not answered by a former incarnation"})
-}
-
-// handleVoidResult processes the result of a stop request for a start without an answer.
-func (scheduler *Scheduler) handleVoidResult(targetID string, run Run, stopped bool) {
-	for i := range scheduler.lateStarts {
-		if late := &scheduler.lateStarts[i]; late.repeated && late.targetRun == (targetRun{targetID, run}) {
-			late.failed = !stopped
-		}
-	}
+	scheduler.requestStop(target, late.run, "start was not answered by a former incarnation", false, now)
 }
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -233,7 +233,7 @@
 	Age time.Duration
 }
 
-// Action is something that the caller of the scheduler has to do: StartTask, StopRun, RelayStop, WithdrawClaim,
+// Action is something that the caller of the scheduler has to do: StartTask, StopRun, RelayStop, SuspendRenewals, WithdrawClaim,
 // OfferCapacity, AnswerJob, LossRecorded or LossWithdrawn, or to record: RunLost, TaskGivenUp or TargetRestarted.
 type Action interface{ isAction() }
 
@@ -295,6 +295,19 @@
 	Run    Run
 }
 
+// Suspension is a lease that must not be renewed, so that a run which does not answer stop requests lapses.
+type Suspension struct {
+	Target string
+	// Incarnation is the incarnation of the target; 0 if unknown.
+	Incarnation int64
+	Run         Run
+	// Until is when the lease has ended; zero means that it may be renewed again.
+	Until time.Time
+}
+
+// SuspendRenewals asks all other instances to apply a suspension.
+type SuspendRenewals struct{ Suspension }
+
 // RelayStop asks to have the target's reader stop a run that this instance cannot stop itself.
 type RelayStop struct {
 	Target string
@@ -382,6 +395,7 @@
 func (AnswerJob) isAction()       {}
 func (WithdrawClaim) isAction()   {}
 func (RelayStop) isAction()       {}
+func (SuspendRenewals) isAction() {}
 func (OfferCapacity) isAction()   {}
 func (RunLost) isAction()         {}
 func (TaskGivenUp) isAction()     {}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -89,6 +89,10 @@
 	tasks map[string]*task
 	// queue holds the waiting tasks, the most urgent first; a task that cannot start yet does not hold up later ones.
 	queue []*task
+	// pendingStops holds the runs that must end and may still go on.
+	pendingStops map[targetRun]*pendingStop
+	// suspensions holds the leases whose renewals are suspended.
+	suspensions map[suspensionKey]Suspension
 	// stopped holds the runs whose stop was accepted and whose capacity is not released yet, the earliest first.
 	stopped []stoppedRun
 	// lateStarts holds the starts that got no answer and may still be carried out, the earliest first.
@@ -139,6 +143,8 @@
 		groupSpeeds:    make(map[string]*learnedSpeed),
 		jobs:           make(map[string]*job),
 		tasks:          make(map[string]*task),
+		pendingStops:   make(map[targetRun]*pendingStop),
+		suspensions:    make(map[suspensionKey]Suspension),
 		foreignEnds:    make(map[targetRun]recordedEnd),
 		changedTargets: make(map[string]bool),
 		offered:        make(map[string]bool),
@@ -275,6 +281,10 @@
 		return
 	}
 	job := newJob(info)
+	for _, task := range job.tasks {
+		// The task has run, so the job must not be refused as not run.
+		job.mayHaveStarted = job.mayHaveStarted || scheduler.mayStillRun(task.name, now)
+	}
 	if scheduler.submitSuspected(job, now) {
 		return
 	}
@@ -310,7 +320,7 @@
 	neverStarted := job.neverStarted()
 	for _, task := range job.tasks {
 		if task.mayBeRunning() {
-			scheduler.emit(StopRun{RunTarget: task.runTarget.Target, Run: task.run(), Reason: reason})
+			scheduler.requestStop(task.runTarget, task.run(), reason, true, now)
 		}
 		delete(scheduler.tasks, task.name)
 	}
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -292,7 +292,7 @@
 			}
 			continue
 		}
-		if state.Occupied && !state.Unreachable {
+		if state.Occupied && !state.Unreachable && !at(simulation.now).Before(state.UnrenewedUntil) {
 			instance.scheduler.RecordLeaseRenewal(target.id, at(simulation.now))
 			target.leaseEnd = max(target.leaseEnd, simulation.now+1000)
 		}
@@ -437,8 +437,12 @@
 				})
 		case RelayStop:
 			if reader := simulation.reader(simulation.index(action.Target)); reader >= 0 && reader != number {
-				simulation.send(simulation.instances[reader].name, func(peer *Scheduler) { peer.HandlePeerStop(action.Target, action.Run) })
+				simulation.send(simulation.instances[reader].name, func(peer *Scheduler) { peer.HandlePeerStop(action.Target, action.Run, at(simulation.now)) })
 			}
+		case SuspendRenewals:
+			simulation.broadcast(number, func(peer *Scheduler) {
+				peer.HandlePeerSuspension(simulation.instances[number].name, action.Suspension, at(simulation.now))
+			})
 		case AnswerJob:
 			simulation.outcomes[action.Job] = action.Outcome
 			if simulation.crashing != nil {
--- a/scheduler/spontaneous_test.go
+++ b/scheduler/spontaneous_test.go
@@ -294,7 +294,7 @@
 	}
 	sent := max(simulation.now-1-simulation.random.IntN(50), poller.polledAt, target.downUntil)
 	poller.polledAt = simulation.now
-	renews := state.Occupied && !state.Unreachable && !state.UnreachableByReader && poller.failures == 0
+	renews := state.Occupied && !state.Unreachable && !state.UnreachableByReader && poller.failures == 0 && !at(simulation.now).Before(state.UnrenewedUntil)
 	if renews {
 		instance.scheduler.RecordLeaseRenewal(target.id, at(simulation.now))
 	}
--- /dev/null
+++ b/scheduler/stop_test.go
@@ -0,0 +1,204 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// resendDelay is the time from a lost answer until the caller sends its job again.
+const resendDelay = 1300
+
+// unstoppable plays a target on which a run ignores all stop requests, and the instances that use it: the owner of the run,
+// the reader of the target and a third instance, which keeps starting other tasks there.
+type unstoppable struct {
+	owner, reader, third *Scheduler
+	run                  Run
+	// events holds messages and results by the time at which they arrive.
+	events   map[int][]func(now time.Time)
+	leaseEnd int
+	// requests counts the stop requests, and answeredFrom is the number of the first one that is answered; 0 for none.
+	requests, answeredFrom int
+	// answeredAt is when the job was answered.
+	answeredAt int
+}
+
+func newUnstoppable(t *testing.T) *unstoppable {
+	t.Helper()
+	unstoppable := &unstoppable{owner: New("owner", "a"), reader: New("reader", "a"), third: New("third", "a"), events: make(map[int][]func(time.Time))}
+	for _, scheduler := range unstoppable.all() {
+		scheduler.SetTargets(distinctTargets(1), at(-1000))
+	}
+	unstoppable.reader.SetReader("t0", true, at(-1000))
+	job := testJob("j", 1, 400, 0)
+	job.Deadline = at(500)
+	unstoppable.owner.Submit(job, at(0))
+	start := drain(unstoppable.owner).starts[0]
+	unstoppable.run = start.Run
+	acceptStarts(unstoppable.owner, []StartTask{start}, at(1))
+	unstoppable.reader.HandlePeerClaim("owner", start.Claim, at(2))
+	return unstoppable
+}
+
+func (unstoppable *unstoppable) all() []*Scheduler {
+	return []*Scheduler{unstoppable.owner, unstoppable.reader, unstoppable.third}
+}
+
+func (unstoppable *unstoppable) after(now, delay int, do func(now time.Time)) {
+	unstoppable.events[now+delay] = append(unstoppable.events[now+delay], do)
+}
+
+// play plays the instances until the end, and returns when the run has ended, or -1.
+func (unstoppable *unstoppable) play(from, to int) int {
+	for now := from; now < to; now++ {
+		for _, do := range unstoppable.events[now] {
+			do(at(now))
+		}
+		if now%10 == 0 {
+			unstoppable.owner.Tick(at(now))
+		}
+		if now%50 == 0 {
+			unstoppable.poll(now)
+		}
+		if now%100 == 0 {
+			for _, scheduler := range unstoppable.all() {
+				scheduler.Sweep(at(now))
+			}
+			unstoppable.reader.StopOrphans("t0", func(string) bool { return true }, at(now))
+			// Another job keeps the target in use.
+			id := "k" + at(now).Format("05.000")
+			unstoppable.third.Submit(testJob(id, 1, 60, now), at(now))
+			unstoppable.after(now, 60, func(when time.Time) { unstoppable.third.Abandon(id, "done", when) })
+		}
+		for _, scheduler := range unstoppable.all() {
+			unstoppable.carryOut(scheduler, now)
+		}
+		// The target's clock is 2% slow.
+		if now*100 >= unstoppable.leaseEnd*102 {
+			return now
+		}
+	}
+	return -1
+}
+
+// poll lets the reader poll the target, which lists the run.
+func (unstoppable *unstoppable) poll(now int) {
+	state := unstoppable.reader.TargetState("t0")
+	if state.Occupied && !at(now).Before(state.UnrenewedUntil) {
+		unstoppable.leaseEnd = now + 1000
+	}
+	unstoppable.reader.HandlePoll("t0", PollResult{Incarnation: 1, Running: []ActiveRun{{Run: unstoppable.run}}, Sent: at(now - 1), Answered: at(now)})
+}
+
+func (unstoppable *unstoppable) carryOut(scheduler *Scheduler, now int) {
+	for _, action := range scheduler.TakeActions() {
+		switch action := action.(type) {
+		case StartTask:
+			unstoppable.leaseEnd = now + 1000
+			unstoppable.after(now, 1, func(when time.Time) { scheduler.HandleStartResult(action.Target, action.Run, StartTaken, when) })
+		case StopRun:
+			answered := action.Run != unstoppable.run
+			if !answered {
+				unstoppable.requests++
+				answered = unstoppable.answeredFrom > 0 && unstoppable.requests >= unstoppable.answeredFrom
+			}
+			delay := 120
+			if answered {
+				delay = 1
+			}
+			unstoppable.after(now, delay, func(when time.Time) { scheduler.HandleStopResult(action.RunTarget.ID, action.Run, answered, when) })
+		case AnswerJob:
+			if scheduler == unstoppable.owner {
+				unstoppable.answeredAt = now
+			}
+		case RelayStop:
+			if scheduler != unstoppable.reader {
+				unstoppable.after(now, 2, func(when time.Time) { unstoppable.reader.HandlePeerStop(action.Target, action.Run, when) })
+			}
+		case SuspendRenewals:
+			for _, peer := range unstoppable.all() {
+				if peer != scheduler {
+					unstoppable.after(now, 2, func(when time.Time) { peer.HandlePeerSuspension(scheduler.self, action.Suspension, when) })
+				}
+			}
+		}
+	}
+}
+
+// A run whose target answers no stop request must end before the caller, which was answered 504, sends the job again. The lease
+// is also renewed by the reader, and by the starts of others.
+func TestUnstoppableRunLapsesBeforeItsJobComesAgain(t *testing.T) {
+	is := is.New(t)
+	unstoppable := newUnstoppable(t)
+	unstoppable.leaseEnd = 1000
+	endedAt := unstoppable.play(3, 4000)
+	is.True(unstoppable.answeredAt > 0)
+	is.True(endedAt > unstoppable.answeredAt)
+	is.True(endedAt < unstoppable.answeredAt+resendDelay)
+	is.True(unstoppable.requests > StopAttempts) // and the stop was requested all the while
+}
+
+// Once the target answers a stop request, its lease must be renewed again and the target get work, or the other runs there lapse.
+func TestRenewalsResumeOnceARunIsStopped(t *testing.T) {
+	is := is.New(t)
+	unstoppable := newUnstoppable(t)
+	unstoppable.leaseEnd, unstoppable.answeredFrom = 1000, 3
+	unstoppable.play(3, 1000)
+	is.True(unstoppable.requests >= unstoppable.answeredFrom)
+	for _, scheduler := range unstoppable.all() {
+		is.True(!at(1000).Before(scheduler.TargetState("t0").UnrenewedUntil))
+		is.True(scheduler.targets["t0"].usable(at(1000)))
+	}
+}
+
+// An instance to which the job is sent again must not start a task while its run of the earlier submission may go on.
+func TestTaskWaitsForItsUnstoppableRun(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	run := Run{"j.0.0.0", 1}
+	suspension := Suspension{Target: "t0", Incarnation: 1, Run: run, Until: at(600)}
+	scheduler.HandlePeerSuspension("peer", suspension, at(0))
+	scheduler.Submit(testJob("j", 1, 400, 0), at(100))
+	scheduler.Submit(testJob("k", 1, 400, 0), at(100))
+	others := drain(scheduler).starts
+	is.Equal(len(others), 1)
+	is.Equal(others[0].Job, "k")
+	is.Equal(others[0].Target, "t1")
+	scheduler.Tick(at(590))
+	waiting := drain(scheduler)
+	is.Equal(len(waiting.starts), 0)
+	is.Equal(len(waiting.answers), 0) // nor may the job be refused as not run
+	suspension.Until = time.Time{}
+	scheduler.HandlePeerSuspension("peer", suspension, at(595))
+	is.Equal(len(drain(scheduler).starts), 1)
+}
+
+// A suspension must not hold up a later incarnation of the target, which does not have the run.
+func TestSuspensionEndsWithTheIncarnation(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(1)
+	scheduler.HandlePeerSuspension("peer", Suspension{Target: "t0", Incarnation: 1, Run: Run{"j.0.0.0", 1}, Until: at(600)}, at(0))
+	is.True(!scheduler.targets["t0"].usable(at(100)))
+	scheduler.HandlePoll("t0", PollResult{Incarnation: 2, Sent: at(100), Answered: at(101)})
+	is.True(scheduler.targets["t0"].usable(at(102)))
+	is.True(!scheduler.mayStillRun("j.0.0.0", at(102)))
+}
+
+// A task whose start and first stop got no answer must start again as soon as a later stop is answered.
+func TestLaterStopReleasesTheTask(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	scheduler.Submit(testJob("j", 1, 400, 0), at(0))
+	start := drain(scheduler).starts[0]
+	scheduler.HandleStartResult(start.Target, start.Run, StartUnanswered, at(60))
+	scheduler.HandleStopResult(start.Target, start.Run, false, at(180))
+	drain(scheduler)
+	scheduler.Tick(at(190))
+	is.Equal(len(drain(scheduler).stops), 1)
+	scheduler.HandleStopResult(start.Target, start.Run, true, at(192))
+	scheduler.Tick(at(192 + int(MaxStopDuration/time.Millisecond)))
+	is.Equal(len(drain(scheduler).starts), 1)
+	scheduler.Sweep(at(1000))
+	is.Equal(len(drain(scheduler).stops), 0)
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -123,6 +123,8 @@
 	unreachableByReader bool
 	// suspended means that all instances of the target's failure domain are unresponsive.
 	suspended bool
+	// unrenewedUntil is until when no request may renew the lease, because a run there must end and cannot be stopped.
+	unrenewedUntil time.Time
 	// leaseEnd is the latest possible end of the target's lease, based on the requests that are known to this instance.
 	leaseEnd time.Time
 	// lastHeard is the time of the target's last known response, to this instance or to its reader.
@@ -211,7 +213,7 @@
 
 // usable reports whether the target may get new work now.
 func (target *target) usable(now time.Time) bool {
-	if target.Draining || target.replaced || target.unreachable || target.unreachableByReader || target.suspended || target.expired(now) || now.Before(target.heldUntil) || now.Before(target.excludedUntil) {
+	if target.Draining || target.replaced || target.unreachable || target.unreachableByReader || target.suspended || target.expired(now) || now.Before(target.heldUntil) || now.Before(target.excludedUntil) || now.Before(target.unrenewedUntil) {
 		return false
 	}
 	return !target.probation || len(target.allocations) == 0
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -12,6 +12,7 @@
 // Tick handles expired deadlines, lost runs and stragglers, and tasks that may start again.
 func (scheduler *Scheduler) Tick(now time.Time) {
 	scheduler.releaseStopped(now)
+	scheduler.repeatStops(now)
 	for _, id := range slices.Sorted(maps.Keys(scheduler.jobs)) {
 		scheduler.checkJob(scheduler.jobs[id], now)
 	}
@@ -59,8 +60,10 @@
 // Sweep removes stale claims, completed jobs and recorded ends; call it a few times a second.
 func (scheduler *Scheduler) Sweep(now time.Time) {
 	scheduler.releaseStopped(now)
+	scheduler.repeatStops(now)
+	scheduler.expireSuspensions(now)
 	scheduler.isolator.Expire(now)
-	scheduler.repeatVoids(now)
+	scheduler.expireLateStarts(now)
 	for _, target := range scheduler.ordered {
 		if len(target.allocations) > 0 {
 			scheduler.dropStaleAllocations(target, now)
@@ -142,7 +145,7 @@
 			// The run takes at least this long. A target that is six times too slow ends too few runs to learn its
 			// speed from them alone.
 			task.runTarget.speed.add(float64(task.spec().Estimate)/float64(now.Sub(task.startedAt)), stragglerWeight)
-			scheduler.emit(StopRun{RunTarget: task.runTarget.Target, Run: task.run(), Reason: "run is a straggler"})
+			scheduler.requestStop(task.runTarget, task.run(), "run is a straggler", false, now)
 		}
 	}
 }
@@ -192,7 +195,9 @@
 			continue
 		}
 		allocation.stopRequestedAt = now
-		scheduler.emit(StopRun{RunTarget: target.Target, Run: run, Reason: "the run's instance is lost or has abandoned it"})
+		if pending, ok := scheduler.pendingStops[targetRun{targetID, run}]; !ok || now.Sub(pending.requestedAt) >= orphanGrace {
+			scheduler.requestStop(target, run, "the run's instance is lost or has abandoned it", true, now)
+		}
 	}
 }
 
@@ -215,6 +220,8 @@
 	// does.
 	Occupied   bool
 	HasOwnRuns bool
+	// UnrenewedUntil is until when the target's lease must not be renewed.
+	UnrenewedUntil time.Time
 	// Unverified means that the target has restarted, and that it is not known whether a run of this instance goes on.
 	Unverified bool
 	// Unreachable means that the target did not answer this instance, and UnreachableByReader that it did not answer
@@ -234,6 +241,7 @@
 	state := TargetState{
 		IncarnationSince: target.incarnationSince, Occupied: len(target.allocations) > 0,
 		Unreachable: target.unreachable, UnreachableByReader: target.unreachableByReader, LastHeard: target.lastHeard,
+		UnrenewedUntil: target.unrenewedUntil,
 	}
 	for _, allocation := range target.allocations {
 		if allocation.owner == scheduler.self {
