Name the incarnation and the age of a run's end between instances

Cause: ends and claims named a run by task, attempt and target. Attempts start over with each submission, and a target that has restarted accepts the same attempt again. The end of the former run, held up by a cut, was taken for the end of the present one.

Evidence: the owner's log has "run ended number=61" 100 ms after the start on an incarnation that had listed no end yet. Ruled out: that the incarnation alone suffices. An owner that has not learned of the restart takes the former incarnation for the present one.

Change: ends carry the incarnation that listed them and their age, to which the receiver adds the delay of the message; claims get the same correction. An end of an earlier incarnation, or from before the start, ends no run, releases no capacity and fulfils no stop. A claim is answered with an end of its own incarnation, however late, and recorded if a later incarnation lists the run. A relayed stop spares the run of another owner. Instances of earlier revisions receive no new fields; the end of one on a target that has restarted recently is checked by a poll.

--- a/executor/peers.go
+++ b/executor/peers.go
@@ -18,8 +18,10 @@
 	for _, run := range update.Disowned {
 		executor.scheduler.HandlePeerDisowned(from, decodeOwnedRun(run), now)
 	}
+	// Messages are held up while the network is cut.
+	delay := executor.peers.DelayOf(from, update.SentUS)
 	for _, claim := range update.Claims {
-		executor.handleClaim(from, claim, now)
+		executor.handleClaim(from, claim, delay, now)
 	}
 	for _, run := range update.Queries {
 		executor.answerQuery(from, decodeOwnedRun(run), now)
@@ -31,7 +33,7 @@
 		}
 	}
 	for _, id := range update.Stops {
-		executor.scheduler.HandlePeerStop(id.Target, runOf(id), now)
+		executor.scheduler.HandlePeerStop(from, id.Target, runOf(id), now)
 	}
 	for _, suspension := range update.Suspensions {
 		executor.scheduler.HandlePeerSuspension(from, decodeSuspension(suspension, now), now)
@@ -47,11 +49,9 @@
 		copy(demand[:], update.Waiting)
 		executor.scheduler.HandlePeerDemand(from, demand)
 	}
-	for _, end := range update.Ends {
-		run := scheduler.Run{Task: end.Task, Attempt: end.Attempt}
-		decoded := scheduler.End{Seq: end.Number, Run: run, Cause: scheduler.Cause(end.Cause)}
-		executor.logEnd(end.Target, decoded, executor.self.Incarnation)
-		executor.scheduler.HandleEnd(end.Target, decoded, now)
+	for i, end := range decodeEnds(&update, delay) {
+		executor.logEnd(update.Ends[i].Target, end, executor.self.Incarnation)
+		executor.scheduler.HandleEnd(update.Ends[i].Target, end, now)
 	}
 	for i := range update.Losses {
 		executor.scheduler.HandlePeerLoss(decodeLoss(&update.Losses[i], now), now)
@@ -71,15 +71,30 @@
 	executor.runActions()
 }
 
-// handleClaim records a claim of another instance, or answers it with the run's end if that is already known.
-func (executor *Executor) handleClaim(from string, claim linker.Claim, now time.Time) {
+// decodeEnds decodes the run ends of an update that was delayed.
+func decodeEnds(update *linker.StateUpdate, delay time.Duration) []scheduler.End {
+	ends := make([]scheduler.End, len(update.Ends))
+	for i := range update.Ends {
+		end := &update.Ends[i]
+		ends[i] = scheduler.End{Seq: end.Number, Run: scheduler.Run{Task: end.Task, Attempt: end.Attempt}, Cause: scheduler.Cause(end.Cause), Age: delay}
+		if len(update.EndOrigins) == len(update.Ends) {
+			ends[i].Incarnation = update.EndOrigins[i].Incarnation
+			ends[i].Age += milliseconds(update.EndOrigins[i].AgeMS)
+		}
+	}
+	return ends
+}
+
+// handleClaim records a claim of another instance that was delayed, or answers it with the run's end if that is already
+// known.
+func (executor *Executor) handleClaim(from string, claim linker.Claim, delay time.Duration, now time.Time) {
 	decoded := scheduler.Claim{
 		Target:      claim.Target,
 		Run:         scheduler.Run{Task: claim.Task, Attempt: claim.Attempt},
 		Resources:   scheduler.Resources{MilliCores: claim.MilliCores, MemoryMB: claim.MemoryMB, Accelerators: claim.Accelerators},
 		Estimate:    time.Duration(claim.EstimateMS) * time.Millisecond,
 		Incarnation: claim.Incarnation,
-		Age:         milliseconds(claim.AgeMS),
+		Age:         milliseconds(claim.AgeMS) + delay,
 	}
 	if end, ended := executor.scheduler.HandlePeerClaim(from, decoded, now); ended {
 		executor.peers.SendRunEnd(from, claim.Target, end)
--- a/executor/peers_test.go
+++ b/executor/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -29,3 +30,21 @@
 	executor.HandleStateUpdate("next", linker.StateUpdate{Withdrawn: []linker.RunID{id}})
 	is.Equal(owner(), "")
 }
+
+// An end must name the incarnation that has listed it and count the time for which a cut network has held it up, or it is
+// taken for the end of a later run.
+func TestEndsCarryTheirOrigin(t *testing.T) {
+	is := is.New(t)
+	update := linker.StateUpdate{Ends: []linker.RunEnd{
+		{Target: "t", Task: "j.0.0.0", Attempt: 1, Number: 7, Cause: int64(scheduler.Stopped)}, {Target: "u", Task: "k.0.0.0", Attempt: 2},
+	}}
+	ends := decodeEnds(&update, 1500*time.Millisecond) // of an earlier revision
+	is.Equal(ends[0], scheduler.End{Seq: 7, Run: scheduler.Run{Task: "j.0.0.0", Attempt: 1}, Cause: scheduler.Stopped, Age: 1500 * time.Millisecond})
+	update.EndOrigins = []linker.EndOrigin{{Incarnation: 3, AgeMS: 20}, {Incarnation: 4, AgeMS: -5}}
+	ends = decodeEnds(&update, 1500*time.Millisecond)
+	is.Equal(ends[0].Incarnation, int64(3))
+	is.Equal(ends[0].Age, 1520*time.Millisecond)
+	is.Equal(ends[1].Age, 1500*time.Millisecond)
+	update.EndOrigins = update.EndOrigins[:1]
+	is.Equal(decodeEnds(&update, 0)[0].Incarnation, int64(0)) // it is not known which end the origin belongs to
+}
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -228,6 +228,7 @@
 func (executor *Executor) processEnds(poller *poller, poll scheduler.PollResult) {
 	acknowledging := poller.isReader.Load()
 	for _, end := range poll.Ended {
+		end.Incarnation = poll.Incarnation
 		if end.Seq > poller.forwarded {
 			executor.forwardEnd(poller, end, poll.Answered)
 		}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -271,6 +271,9 @@
 	update.Ends = append(update.Ends, linker.RunEnd{
 		Target: target, Task: end.Run.Task, Attempt: end.Run.Attempt, Number: end.Seq, Cause: int64(end.Cause),
 	})
+	if peer, ok := gossiper.peers[owner]; ok && peer.hello.Revision >= linker.RevisionOwnership {
+		update.EndOrigins = append(update.EndOrigins, linker.EndOrigin{Incarnation: end.Incarnation, AgeMS: end.Age.Milliseconds()})
+	}
 }
 
 // Abandon asks the delegate, which runs a job for this instance, to abandon it.
@@ -386,7 +389,9 @@
 		if links == nil {
 			continue
 		}
+		sentUS := gossiper.now().UnixMicro()
 		for incarnation, update := range outbox {
+			update.SentUS = sentUS
 			// Lost messages are not resent here: owners repeat claims and requests to abandon jobs, and a claim that
 			// arrives after the run's end is answered with the end.
 			_ = links.Send(incarnation, *update)
@@ -552,7 +557,7 @@
 	case linker.Delegation:
 		gossiper.recordContact(from, linker.StateUpdate{})
 		gossiper.countSharedJob(from.Incarnation, 1)
-		gossiper.receiver.HandleDelegation(from.Incarnation, message, gossiper.delayOf(from.Incarnation, message.SentUS))
+		gossiper.receiver.HandleDelegation(from.Incarnation, message, gossiper.DelayOf(from.Incarnation, message.SentUS))
 	default:
 		gossiper.recordContact(from, linker.StateUpdate{})
 	}
@@ -599,8 +604,8 @@
 	return mayHaveMissed
 }
 
-// delayOf returns how long a message of an instance was under way; 0 if unknown.
-func (gossiper *Gossiper) delayOf(incarnation string, sentUS int64) time.Duration {
+// DelayOf returns how much longer than usual a message of an instance was under way; 0 if unknown.
+func (gossiper *Gossiper) DelayOf(incarnation string, sentUS int64) time.Duration {
 	now := gossiper.now()
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -329,6 +329,14 @@
 	gossiper.BroadcastSuspension(scheduler.Suspension{Target: "t", Until: now.Add(time.Second)})
 	is.Equal(len(gossiper.outbox), 1)
 	is.Equal(gossiper.outbox["present"].Suspensions[0].RemainingMS, int64(1000))
+	gossiper.QueryOwner("former", scheduler.OwnedRun{Target: "t"})
+	gossiper.SendSuspension("former", scheduler.Suspension{Target: "t"})
+	is.Equal(len(gossiper.outbox), 1)
+	end := scheduler.End{Seq: 7, Run: scheduler.Run{Task: "j.0.0.0", Attempt: 1}, Cause: scheduler.Done, Incarnation: 2, Age: 3 * time.Millisecond}
+	gossiper.SendRunEnd("former", "t", end)
+	gossiper.SendRunEnd("present", "t", end)
+	is.Equal(len(gossiper.outbox["former"].EndOrigins), 0)
+	is.Equal(gossiper.outbox["present"].EndOrigins, []linker.EndOrigin{{Incarnation: 2, AgeMS: 3}})
 }
 
 // An instance that starts while others run must not read targets in its first second, in which it is blind; instances that
--- a/linker/message.go
+++ b/linker/message.go
@@ -198,6 +198,13 @@
 	Cause int64
 }
 
+// EndOrigin says which incarnation of a target listed a run end, and how many milliseconds before it was sent.
+type EndOrigin struct {
+	_           struct{} `cbor:",toarray"`
+	Incarnation int64
+	AgeMS       int64
+}
+
 // RunID identifies a run on a target.
 type RunID struct {
 	_       struct{} `cbor:",toarray"`
@@ -293,6 +300,8 @@
 	Abandoned []string `cbor:"abandoned,omitempty"`
 	// Ends is sent to the owner of the runs.
 	Ends []RunEnd `cbor:"ends,omitempty"`
+	// EndOrigins holds the origins of Ends in the same order. Instances of earlier revisions do not send it.
+	EndOrigins []EndOrigin `cbor:"end-origins,omitempty"`
 	// FreeCapacity lists targets that the sender reads, with their free capacity.
 	FreeCapacity []FreeCapacity `cbor:"rooms,omitempty"`
 	// Losses lists targets that were lost, Responding those that turned out not to be, and Restarts those that came back
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -221,24 +221,12 @@
 
 // HandleEnd processes the end of a run, as listed by the target or forwarded by its reader.
 func (scheduler *Scheduler) HandleEnd(targetID string, end End, now time.Time) {
-	scheduler.forgetStop(targetRun{targetID, end.Run})
 	if target, ok := scheduler.targets[targetID]; ok {
-		if end.Cause != NeverRan {
-			target.recordResponse(now)
-		}
-		allocation := scheduler.releaseRun(target, end.Run)
-		if allocation != nil {
-			if end.Cause != NeverRan {
-				scheduler.clearSurvivor(targetID, math.MaxInt64, end.Run, allocation, now)
-			}
-			target.recordEnd(end.Run, allocation, end.Cause, now)
-		}
-		if target.readBySelf {
-			if allocation == nil || allocation.owner != scheduler.self {
-				scheduler.foreignEnds[targetRun{targetID, end.Run}] = recordedEnd{end, now}
-			}
-			scheduler.offerCapacity(target, now)
+		if target.isDoubtful(&end, now) {
+			target.allocations[end.Run].restarted = true
+			return
 		}
+		scheduler.handleTargetEnd(target, end, now)
 	}
 	if task, ok := scheduler.tasks[end.Run.Task]; ok {
 		scheduler.handleTaskEnd(task, targetID, end, now)
@@ -246,6 +234,42 @@
 	scheduler.place(now)
 }
 
+// isDoubtful reports whether an end may belong to a run of a former incarnation or to one that occupies the target now. Only the
+// list of the present incarnation tells. An instance of an earlier revision does not send the incarnation.
+func (target *target) isDoubtful(end *End, now time.Time) bool {
+	if _, ok := target.allocations[end.Run]; !ok || end.Incarnation != 0 || end.Cause == Done || target.restartedAt.IsZero() {
+		return false
+	}
+	return now.Sub(target.restartedAt) < maxRequestDelay
+}
+
+// handleTargetEnd releases the capacity of a run that has ended.
+func (scheduler *Scheduler) handleTargetEnd(target *target, end End, now time.Time) {
+	listedAt := now.Add(-end.Age)
+	if end.Cause != NeverRan && listedAt.After(target.lastHeard) {
+		target.recordResponse(listedAt)
+	}
+	key := targetRun{target.ID, end.Run}
+	if pending, ok := scheduler.pendingStops[key]; ok && end.endsRun(pending.incarnation, time.Time{}, now) {
+		scheduler.forgetStop(key)
+	}
+	allocation, ok := target.allocations[end.Run]
+	if ok && end.endsRun(allocation.incarnation, allocation.claimedAt, now) {
+		scheduler.releaseRun(target, end.Run)
+		if end.Cause != NeverRan {
+			scheduler.clearSurvivor(target.ID, math.MaxInt64, end.Run, allocation, now)
+		}
+		target.recordEnd(end.Run, allocation, end.Cause, listedAt)
+	}
+	if target.readBySelf {
+		if !ok || allocation.owner != scheduler.self {
+			end.Incarnation = cmp.Or(end.Incarnation, target.Incarnation)
+			scheduler.foreignEnds[key] = recordedEnd{end, now}
+		}
+		scheduler.offerCapacity(target, now)
+	}
+}
+
 // releaseRun removes the allocation of a run and returns it, or nil if there is none.
 func (scheduler *Scheduler) releaseRun(target *target, run Run) *allocation {
 	allocation := target.releaseRun(run)
@@ -259,7 +283,7 @@
 	if end.Cause != NeverRan {
 		task.job.mayHaveStarted = true
 	}
-	isLatest := task.latest(targetID, end.Run)
+	isLatest := task.latest(targetID, end.Run) && end.endsRun(task.incarnation, task.startedAt, now)
 	isActive := isLatest && task.mayBeRunning()
 	switch {
 	case end.Cause == Done && task.state != done:
@@ -403,6 +427,7 @@
 	if previous == 0 {
 		return
 	}
+	target.restartedAt = now
 	defer scheduler.observeIncarnation(target.ID, target.Address, incarnation, now)
 	scheduler.recordUnnoticedEnd(target, previous, now)
 	scheduler.emit(TargetRestarted{Target: target.ID, Incarnation: incarnation, Previous: previous, Runs: target.occupyingRuns(now)})
@@ -453,11 +478,12 @@
 // it returns the end and true.
 func (scheduler *Scheduler) HandlePeerClaim(owner string, claim Claim, now time.Time) (End, bool) {
 	claimedAt := now.Add(-claim.Age)
-	// An end from before the start belongs to a run of an earlier submission, whose attempts had the same numbers.
-	if recorded, ok := scheduler.foreignEnds[targetRun{claim.Target, claim.Run}]; ok && !recorded.at.Before(claimedAt.Add(-maxClaimTransit)) {
+	target, ok := scheduler.targets[claim.Target]
+	if recorded, found := scheduler.foreignEnds[targetRun{claim.Target, claim.Run}]; found && !(ok && target.listsAfter(claim.Run, recorded.Incarnation)) &&
+		recorded.answers(&claim, claimedAt) {
+		recorded.Age = now.Sub(recorded.at)
 		return recorded.End, true
 	}
-	target, ok := scheduler.targets[claim.Target]
 	if !ok || !target.readBySelf {
 		return End{}, false
 	}
@@ -482,6 +508,22 @@
 	return End{}, false
 }
 
+// answers reports whether the end is that of a claimed run. Its owner decides by the age of the end if it cannot be told.
+func (recorded *recordedEnd) answers(claim *Claim, claimedAt time.Time) bool {
+	if claim.Incarnation != 0 && recorded.Incarnation != 0 && recorded.Incarnation <= claim.Incarnation {
+		// An incarnation never runs the same attempt again.
+		return recorded.Incarnation == claim.Incarnation
+	}
+	// An end from before the start belongs to a run of an earlier submission, whose attempts had the same numbers.
+	return !recorded.at.Before(claimedAt.Add(-maxClaimTransit))
+}
+
+// listsAfter reports whether the target has listed a run on a later incarnation than the given one.
+func (target *target) listsAfter(run Run, incarnation int64) bool {
+	allocation, ok := target.allocations[run]
+	return ok && !allocation.confirmedAt.IsZero() && !allocation.restarted && allocation.incarnation > incarnation
+}
+
 // HandlePeerWithdrawal drops the claim of a run that does not occupy its target.
 func (scheduler *Scheduler) HandlePeerWithdrawal(targetID string, run Run, now time.Time) {
 	if target, ok := scheduler.targets[targetID]; ok {
@@ -501,9 +543,16 @@
 }
 
 // HandlePeerStop stops a run on behalf of an instance that got no answer from the target.
-func (scheduler *Scheduler) HandlePeerStop(targetID string, run Run, now time.Time) {
+func (scheduler *Scheduler) HandlePeerStop(from, targetID string, run Run, now time.Time) {
 	target, ok := scheduler.targets[targetID]
-	if _, pending := scheduler.pendingStops[targetRun{targetID, run}]; ok && !pending {
+	if !ok {
+		return
+	}
+	if allocation, ok := target.allocations[run]; ok && allocation.owner != "" && allocation.owner != from {
+		// The job has been sent again to the owner, whose attempts have the same numbers.
+		return
+	}
+	if _, pending := scheduler.pendingStops[targetRun{targetID, run}]; !pending {
 		scheduler.requestStop(target, run, "requested by an instance that got no answer", false, now)
 	}
 }
--- a/scheduler/incarnation_test.go
+++ b/scheduler/incarnation_test.go
@@ -225,3 +225,84 @@
 	_, ended := scheduler.HandlePeerClaim("peer", Claim{Target: "t0", Run: run, Resources: Resources{MilliCores: 14000}, Incarnation: 1}, at(100))
 	is.True(ended)
 }
+
+// startOnNextIncarnation starts a job, abandons it, and starts it again on the next incarnation of its target with the same
+// attempt. If the restart is unnoticed, the owner takes the target for the first incarnation.
+func startOnNextIncarnation(t *testing.T, noticed bool) (*Scheduler, StartTask) {
+	t.Helper()
+	is := is.New(t)
+	scheduler := New("self", "a")
+	scheduler.SetTargets(distinctTargets(1), at(-1000))
+	first := startOnFirst(t, scheduler, distinctTargets(1), testJob("j", 1, 400, 0))
+	scheduler.Abandon("j", "the caller left", at(10))
+	scheduler.HandleStopResult(first.Target, first.Run, true, at(12))
+	scheduler.Tick(at(100))
+	if noticed {
+		scheduler.HandlePeerRestart(first.Target, 2, at(1200))
+	}
+	drain(scheduler)
+	scheduler.Submit(testJob("j", 1, 400, 1310), at(1310))
+	second := drain(scheduler).starts
+	is.Equal(second[0].Run, first.Run)
+	acceptStarts(scheduler, second, at(1312))
+	return scheduler, second[0]
+}
+
+// The end of a former submission's run that reaches its owner late must not end the present run: by the incarnation that has
+// listed it, or by its age if the owner has not learned of the restart.
+func TestLateEndOfFormerSubmissionEndsNoLaterRun(t *testing.T) {
+	tests := []struct {
+		name    string
+		noticed bool
+		end     End
+		ends    bool
+	}{
+		{"former incarnation", true, End{Incarnation: 1}, false},
+		{"former incarnation, unnoticed restart", false, End{Incarnation: 1, Age: 1210 * time.Millisecond}, false},
+		{"sender of an earlier revision, unnoticed restart", false, End{Age: 1210 * time.Millisecond}, false},
+		{"present incarnation", true, End{Incarnation: 2}, true},
+		{"present incarnation, unnoticed restart", false, End{Incarnation: 2, Age: 5 * time.Millisecond}, true},
+	}
+	for _, test := range tests {
+		for _, cause := range []Cause{Stopped, Failed, Lapsed} {
+			t.Run(test.name+", "+cause.String(), func(t *testing.T) {
+				is := is.New(t)
+				scheduler, start := startOnNextIncarnation(t, test.noticed)
+				test.end.Seq, test.end.Run, test.end.Cause = 7, start.Run, cause
+				scheduler.HandleEnd(start.Target, test.end, at(1320))
+				_, occupied := scheduler.targets["t0"].allocations[start.Run]
+				is.Equal(occupied, !test.ends) // and its capacity is not given to others
+				is.Equal(scheduler.tasks[start.Run.Task].state == running, !test.ends)
+			})
+		}
+	}
+}
+
+// The reader must record the claim of a run that the present incarnation lists, and not answer it with an end that the former
+// one has listed: the owner may not have learned of the restart yet.
+func TestClaimOfAListedRunIsRecorded(t *testing.T) {
+	is := is.New(t)
+	reader := newTestScheduler(1)
+	run := Run{"j.0.0.0", 1}
+	reader.HandleEnd("t0", End{Seq: 9, Run: run, Cause: Stopped, Incarnation: 1}, at(10))
+	reader.HandlePoll("t0", PollResult{Incarnation: 2, Running: []ActiveRun{{Run: run}}, Sent: at(1400), Answered: at(1401)})
+	_, ended := reader.HandlePeerClaim("owner", Claim{Target: "t0", Run: run, Resources: Resources{MilliCores: 14000}, Incarnation: 1}, at(1402))
+	is.True(!ended)
+	is.Equal(reader.Owner("t0", run), "owner")
+}
+
+// A stop must be requested until the run has ended; the end of a run of the former incarnation does not show that.
+func TestEndOfFormerIncarnationEndsNoStop(t *testing.T) {
+	is := is.New(t)
+	scheduler, start := startOnNextIncarnation(t, true)
+	scheduler.Abandon("j", "the caller left", at(1320))
+	scheduler.HandleStopResult(start.Target, start.Run, false, at(1440))
+	drain(scheduler)
+	scheduler.HandleEnd(start.Target, End{Seq: 7, Run: start.Run, Cause: Stopped, Incarnation: 1}, at(1441))
+	scheduler.Sweep(at(1500))
+	is.Equal(len(drain(scheduler).stops), 1)
+	scheduler.HandleEnd(start.Target, End{Seq: 1, Run: start.Run, Cause: Stopped, Incarnation: 2}, at(1501))
+	scheduler.HandleStopResult(start.Target, start.Run, false, at(1600))
+	scheduler.Sweep(at(1700))
+	is.Equal(len(drain(scheduler).stops), 0)
+}
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -209,8 +209,26 @@
 	Seq   int64
 	Run   Run
 	Cause Cause
+	// Incarnation is the incarnation of the target that listed the end; 0 if unknown.
+	Incarnation int64
+	// Age is the time since the end was listed.
+	Age time.Duration
+}
+
+// endsRun reports whether the end may be that of a run that was started at the given time and was last known on the given
+// incarnation of its target. Attempt numbers start over when a job is submitted again, so that the end of a run of an
+// earlier submission can name the same run.
+func (end *End) endsRun(incarnation int64, startedAt, now time.Time) bool {
+	if end.Incarnation != 0 && end.Incarnation < incarnation {
+		return false
+	}
+	return !now.Add(maxAgeError - end.Age).Before(startedAt)
 }
 
+// maxAgeError is by how much the age of an end may be overestimated. The end of an earlier submission's run is older: its
+// caller waits for longer before it sends the job again.
+const maxAgeError = 100 * time.Millisecond
+
 // PollResult is a target's answer to a poll.
 type PollResult struct {
 	Incarnation int64
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -318,6 +318,7 @@
 	}
 	instance.scheduler.HandlePoll(target.id, poll)
 	for _, end := range poll.Ended {
+		end.Incarnation = poll.Incarnation
 		owner := instance.scheduler.Owner(target.id, end.Run)
 		instance.acknowledged[target.id] = end.Seq
 		instance.scheduler.HandleEnd(target.id, end, at(simulation.now))
@@ -458,7 +459,9 @@
 				})
 		case RelayStop:
 			if reader := simulation.reader(simulation.index(action.Target)); reader >= 0 && reader != number {
-				simulation.send(simulation.instances[reader].name, func(peer *Scheduler) { peer.HandlePeerStop(action.Target, action.Run, at(simulation.now)) })
+				simulation.send(simulation.instances[reader].name, func(peer *Scheduler) {
+					peer.HandlePeerStop(scheduler.self, action.Target, action.Run, at(simulation.now))
+				})
 			}
 		case QueryOwner:
 			for _, to := range action.To {
--- a/scheduler/stop.go
+++ b/scheduler/stop.go
@@ -23,6 +23,8 @@
 // once no instance renews the lease.
 type pendingStop struct {
 	reason string
+	// incarnation is the incarnation of the target that was last requested to stop the run; 0 if unknown.
+	incarnation int64
 	// since is when the stop was first requested, and requestedAt when it was last requested.
 	since       time.Time
 	requestedAt time.Time
@@ -44,7 +46,7 @@
 		pending = &pendingStop{since: now}
 		scheduler.pendingStops[key] = pending
 	}
-	pending.reason, pending.requestedAt = reason, now
+	pending.reason, pending.incarnation, pending.requestedAt = reason, target.Incarnation, now
 	pending.underWay++
 	scheduler.emit(StopRun{RunTarget: target.Target, Run: run, Reason: reason})
 	if unwanted {
--- a/scheduler/stop_test.go
+++ b/scheduler/stop_test.go
@@ -114,7 +114,9 @@
 			}
 		case RelayStop:
 			if scheduler != unstoppable.reader {
-				unstoppable.after(now, 2, func(when time.Time) { unstoppable.reader.HandlePeerStop(action.Target, action.Run, when) })
+				unstoppable.after(now, 2, func(when time.Time) {
+					unstoppable.reader.HandlePeerStop(scheduler.self, action.Target, action.Run, when)
+				})
 			}
 		case SuspendRenewals:
 			for _, peer := range unstoppable.all() {
@@ -202,3 +204,15 @@
 	scheduler.Sweep(at(1000))
 	is.Equal(len(drain(scheduler).stops), 0)
 }
+
+// A late request to stop a run of an earlier submission must not stop the run of the instance to which the job was sent again.
+func TestRelayedStopSparesTheRunOfAnotherOwner(t *testing.T) {
+	is := is.New(t)
+	reader := newTestScheduler(1)
+	claim := Claim{Target: "t0", Run: Run{"j.0.0.0", 1}, Resources: Resources{MilliCores: 14000}, Incarnation: 1}
+	reader.HandlePeerClaim("present", claim, at(0))
+	reader.HandlePeerStop("former", "t0", claim.Run, at(10))
+	is.Equal(len(drain(reader).stops), 0)
+	reader.HandlePeerStop("present", "t0", claim.Run, at(20))
+	is.Equal(len(drain(reader).stops), 1)
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -154,8 +154,10 @@
 	offerCount int64
 	// replaced means that another target has the address.
 	replaced bool
-	// incarnationSince is when the present incarnation became known.
+	// incarnationSince is when the present incarnation became known, and restartedAt when it replaced another one; zero if it
+	// is the first one that this instance knows.
 	incarnationSince time.Time
+	restartedAt      time.Time
 	// addressIncarnation is the latest incarnation that is known to have the address; 0 if unknown. News of a restart
 	// may come without the address of the next incarnation.
 	addressIncarnation int64
