Skip records whose key has spaces at its ends

An entry under a key of one space was used as a target. The header that names the expected target loses such spaces, so that any target at the address accepted its starts. TestReadableKeys fails before it.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -129,8 +129,8 @@
 	})
 }
 
-// IsReadableKey reports whether a key is printable text. Keys become IDs, which are sent in headers and between instances. A
-// source may return a replacement character for a byte that is not text.
+// IsReadableKey reports whether a key is printable text without spaces at its ends. Keys become IDs, which are sent in headers
+// and between instances. A source may return a replacement character for a byte that is not text.
 func IsReadableKey(key string) bool {
-	return key != "" && !strings.ContainsFunc(key, func(character rune) bool { return character == unicode.ReplacementChar || !unicode.IsPrint(character) })
+	return key != "" && key == strings.TrimSpace(key) && !strings.ContainsFunc(key, func(character rune) bool { return character == unicode.ReplacementChar || !unicode.IsPrint(character) })
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -88,3 +88,14 @@
 		is.Equal(scriptedSource.calls[:10], []string{"newest", "newest", "read 5", "read 6", "read 6", "read 6", "read 6", "read 8", "newest", "read 20"})
 	})
 }
+
+// A key that cannot be sent as it is, in a header or as text, would name another target, or none.
+func TestReadableKeys(t *testing.T) {
+	is := is.New(t)
+	for _, key := range []string{"i-1", "config", "a b", "máy", "{}", "../.."} {
+		is.True(IsReadableKey(key))
+	}
+	for _, key := range []string{"", " ", " i-1", "i-1 ", "\xff", "\ufffd", "a\r\nb", "a\x00", "\u202ei"} {
+		is.True(!IsReadableKey(key))
+	}
+}
