Take an entry of discovery for a hint, and an answer for knowledge

Cause: the address and incarnation of an entry were taken for those at which the target had been seen. The 421 of the target at the other address, which is right, counted as proof that the first one had ended.

Change: an entry that contradicts what a target has answered waits until its reader has polled it, and the reader tells the others; it is used if the target no longer answers, if the other incarnation is found, or after two seconds. An answer corrects an incarnation that only an entry has named, and a lower one than has answered before is a restart. A 421, also to a stop, proves the end of a run only where its incarnation has answered or this instance has started it. Where entries name the incarnation, one without it is not used.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,7 +50,8 @@
 type TargetClient interface {
 	// Start starts a run; the request and the lease that it asks for expire at lease.
 	Start(ctx context.Context, on scheduler.Target, start scheduler.StartTask, lease time.Time) scheduler.StartResult
-	// Stop stops a run. It returns nil once the target has accepted the request or does not have the run.
+	// Stop stops a run. It returns nil once the target has accepted the request, and ErrReplaced if another target has its
+	// address.
 	Stop(ctx context.Context, on scheduler.Target, run scheduler.Run) error
 	// Poll asks for the running and ended runs of a target. It returns ErrReplaced if the target is gone for certain.
 	Poll(ctx context.Context, on scheduler.Target, request PollRequest) (scheduler.PollResult, error)
@@ -164,6 +166,9 @@
 			delete(executor.pollers, id)
 		}
 	}
+	for _, id := range executor.scheduler.Contradicted() {
+		executor.wake(id)
+	}
 }
 
 // Ready reports whether any target is known.
@@ -346,6 +351,9 @@
 	case scheduler.LossWithdrawn:
 		executor.logWithdrawnLoss(action)
 		executor.peers.BroadcastResponding(action.Target, action.Incarnation)
+	case scheduler.TargetVerified:
+		executor.logger.Warn("entry of a target contradicts its answer", "target", action.Target, "incarnation", action.Incarnation)
+		executor.peers.BroadcastVerified(action.Target, action.Incarnation)
 	case scheduler.TargetRestarted:
 		executor.meter.targetRestarts.Inc()
 		executor.logTargetRestart(action)
@@ -396,7 +404,7 @@
 		ctx, cancel := context.WithTimeout(executor.ctx, stopTimeout+executor.uplink.send(0, executor.now()))
 		err = executor.client.Stop(ctx, stop.RunTarget, stop.Run)
 		cancel()
-		if err == nil {
+		if err == nil || errors.Is(err, ErrReplaced) {
 			break
 		}
 	}
@@ -404,7 +412,8 @@
 	executor.logStop(stop, err)
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
-	executor.scheduler.HandleStopResult(stop.RunTarget.ID, stop.Run, err == nil, executor.now())
+	stopped := err == nil || errors.Is(err, ErrReplaced) && executor.scheduler.HasEndedWith(stop.RunTarget, stop.Run)
+	executor.scheduler.HandleStopResult(stop.RunTarget.ID, stop.Run, stopped, executor.now())
 	executor.runActions()
 	executor.wake(stop.RunTarget.ID)
 }
--- a/executor/peers.go
+++ b/executor/peers.go
@@ -64,6 +64,10 @@
 		executor.scheduler.HandlePeerRestart(restarted.Target, restarted.Incarnation, now)
 		executor.wake(restarted.Target)
 	}
+	for _, verified := range update.Verified {
+		executor.scheduler.HandlePeerVerification(verified.Target, verified.Incarnation, now)
+		executor.wake(verified.Target)
+	}
 	for _, job := range update.Abandoned {
 		executor.abandonForeign(from, job)
 	}
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -143,6 +143,8 @@
 		return PollRequest{}, probeInterval - sincePoll
 	case poller.failures > 0:
 		return PollRequest{}, 0
+	case state.Contradicted && (poller.isReader.Load() || state.HasOwnRuns):
+		return PollRequest{}, minPollInterval - sincePoll
 	case poller.isReader.Load() && state.Occupied:
 		request := PollRequest{Acknowledged: acknowledged, Wait: pollWait}
 		if len(poller.withheld) > 0 {
@@ -202,6 +204,7 @@
 		executor.handlePollFailure(poller, target, err)
 		return
 	}
+	poll.Address = target.Address
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
 	if !executor.scheduler.HandlePoll(poller.id, poll) {
@@ -283,11 +286,13 @@
 		executor.logger.Warn("target does not answer", "target", poller.id, "error", eris.ToString(err, false))
 	}
 	replaced := errors.Is(err, ErrReplaced)
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	executor.scheduler.HandlePollFailure(poller.id, executor.now())
+	executor.runActions()
 	if !replaced && poller.failures < unreachableThreshold {
 		return
 	}
-	executor.mu.Lock()
-	defer executor.mu.Unlock()
 	if known, ok := executor.scheduler.Target(poller.id); ok && (known.Address != target.Address || known.Incarnation != target.Incarnation) {
 		// The failure says nothing about the target as it is known by now.
 		poller.failures = 0
--- a/gossiper/losses.go
+++ b/gossiper/losses.go
@@ -46,6 +46,13 @@
 	}
 }
 
+// BroadcastVerified notifies all instances without delay which incarnation of a target has answered.
+func (gossiper *Gossiper) BroadcastVerified(target string, incarnation int64) {
+	gossiper.updateAll(linker.RevisionOwnership, func(update *linker.StateUpdate) {
+		update.Verified = append(update.Verified, linker.TargetIncarnation{Target: target, Incarnation: incarnation})
+	})
+}
+
 func encodeLoss(loss *isolator.Loss, now time.Time) linker.Loss {
 	encoded := linker.Loss{
 		Target: loss.Target, Incarnation: loss.Incarnation, Address: loss.Address, Evidence: int64(loss.Evidence), AgeMS: now.Sub(loss.At).Milliseconds(), Observer: loss.Observer,
--- a/linker/codec.go
+++ b/linker/codec.go
@@ -285,7 +285,7 @@
 			texts = append(texts, update.Losses[i].Runs[run].Task, update.Losses[i].Runs[run].Route)
 		}
 	}
-	for _, incarnations := range [][]TargetIncarnation{update.Responding, update.Restarts} {
+	for _, incarnations := range [][]TargetIncarnation{update.Responding, update.Restarts, update.Verified} {
 		for i := range incarnations {
 			texts = append(texts, incarnations[i].Target)
 		}
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -127,6 +127,7 @@
 			Responding:   []TargetIncarnation{{Target: "t", Incarnation: 1}},
 			Restarts:     []TargetIncarnation{{Target: "t", Incarnation: 2}},
 			Ends:         []RunEnd{{Target: "t", Task: "k", Attempt: 1, Number: 2, Cause: 1}},
+			Verified:     []TargetIncarnation{{Target: "t", Incarnation: 3}},
 			EndOrigins:   []EndOrigin{{Incarnation: 2, AgeMS: 3}},
 			FreeCapacity: []FreeCapacity{{Target: "t", MilliCores: 1, Unreachable: true}}, Abandoned: []string{"j"}, Waiting: []int64{1, 0}, Leaving: true, Busy: true, SentUS: 6,
 		},
--- a/linker/message.go
+++ b/linker/message.go
@@ -309,6 +309,8 @@
 	Losses     []Loss              `cbor:"losses,omitempty"`
 	Responding []TargetIncarnation `cbor:"responding,omitempty"`
 	Restarts   []TargetIncarnation `cbor:"restarts,omitempty"`
+	// Verified lists the incarnations of targets that have answered the sender, although their entries say otherwise.
+	Verified []TargetIncarnation `cbor:"verified,omitempty"`
 	// Waiting is the number of tasks waiting at the sender, by priority. It is empty in an update for a single
 	// instance.
 	Waiting []int64 `cbor:"waiting,omitempty"`
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -63,6 +63,7 @@
 		target.unreachable = false
 		if allocation, ok := target.allocations[run]; ok {
 			allocation.confirmedAt = now
+			target.addressVerified = target.addressVerified || allocation.address == target.Address && allocation.incarnation == target.Incarnation
 		} else {
 			lost = true
 		}
@@ -353,11 +354,7 @@
 		target.unreachable = false
 		scheduler.changedTargets[targetID] = target.readBySelf
 	}
-	if poll.Incarnation != 0 && poll.Incarnation > target.Incarnation {
-		scheduler.handleTargetRestart(target, poll.Incarnation, now)
-		scheduler.voidLateStarts(target, now)
-	}
-	target.replaced, target.addressIncarnation = false, target.Incarnation
+	scheduler.recordAnswer(target, &poll)
 	scheduler.withdrawLoss(target, poll.Sent)
 	listed := make(map[Run]bool, len(poll.Running)+len(poll.Ended))
 	for _, active := range poll.Running {
@@ -423,7 +420,7 @@
 // only in the target's list: an instance that had not learned of the restart may have started runs since.
 func (scheduler *Scheduler) handleTargetRestart(target *target, incarnation int64, now time.Time) {
 	previous := target.Incarnation
-	target.Incarnation, target.incarnationSince = incarnation, now
+	target.Incarnation, target.incarnationSince, target.addressVerified = incarnation, now, false
 	if previous == 0 {
 		return
 	}
--- a/scheduler/loss.go
+++ b/scheduler/loss.go
@@ -189,10 +189,17 @@
 
 // HandlePeerRestart handles another incarnation of a target that its reader has seen.
 func (scheduler *Scheduler) HandlePeerRestart(targetID string, incarnation int64, now time.Time) {
-	if target, ok := scheduler.targets[targetID]; ok && incarnation > target.Incarnation {
+	target, ok := scheduler.targets[targetID]
+	if !ok || incarnation <= target.Incarnation {
+		return
+	}
+	if pending := target.pending; pending != nil && pending.Incarnation == incarnation {
+		scheduler.adoptPending(target, now)
+	} else {
 		scheduler.handleTargetRestart(target, incarnation, now)
 		scheduler.voidLateStarts(target, now)
 	}
+	target.verified = incarnation
 }
 
 // mergeLoss merges a loss, shares it with the other instances if share is set and it brings anything new, and gives up
@@ -280,7 +287,7 @@
 }
 
 // HandleReplaced handles the news that another target has the address at which on was known when it was polled. The
-// target gets no work until it is known at another address or answers. If its present incarnation was seen at the
+// target gets no work until it is known at another address or answers. If its present incarnation has answered at the
 // address, its runs have ended.
 func (scheduler *Scheduler) HandleReplaced(on Target, now time.Time) {
 	target, ok := scheduler.targets[on.ID]
@@ -288,7 +295,7 @@
 		return
 	}
 	target.replaced = true
-	if target.addressIncarnation != target.Incarnation {
+	if !target.addressVerified {
 		target.unreachable = true
 		scheduler.changedTargets[target.ID] = target.readBySelf
 		return
@@ -303,6 +310,19 @@
 	scheduler.place(now)
 }
 
+// HasEndedWith reports whether the news that another target has the address of the given one shows that a run does not go on:
+// the present incarnation has answered at the address, or this instance has started the run there.
+func (scheduler *Scheduler) HasEndedWith(on Target, run Run) bool {
+	target, ok := scheduler.targets[on.ID]
+	if !ok {
+		return false
+	}
+	if allocation, ok := target.allocations[run]; ok && allocation.owner == scheduler.self && allocation.address == on.Address {
+		return true
+	}
+	return on.Address == target.Address && on.Incarnation == target.Incarnation && target.addressVerified
+}
+
 // lists reports whether a target is known.
 func (scheduler *Scheduler) lists(targetID string) bool {
 	_, ok := scheduler.targets[targetID]
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -232,8 +232,10 @@
 // PollResult is a target's answer to a poll.
 type PollResult struct {
 	Incarnation int64
-	Running     []ActiveRun
-	Ended       []End
+	// Address is the address that was polled; empty if it is the known one.
+	Address string
+	Running []ActiveRun
+	Ended   []End
 	// Sent is when the request was sent, and Answered when the answer had arrived.
 	Sent     time.Time
 	Answered time.Time
@@ -252,7 +254,8 @@
 }
 
 // Action is something that the caller of the scheduler has to do: StartTask, StopRun, RelayStop, SuspendRenewals, QueryOwner,
-// WithdrawClaim, OfferCapacity, AnswerJob, LossRecorded or LossWithdrawn, or to record: RunLost, TaskGivenUp or TargetRestarted.
+// WithdrawClaim, OfferCapacity, AnswerJob, LossRecorded, LossWithdrawn or TargetVerified, or to record: RunLost, TaskGivenUp or
+// TargetRestarted.
 type Action interface{ isAction() }
 
 // StartTask asks to start a run on a target.
@@ -399,6 +402,13 @@
 	Incarnation int64
 }
 
+// TargetVerified asks to notify all other instances which incarnation of a target has answered, although an entry of
+// discovery names another one or another address.
+type TargetVerified struct {
+	Target      string
+	Incarnation int64
+}
+
 // TargetRestarted records that a target has another incarnation than before. Runs lists the runs that were not known to
 // have ended.
 type TargetRestarted struct {
@@ -421,3 +431,4 @@
 func (LossRecorded) isAction()    {}
 func (LossWithdrawn) isAction()   {}
 func (TargetRestarted) isAction() {}
+func (TargetVerified) isAction()  {}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -214,43 +214,6 @@
 	scheduler.place(now)
 }
 
-func (scheduler *Scheduler) setTarget(info Target, now time.Time) {
-	known, ok := scheduler.targets[info.ID]
-	if !ok {
-		scheduler.observeIncarnation(info.ID, info.Address, info.Incarnation, now)
-		added := newTarget(info, scheduler.groupSpeed(info), now)
-		added.suspended = scheduler.suspended[info.Domain]
-		added.nonReaderBias = nonReaderSpread * RendezvousHash(scheduler.self, info.ID)
-		scheduler.targets[info.ID] = added
-		scheduler.voidLateStarts(added, now)
-		return
-	}
-	known.deletedAt = time.Time{}
-	if info.Incarnation != 0 && info.Incarnation < known.Incarnation {
-		// A former incarnation wrote the entry.
-		return
-	}
-	restarted := info.Incarnation != 0 && info.Incarnation > known.Incarnation
-	if restarted {
-		scheduler.handleTargetRestart(known, info.Incarnation, now)
-	}
-	former := known.Address
-	if info.Address != former {
-		known.resetExclusions()
-	}
-	known.addressIncarnation = max(known.addressIncarnation, info.Incarnation)
-	info.Incarnation = known.Incarnation
-	if info.Capacity != known.Capacity && known.readBySelf {
-		scheduler.changedTargets[info.ID] = true
-	}
-	known.Target = info
-	known.largestCapacity = known.largestCapacity.max(info.Capacity)
-	known.groupSpeed = scheduler.groupSpeed(info)
-	if restarted || info.Address != former {
-		scheduler.voidLateStarts(known, now)
-	}
-}
-
 // groupSpeed returns the learned speed shared by all targets with the same service, first label and processor capacity.
 func (scheduler *Scheduler) groupSpeed(info Target) *learnedSpeed {
 	key := info.Service + "/" + time.Duration(info.Capacity.MilliCores).String()
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -158,9 +158,14 @@
 	// is the first one that this instance knows.
 	incarnationSince time.Time
 	restartedAt      time.Time
-	// addressIncarnation is the latest incarnation that is known to have the address; 0 if unknown. News of a restart
-	// may come without the address of the next incarnation.
-	addressIncarnation int64
+	// verified is the incarnation that has last answered this instance or its reader; 0 if none. addressVerified means that
+	// the present incarnation has answered at the known address: news of a restart may come without the address of the
+	// next incarnation.
+	verified        int64
+	addressVerified bool
+	// pending is an entry that contradicts what the target has answered, or nil, and pendingSince when it was read.
+	pending      *Target
+	pendingSince time.Time
 	// isolatedJob is the job whose tasks run here without those of other jobs, or empty.
 	isolatedJob string
 	// cachedSpeed is the speed factor as of cachedVersion, which combines the versions of both learned speeds.
@@ -170,7 +175,7 @@
 
 func newTarget(info Target, groupSpeed *learnedSpeed, now time.Time) *target {
 	return &target{
-		Target: info, incarnationSince: now, addressIncarnation: info.Incarnation, largestCapacity: info.Capacity,
+		Target: info, incarnationSince: now, largestCapacity: info.Capacity,
 		allocations: make(map[Run]*allocation), groupSpeed: groupSpeed,
 	}
 }
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -62,6 +62,7 @@
 	scheduler.releaseStopped(now)
 	scheduler.repeatStops(now)
 	scheduler.expireSuspensions(now)
+	scheduler.expirePendingEntries(now)
 	scheduler.isolator.Expire(now)
 	scheduler.expireLateStarts(now)
 	for _, target := range scheduler.ordered {
@@ -191,6 +192,8 @@
 	UnrenewedUntil time.Time
 	// Unverified means that the target has restarted, and that it is not known whether a run of this instance goes on.
 	Unverified bool
+	// Contradicted means that an entry contradicts what the target has answered, so that it has to answer again.
+	Contradicted bool
 	// Unreachable means that the target did not answer this instance, and UnreachableByReader that it did not answer
 	// its reader.
 	Unreachable         bool
@@ -214,6 +217,7 @@
 		IncarnationSince: target.incarnationSince, Occupied: len(target.allocations) > 0,
 		Unreachable: target.unreachable, UnreachableByReader: target.unreachableByReader, LastHeard: target.lastHeard,
 		WantedUntil: scheduler.wantedUntil(target), UnrenewedUntil: target.unrenewedUntil,
+		Contradicted: target.pending != nil,
 	}
 	for _, allocation := range target.allocations {
 		if allocation.owner == scheduler.self {
--- a/supervisor/registry.go
+++ b/supervisor/registry.go
@@ -21,6 +21,9 @@
 type targetRegistry struct {
 	logger  hclog.Logger
 	targets map[string]scheduler.Target
+	// incarnationsNamed means that an entry has named the incarnation of its target. All targets of a platform do, or none;
+	// an entry without it then comes from another writer.
+	incarnationsNamed bool
 }
 
 func newTargetRegistry(logger hclog.Logger) *targetRegistry {
@@ -46,7 +49,16 @@
 	for _, record := range update.Records {
 		changed = registry.apply(record) || changed
 	}
-	return changed || update.Snapshot
+	return registry.dropUnnamed() || changed || update.Snapshot
+}
+
+// dropUnnamed removes the targets whose entries lack the incarnation that others name, and reports whether there were any.
+func (registry *targetRegistry) dropUnnamed() bool {
+	known := len(registry.targets)
+	if registry.incarnationsNamed {
+		maps.DeleteFunc(registry.targets, func(_ string, target scheduler.Target) bool { return target.Incarnation == 0 })
+	}
+	return len(registry.targets) < known
 }
 
 func (registry *targetRegistry) apply(record follower.Record) bool {
@@ -62,6 +74,7 @@
 		return ok
 	}
 	registry.targets[record.Key] = target
+	registry.incarnationsNamed = registry.incarnationsNamed || target.Incarnation != 0
 	if !ok || previous.Draining != target.Draining || previous.Incarnation != target.Incarnation {
 		registry.logger.Info("target updated", "target", target.ID, "domain", target.Domain, "draining", target.Draining, "incarnation", target.Incarnation)
 	}
