Cancel a job on whichever instance it runs

Cause: an instance knows only its own jobs, and its "no" was answered as "no such job exists". Nobody was told, and nobody remembered the cancel.

Change: a cancel is told to all instances, which abandon the job, answer whether they had it and keep the cancellation for a minute: the job does not start later. The caller gets 410 only if all have answered that they do not have the job; after 200 ms without all answers it gets 200. Instances that join, or may have missed a cancellation, are sent them.

--- a/executor/delegation.go
+++ b/executor/delegation.go
@@ -53,7 +53,7 @@
 // than others delegate their jobs, preferably within their own failure domain; the delegate is drawn by weight. The
 // caller holds the lock.
 func (executor *Executor) delegateFor(job *scheduler.Job) (string, bool) {
-	if !executor.delegating || executor.has(job.ID) {
+	if !executor.delegating || executor.has(job.ID) || executor.scheduler.Cancelled(job.ID) {
 		return "", false
 	}
 	tasks := 0
--- a/executor/delegation_test.go
+++ b/executor/delegation_test.go
@@ -208,12 +208,12 @@
 	is.True(small.Has("left"))
 	cancel()
 	is.Equal(<-left, nil)
-	is.True(small.Cancel("cancelled"))
+	is.True(small.Cancel(t.Context(), "cancelled"))
 	_, unknown := (<-cancelled).(dispatcher.Unknown)
 	is.True(unknown)
 	await(t, "all runs are stopped", func() bool { return target.readLocked(func() int { return target.stopped }) == 4 })
 	is.True(!large.Has("left") && !large.Has("cancelled"))
-	is.True(!small.Cancel("left"))
+	is.True(!small.Cancel(t.Context(), "left"))
 }
 
 // If the delegate is lost, the caller must get an answer at once rather than at its deadline, and it must be unknown
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -104,6 +104,8 @@
 	delegated   map[string]*delegation
 	abandoned   []abandonment
 	foreignJobs map[foreignJob]context.CancelFunc
+	// cancelQueries holds the jobs of cancellations that other instances have not answered.
+	cancelQueries map[*cancelQuery]string
 	// leaving means that a planned stop has begun, and reassign that the readers must be assigned again.
 	leaving  bool
 	reassign bool
@@ -114,21 +116,22 @@
 func New(self linker.Hello, linkMbps float64, client TargetClient, now func() time.Time, logger hclog.Logger) *Executor {
 	ctx, cancel := context.WithCancel(context.Background())
 	executor := &Executor{
-		client:       client,
-		self:         self,
-		logger:       logger,
-		now:          now,
-		meter:        newMeter(),
-		uplink:       newUplink(linkMbps),
-		ctx:          ctx,
-		cancel:       cancel,
-		peersKnownAt: now().Add(startupGrace),
-		scheduler:    scheduler.New(self.Incarnation, self.Domain),
-		waiters:      make(map[string][]chan dispatcher.Outcome),
-		pollers:      make(map[string]*poller),
-		unresponsive: make(map[string]bool),
-		delegated:    make(map[string]*delegation),
-		foreignJobs:  make(map[foreignJob]context.CancelFunc),
+		client:        client,
+		self:          self,
+		logger:        logger,
+		now:           now,
+		meter:         newMeter(),
+		uplink:        newUplink(linkMbps),
+		ctx:           ctx,
+		cancel:        cancel,
+		peersKnownAt:  now().Add(startupGrace),
+		scheduler:     scheduler.New(self.Incarnation, self.Domain),
+		waiters:       make(map[string][]chan dispatcher.Outcome),
+		pollers:       make(map[string]*poller),
+		unresponsive:  make(map[string]bool),
+		delegated:     make(map[string]*delegation),
+		foreignJobs:   make(map[foreignJob]context.CancelFunc),
+		cancelQueries: make(map[*cancelQuery]string),
 	}
 	executor.meter.registerGauges(executor)
 	executor.peers = gossiper.New(self, executor, now)
@@ -198,22 +201,6 @@
 	return delegated || executor.scheduler.Has(job)
 }
 
-// Cancel abandons a job and reports whether it was active.
-func (executor *Executor) Cancel(job string) bool {
-	executor.mu.Lock()
-	defer executor.mu.Unlock()
-	if executor.abandonDelegated(job, "the caller cancelled the job") {
-		executor.deliver(job, dispatcher.NewUnknown("the caller cancelled the job"))
-		return true
-	}
-	if !executor.scheduler.Has(job) {
-		return false
-	}
-	executor.scheduler.Abandon(job, "the caller cancelled the job", executor.now())
-	executor.runActions()
-	return true
-}
-
 // Submit runs a job and returns its outcome, or nil if the caller left first. A job that is submitted again while it
 // runs gets the same outcome.
 func (executor *Executor) Submit(ctx context.Context, job scheduler.Job) dispatcher.Outcome {
--- a/executor/peers.go
+++ b/executor/peers.go
@@ -68,6 +68,7 @@
 		executor.scheduler.HandlePeerVerification(verified.Target, verified.Incarnation, now)
 		executor.wake(verified.Target)
 	}
+	executor.handleCancellations(from, &update, now)
 	for _, job := range update.Abandoned {
 		executor.abandonForeign(from, job)
 	}
@@ -157,7 +158,7 @@
 	return min(max(0, time.Duration(min(count, int64(time.Hour/time.Millisecond)))*time.Millisecond), time.Hour)
 }
 
-// PeerConnected sends the known losses and suspensions to an instance that may have missed some.
+// PeerConnected sends the known losses, suspensions and cancellations to an instance that may have missed some.
 func (executor *Executor) PeerConnected(from string) {
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
@@ -167,6 +168,9 @@
 	for _, suspension := range executor.scheduler.Suspensions() {
 		executor.peers.SendSuspension(from, suspension)
 	}
+	for _, cancellation := range executor.scheduler.Cancellations() {
+		executor.peers.SendCancellation(from, cancellation)
+	}
 }
 
 func runOf(id linker.RunID) scheduler.Run {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -633,6 +633,19 @@
 	return unresponsive
 }
 
+// Live returns the instances that are known and not considered lost.
+func (gossiper *Gossiper) Live() []string {
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	var live []string
+	for incarnation, peer := range gossiper.peers {
+		if !peer.lost {
+			live = append(live, incarnation)
+		}
+	}
+	return live
+}
+
 // Alive reports whether the instance is known and not considered lost.
 func (gossiper *Gossiper) Alive(incarnation string) bool {
 	gossiper.mu.Lock()
--- a/linker/codec.go
+++ b/linker/codec.go
@@ -276,6 +276,12 @@
 	for i := range update.Suspensions {
 		texts = append(texts, update.Suspensions[i].Target, update.Suspensions[i].Task)
 	}
+	for i := range update.Cancelled {
+		texts = append(texts, update.Cancelled[i].Job)
+	}
+	for i := range update.CancelAnswers {
+		texts = append(texts, update.CancelAnswers[i].Job)
+	}
 	for i := range update.FreeCapacity {
 		texts = append(texts, update.FreeCapacity[i].Target)
 	}
--- a/linker/message.go
+++ b/linker/message.go
@@ -233,6 +233,21 @@
 	Attempt     int64
 }
 
+// CancelledJob is a job that its caller has cancelled.
+type CancelledJob struct {
+	_   struct{} `cbor:",toarray"`
+	Job string
+	// AgeMS is the time since the job was cancelled, in milliseconds.
+	AgeMS int64
+}
+
+// CancelledAnswer says whether a cancelled job was active on the sender.
+type CancelledAnswer struct {
+	_      struct{} `cbor:",toarray"`
+	Job    string
+	Active bool
+}
+
 // FreeCapacity is the free capacity of a target as determined by its reader, the instance that polls the target and
 // renews its lease.
 type FreeCapacity struct {
@@ -311,6 +326,9 @@
 	Restarts   []TargetIncarnation `cbor:"restarts,omitempty"`
 	// Verified lists the incarnations of targets that have answered the sender, although their entries say otherwise.
 	Verified []TargetIncarnation `cbor:"verified,omitempty"`
+	// Cancelled lists jobs that must not run any more. The receiver answers each in CancelAnswers.
+	Cancelled     []CancelledJob    `cbor:"cancelled,omitempty"`
+	CancelAnswers []CancelledAnswer `cbor:"cancel-answers,omitempty"`
 	// Waiting is the number of tasks waiting at the sender, by priority. It is empty in an update for a single
 	// instance.
 	Waiting []int64 `cbor:"waiting,omitempty"`
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -89,6 +89,9 @@
 	tasks map[string]*task
 	// queue holds the waiting tasks, the most urgent first; a task that cannot start yet does not hold up later ones.
 	queue []*task
+	// cancellations holds the cancelled jobs, the earliest first, and cancelledAt when each was cancelled.
+	cancellations []Cancellation
+	cancelledAt   map[string]time.Time
 	// peers are the other live instances.
 	peers Peers
 	// pendingStops holds the runs that must end and may still go on.
@@ -145,6 +148,7 @@
 		groupSpeeds:    make(map[string]*learnedSpeed),
 		jobs:           make(map[string]*job),
 		tasks:          make(map[string]*task),
+		cancelledAt:    make(map[string]time.Time),
 		pendingStops:   make(map[targetRun]*pendingStop),
 		suspensions:    make(map[suspensionKey]Suspension),
 		foreignEnds:    make(map[targetRun]recordedEnd),
@@ -245,6 +249,10 @@
 		scheduler.emit(AnswerJob{Job: info.ID, Outcome: dispatcher.NewComplete(nil), Started: true, Arrived: info.Arrived, Objective: info.Objective})
 		return
 	}
+	if scheduler.Cancelled(info.ID) {
+		scheduler.answerCancelled(&info)
+		return
+	}
 	job := newJob(info)
 	for _, task := range job.tasks {
 		// The task has run, so the job must not be refused as not run.
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -63,6 +63,7 @@
 	scheduler.repeatStops(now)
 	scheduler.expireSuspensions(now)
 	scheduler.expirePendingEntries(now)
+	scheduler.expireCancellations(now)
 	scheduler.isolator.Expire(now)
 	scheduler.expireLateStarts(now)
 	for _, target := range scheduler.ordered {
