--- a/scheduler/stop_test.go
+++ b/scheduler/stop_test.go
@@ -216,3 +216,35 @@
 	reader.HandlePeerStop("present", "t0", claim.Run, at(20))
 	is.Equal(len(drain(reader).stops), 1)
 }
+
+// A sound task whose start got no answer because its target crashed must start again once the target is back, although its other
+// runs renew the lease: it waited for its deadline (crash test of the platform with the race detector, 2 plays of 40 in parallel).
+func TestTaskWithUnansweredStartOnCrashedTargetStartsAgain(t *testing.T) {
+	is := is.New(t)
+	scheduler := New("self", "a")
+	scheduler.SetTargets(testTargets(2), at(-1000))
+	scheduler.Submit(testJob("j", 1, 100, 0), at(0))
+	start := drain(scheduler).starts[0]
+	scheduler.HandleStartResult(start.Target, start.Run, StartUnanswered, at(14))
+	scheduler.HandleStopResult(start.Target, start.Run, false, at(35)) // refused: the target is down
+	drain(scheduler)
+	restartedAt := -1
+	for now := 40; now < 2500 && restartedAt < 0; now += 10 {
+		if now%150 == 0 {
+			scheduler.HandlePeerReport(CapacityReport{Target: start.Target, Reporter: "reader", FreeCapacity: Resources{MilliCores: 32000}}, at(now))
+		}
+		if now == 820 {
+			scheduler.HandlePeerRestart(start.Target, 2, at(now))
+		}
+		scheduler.Tick(at(now))
+		actions := drain(scheduler)
+		for _, stop := range actions.stops {
+			scheduler.HandleStopResult(stop.RunTarget.ID, stop.Run, now >= 820, at(now+1))
+		}
+		if len(actions.starts) > 0 {
+			restartedAt = now
+		}
+	}
+	is.True(restartedAt >= 820)
+	is.True(restartedAt < 1000)
+}
