Keep to label and bound per target for tasks that start apart

Cause: chooseIsolated checked label and service for empty targets only, and the bound per target never. One function decides now for all placements where a task may run.

Measured: TestIsolatedTasksKeepToTheirTargets fails before (another label, bound per target) and passes.

--- a/scheduler/isolate.go
+++ b/scheduler/isolate.go
@@ -73,7 +73,8 @@
 		return nil
 	}
 	for _, sibling := range task.job.tasks {
-		if target := sibling.runTarget; target != nil && target.isolatedJob == task.job.ID && target.usable(now) && !task.avoided[target.ID] && target.fitsIsolated(task) {
+		target := sibling.runTarget
+		if target != nil && target.isolatedJob == task.job.ID && target.usable(now) && target.fitsIsolated(task) && scheduler.mayRunOn(task, target) {
 			return target
 		}
 	}
@@ -81,8 +82,8 @@
 	bestCost := time.Duration(math.MaxInt64)
 	for i := range candidates {
 		candidate := candidates[i].target
-		if candidate.Service != task.job.Service || len(candidate.allocations) > 0 || candidates[i].free != candidate.Capacity ||
-			!step.Resources.Fits(candidate.Capacity) || !candidate.hasLabel(step.Label) || task.avoided[candidate.ID] {
+		if len(candidate.allocations) > 0 || candidates[i].free != candidate.Capacity || !step.Resources.Fits(candidate.Capacity) ||
+			!scheduler.mayRunOn(task, candidate) {
 			continue
 		}
 		cost := candidate.predict(step.Estimate)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -116,10 +116,7 @@
 	bestCost := time.Duration(0)
 	for i := range candidates {
 		candidate := &candidates[i]
-		if candidate.Service != task.job.Service || !step.Resources.Fits(candidate.free) || !candidate.hasLabel(step.Label) || task.avoided[candidate.ID] {
-			continue
-		}
-		if candidate.probation && len(candidate.allocations) > 0 || step.MaxPerTarget > 0 && scheduler.siblingRuns(task, candidate.target) >= step.MaxPerTarget {
+		if !step.Resources.Fits(candidate.free) || candidate.probation && len(candidate.allocations) > 0 || !scheduler.mayRunOn(task, candidate.target) {
 			continue
 		}
 		cost := candidate.predict(step.Estimate)
@@ -160,8 +157,18 @@
 	return (float64(sum>>11) + 0.5) / mantissa
 }
 
+// mayRunOn reports whether a task may run on a target at all: by its service and label, by what the target has answered to the
+// task before, and by the runs of its step there.
+func (scheduler *Scheduler) mayRunOn(task *task, target *target) bool {
+	step := task.spec()
+	if target.Service != task.job.Service || !target.hasLabel(step.Label) || task.avoided[target.ID] {
+		return false
+	}
+	return step.MaxPerTarget <= 0 || task.siblingRuns(target) < step.MaxPerTarget
+}
+
 // siblingRuns counts the runs on the target that belong to the same step as the task.
-func (scheduler *Scheduler) siblingRuns(task *task, target *target) int {
+func (task *task) siblingRuns(target *target) int {
 	count := 0
 	for _, sibling := range task.job.tasks {
 		if sibling.step == task.step && sibling.runTarget == target && sibling.mayBeRunning() {
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -179,3 +179,29 @@
 	scheduler.HandlePoll(start.Target, PollResult{Incarnation: 2, Sent: at(6000), Answered: at(6001)})
 	is.Equal(len(drain(scheduler).starts), 0)
 }
+
+// Tasks that start apart from other jobs after a crash must keep to their label and to the bound per target as well.
+func TestIsolatedTasksKeepToTheirTargets(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(second *Step)
+		shared bool
+	}{
+		{"no bounds", func(*Step) {}, true},
+		{"another label", func(second *Step) { second.Label = "other" }, false},
+		{"bound per target", func(second *Step) { second.MaxPerTarget = 1 }, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			scheduler := newTestScheduler(1)
+			info := testJob("j", 2, 400, 0)
+			test.change(&info.Steps[0])
+			job := newJob(info)
+			first, second, on := job.tasks[0], job.tasks[1], scheduler.targets["t0"]
+			on.isolatedJob, first.runTarget, first.state, first.attempt = "j", on, running, 1
+			on.allocate(first.run(), &allocation{owner: "self", resources: on.Capacity})
+			is.Equal(scheduler.chooseIsolated(second, nil, at(100)) == on, test.shared)
+		})
+	}
+}
