--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -180,6 +180,30 @@
 	is.Equal(len(drain(scheduler).starts), 0)
 }
 
+// A step with a bound per target must not start a task beside a run whose stop was accepted, which goes on for a while.
+func TestBoundPerTargetCountsStoppingRuns(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	job := testJob("j", 3, 400, 0)
+	job.Steps[0].MaxPerTarget = 1
+	job.Objective = at(2000)
+	scheduler.Submit(job, at(0))
+	starts := drain(scheduler).starts
+	is.Equal(len(starts), 2)
+	acceptStarts(scheduler, starts[1:], at(2))
+	scheduler.HandleStartResult(starts[0].Target, starts[0].Run, StartUnanswered, at(60))
+	scheduler.HandleStopResult(starts[0].Target, starts[0].Run, true, at(62))
+	for now := 62; now < 62+int(MaxStopDuration/time.Millisecond); now++ {
+		scheduler.Tick(at(now))
+		is.Equal(len(drain(scheduler).starts), 0)
+	}
+	scheduler.Tick(at(62 + int(MaxStopDuration/time.Millisecond)))
+	next := drain(scheduler).starts
+	is.Equal(len(next), 1)
+	is.Equal(next[0].Target, starts[0].Target)
+	is.Equal(next[0].Run.Task, "j.0.0.2")
+}
+
 // Tasks that start apart from other jobs after a crash must keep to their label and to the bound per target as well.
 func TestIsolatedTasksKeepToTheirTargets(t *testing.T) {
 	tests := []struct {
