--- a/executor/executor.go
+++ b/executor/executor.go
@@ -106,6 +106,8 @@
 	foreignJobs map[foreignJob]context.CancelFunc
 	// cancelQueries holds the jobs of cancellations that other instances have not answered.
 	cancelQueries map[*cancelQuery]string
+	// tickDelay is the longest time by which a tick was late since the load was last reported.
+	tickDelay time.Duration
 	// leaving means that a planned stop has begun, and reassign that the readers must be assigned again.
 	leaving  bool
 	reassign bool
@@ -425,6 +427,7 @@
 			executor.scheduler.RecordPause(now)
 			lastDomainCheck = now.Add(pauseThreshold)
 		}
+		executor.tickDelay = max(executor.tickDelay, now.Sub(lastTick)-interval)
 		lastTick = now
 		if now.Sub(lastDomainCheck) >= domainCheckInterval {
 			lastDomainCheck = now
--- a/executor/meter.go
+++ b/executor/meter.go
@@ -12,14 +12,15 @@
 
 // meter holds the metrics of the executor.
 type meter struct {
-	set            *metrics.Set
-	stops          *metrics.Counter
-	suspensions    *metrics.Counter
-	targetRestarts *metrics.Counter
-	tasksGivenUp   *metrics.Counter
-	polls          *metrics.Counter
-	wait           *metrics.Histogram
-	startDurations *metrics.Histogram
+	set             *metrics.Set
+	stops           *metrics.Counter
+	suspensions     *metrics.Counter
+	targetRestarts  *metrics.Counter
+	tasksGivenUp    *metrics.Counter
+	polls           *metrics.Counter
+	unansweredPolls *metrics.Counter
+	wait            *metrics.Histogram
+	startDurations  *metrics.Histogram
 }
 
 func newMeter() *meter {
@@ -28,14 +29,15 @@
 	set.NewCounter(`hyssoplift_delegated_jobs_total{outcome="complete"}`)
 	set.NewCounter(`hyssoplift_runs_lost_total{reason="lapsed"}`)
 	return &meter{
-		set:            set,
-		stops:          set.NewCounter("hyssoplift_stops_total"),
-		suspensions:    set.NewCounter("hyssoplift_lease_suspensions_total"),
-		targetRestarts: set.NewCounter("hyssoplift_target_restarts_total"),
-		tasksGivenUp:   set.NewCounter("hyssoplift_tasks_given_up_total"),
-		polls:          set.NewCounter("hyssoplift_looks_total"),
-		wait:           set.NewHistogram("hyssoplift_start_wait_seconds"),
-		startDurations: set.NewHistogram("hyssoplift_start_order_seconds"),
+		set:             set,
+		stops:           set.NewCounter("hyssoplift_stops_total"),
+		suspensions:     set.NewCounter("hyssoplift_lease_suspensions_total"),
+		targetRestarts:  set.NewCounter("hyssoplift_target_restarts_total"),
+		tasksGivenUp:    set.NewCounter("hyssoplift_tasks_given_up_total"),
+		polls:           set.NewCounter("hyssoplift_looks_total"),
+		unansweredPolls: set.NewCounter("hyssoplift_looks_unanswered_total"),
+		wait:            set.NewHistogram("hyssoplift_start_wait_seconds"),
+		startDurations:  set.NewHistogram("hyssoplift_start_order_seconds"),
 	}
 }
 
@@ -77,8 +79,7 @@
 	}
 	meter.set.NewGauge("hyssoplift_jobs_active", read(executor.scheduler.ActiveJobs))
 	meter.set.NewGauge("hyssoplift_tasks_waiting", read(func() int {
-		demand := executor.scheduler.Demand()
-		return int(demand[0] + demand[1] + demand[2] + demand[3])
+		return int(executor.waitingTasks())
 	}))
 	meter.set.NewGauge("hyssoplift_targets_read", read(func() int {
 		count := 0
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -278,6 +278,7 @@
 // handlePollFailure handles a poll of the given target that failed or was refused.
 func (executor *Executor) handlePollFailure(poller *poller, target scheduler.Target, err error) {
 	poller.failures++
+	executor.meter.unansweredPolls.Inc()
 	executor.lastPollFailure.Store(executor.now().UnixNano())
 	if poller.failures == 1 {
 		executor.logger.Info("poll not answered", "target", poller.id, "error", eris.ToString(err, false))
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -78,6 +78,7 @@
 	links    *linker.Linker
 	receiver Receiver
 	now      func() time.Time
+	traffic  traffic
 	group    sync.WaitGroup
 	cancel   context.CancelFunc
 	// wake triggers sending the outbox, and changed triggers a broadcast.
@@ -120,6 +121,7 @@
 		self:          self,
 		receiver:      receiver,
 		now:           now,
+		traffic:       newTraffic(),
 		startedAt:     now(),
 		cancel:        cancel,
 		wake:          make(chan struct{}, 1),
@@ -394,7 +396,9 @@
 			update.SentUS = sentUS
 			// Lost messages are not resent here: owners repeat claims and requests to abandon jobs, and a claim that
 			// arrives after the run's end is answered with the end.
-			_ = links.Send(incarnation, *update)
+			if links.Send(incarnation, *update) == nil {
+				gossiper.traffic.record(update, 1)
+			}
 		}
 	}
 }
@@ -431,7 +435,7 @@
 	gossiper.mu.Unlock()
 	if links != nil {
 		for _, broadcast := range plan.broadcasts {
-			links.Broadcast(broadcast.to, broadcast.update)
+			gossiper.traffic.record(&broadcast.update, links.Broadcast(broadcast.to, broadcast.update))
 		}
 	}
 	return plan.pause
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -66,6 +66,7 @@
 	logWriter          *recorder.AsyncWriter
 	logger             hclog.Logger
 	store              *platform.Store
+	targetClient       *platform.TargetClient
 	executor           *executor.Executor
 	api                *platform.API
 	links              *linker.Linker
@@ -124,24 +125,26 @@
 func start(settings platform.Settings, logWriter *recorder.AsyncWriter, logger hclog.Logger) (*Supervisor, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	hello := linker.Hello{Domain: settings.Domain, Name: settings.Name, Incarnation: uuid.NewString(), Address: settings.PeerAddress, Weight: weight(settings)}
-	jobExecutor := executor.New(hello, settings.LinkMbps, platform.NewTargetClient(clocker.Now), clocker.Now, logger)
+	targetClient := platform.NewTargetClient(clocker.Now)
+	jobExecutor := executor.New(hello, settings.LinkMbps, targetClient, clocker.Now, logger)
 	limits := linker.DefaultLimits()
 	limits.MaxRemoteLinks, limits.IdleTimeout, limits.IOTimeout = maxRemoteLinks, 0, linkTimeout
 	links := linker.New(hello, limits, logger, jobExecutor.Peers().Receive)
 	jobExecutor.Peers().SetLinks(links)
 	supervisor := &Supervisor{
-		settings:    settings,
-		logWriter:   logWriter,
-		logger:      logger,
-		store:       platform.NewStore(settings.StoreAddress),
-		executor:    jobExecutor,
-		api:         platform.NewAPI(jobExecutor, clocker.Now, logger),
-		links:       links,
-		targets:     newTargetRegistry(logger),
-		peers:       newPeerRegistry(hello),
-		ctx:         ctx,
-		cancel:      cancel,
-		serveErrors: make(chan error, 4),
+		settings:     settings,
+		logWriter:    logWriter,
+		logger:       logger,
+		store:        platform.NewStore(settings.StoreAddress),
+		targetClient: targetClient,
+		executor:     jobExecutor,
+		api:          platform.NewAPI(jobExecutor, clocker.Now, logger),
+		links:        links,
+		targets:      newTargetRegistry(logger),
+		peers:        newPeerRegistry(hello),
+		ctx:          ctx,
+		cancel:       cancel,
+		serveErrors:  make(chan error, 4),
 	}
 	listeners := []struct {
 		address string
@@ -158,6 +161,7 @@
 		}
 	}
 	supervisor.followTopics()
+	supervisor.group.Go(supervisor.logLoad)
 	return supervisor, nil
 }
 
@@ -193,6 +197,7 @@
 	metrics.WriteGaugeUint64(writer, "hyssoplift_configuration_version", uint64(version))
 	metrics.WriteCounterUint64(writer, "hyssoplift_panics_total", uint64(supervisor.api.Panics()))
 	metrics.WriteCounterUint64(writer, "hyssoplift_log_lines_dropped_total", uint64(supervisor.logWriter.Dropped()))
+	supervisor.writeCounters(writer)
 }
 
 // serveReadiness answers the readiness checks of the platform: 200 if callers may open new connections, otherwise 503.
