--- a/executor/executor.go
+++ b/executor/executor.go
@@ -389,7 +389,7 @@
 // stop sends a stop request and reports to the scheduler whether the target accepted it.
 func (executor *Executor) stop(stop scheduler.StopRun) {
 	var err error
-	for range scheduler.StopAttempts {
+	for range stop.Attempts() {
 		ctx, cancel := context.WithTimeout(executor.ctx, stopTimeout+executor.uplink.send(0, executor.now()))
 		err = executor.client.Stop(ctx, stop.RunTarget, stop.Run)
 		cancel()
--- a/executor/peers.go
+++ b/executor/peers.go
@@ -33,7 +33,7 @@
 		}
 	}
 	for _, id := range update.Stops {
-		executor.scheduler.HandlePeerStop(from, id.Target, runOf(id), now)
+		executor.scheduler.HandlePeerStop(from, id.Target, runOf(id))
 	}
 	for _, suspension := range update.Suspensions {
 		executor.scheduler.HandlePeerSuspension(from, decodeSuspension(suspension, now), now)
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -154,21 +154,20 @@
 	return true
 }
 
-// StopAttempts is how often a stop request is sent before it counts as not answered.
+// StopAttempts is how often the first request to stop a run is sent before it counts as not answered.
 const StopAttempts = 2
 
-// HandleStopResult processes the result of a StopRun action; stopped means that the target accepted the request, which
-// was otherwise sent StopAttempts times.
+// HandleStopResult processes the result of a StopRun action; stopped means that the target accepted the request.
 func (scheduler *Scheduler) HandleStopResult(targetID string, run Run, stopped bool, now time.Time) {
 	target := scheduler.targets[targetID]
-	scheduler.recordStopResult(targetRun{targetID, run}, stopped, now)
+	unanswered := scheduler.recordStopResult(targetRun{targetID, run}, stopped, now)
 	switch {
 	case target == nil:
 	case stopped:
 		target.recordResponse(now)
 		target.heldUntil = time.Time{}
 		scheduler.stopped = append(scheduler.stopped, stoppedRun{targetRun{targetID, run}, now.Add(MaxStopDuration)})
-	case target.recordUnanswered(StopAttempts, startedAt(target, run, now)):
+	case unanswered > 0 && target.recordUnanswered(unanswered, startedAt(target, run, now)):
 		scheduler.setUnreachable(target, false, now)
 	}
 	task := scheduler.tasks[run.Task]
@@ -539,8 +538,9 @@
 	scheduler.typicalMilliCores += (resources.MilliCores - scheduler.typicalMilliCores) / smoothingDivisor
 }
 
-// HandlePeerStop stops a run on behalf of an instance that got no answer from the target.
-func (scheduler *Scheduler) HandlePeerStop(from, targetID string, run Run, now time.Time) {
+// HandlePeerStop requests the stop of a run once on behalf of an instance that got no answer from the target, and that goes on
+// requesting it.
+func (scheduler *Scheduler) HandlePeerStop(from, targetID string, run Run) {
 	target, ok := scheduler.targets[targetID]
 	if !ok {
 		return
@@ -550,7 +550,7 @@
 		return
 	}
 	if _, pending := scheduler.pendingStops[targetRun{targetID, run}]; !pending {
-		scheduler.requestStop(target, run, "requested by an instance that got no answer", false, now)
+		scheduler.emit(StopRun{RunTarget: target.Target, Run: run, Reason: "requested by an instance that got no answer"})
 	}
 }
 
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -282,6 +282,16 @@
 	RunTarget Target
 	Run       Run
 	Reason    string
+	// Repeated means that an earlier request has got no answer; this one is sent once only.
+	Repeated bool
+}
+
+// Attempts returns how often the request is sent before it counts as not answered.
+func (stop *StopRun) Attempts() int {
+	if stop.Repeated {
+		return 1
+	}
+	return StopAttempts
 }
 
 // AnswerJob asks to send the outcome of a job to its callers.
--- a/scheduler/stop.go
+++ b/scheduler/stop.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// stopRepeatInterval is the minimum time between two requests to stop a run, and stopProbeInterval the one while its
-	// target answers nothing.
-	stopRepeatInterval = 100 * time.Millisecond
-	stopProbeInterval  = 400 * time.Millisecond
+	// minStopInterval is the time between two requests to stop a run, which doubles with each one that gets no answer up to
+	// maxStopInterval: on a narrow link that is full, each further request delays the others.
+	minStopInterval = 200 * time.Millisecond
+	maxStopInterval = 400 * time.Millisecond
 	// suspensionTransit is how long the message that suspends the renewals of a lease may be under way.
 	suspensionTransit = 50 * time.Millisecond
 	// MaxSuspension is how long a lease lasts at most once its renewals are suspended.
@@ -28,9 +28,9 @@
 	// since is when the stop was first requested, and requestedAt when it was last requested.
 	since       time.Time
 	requestedAt time.Time
-	// underWay counts the requests without a result, and failed means that one has got no answer.
+	// underWay counts the requests without a result, and failures those that got no answer.
 	underWay int
-	failed   bool
+	failures int
 	// unwanted means that no job of this instance waits for the end of the run. Its caller may send the job again at any
 	// time, to any instance.
 	unwanted bool
@@ -48,34 +48,39 @@
 	}
 	pending.reason, pending.incarnation, pending.requestedAt = reason, target.Incarnation, now
 	pending.underWay++
-	scheduler.emit(StopRun{RunTarget: target.Target, Run: run, Reason: reason})
+	scheduler.emit(StopRun{RunTarget: target.Target, Run: run, Reason: reason, Repeated: pending.failures > 0})
 	if unwanted {
 		pending.unwanted = true
 		scheduler.suspendRenewals(key, pending, now)
 	}
 }
 
-// recordStopResult records the result of a request to stop a run.
-func (scheduler *Scheduler) recordStopResult(key targetRun, stopped bool, now time.Time) {
+// recordStopResult records the result of a request to stop a run, and returns how many attempts without an answer count as
+// evidence that the target does not respond. Those of repeated requests do not: they say nothing new about it.
+func (scheduler *Scheduler) recordStopResult(key targetRun, stopped bool, now time.Time) int {
 	pending, ok := scheduler.pendingStops[key]
 	if !ok {
-		return
+		return StopAttempts
 	}
 	pending.underWay = max(0, pending.underWay-1)
 	if stopped {
 		scheduler.forgetStop(key)
-		return
+		return 0
 	}
-	pending.failed = true
+	pending.failures++
 	scheduler.suspendRenewals(key, pending, now)
-	scheduler.emit(RelayStop{Target: key.target, Run: key.run})
+	if pending.failures == 1 {
+		scheduler.emit(RelayStop{Target: key.target, Run: key.run})
+		return StopAttempts
+	}
+	return 0
 }
 
 // suspendRenewals lets the lease of a target lapse that does not answer the request to stop an unwanted run. The caller of
 // the run's job sends the job again some time after it has got no answer; by then the run must have ended.
 func (scheduler *Scheduler) suspendRenewals(key targetRun, pending *pendingStop, now time.Time) {
 	target, ok := scheduler.targets[key.target]
-	if !ok || !pending.unwanted || !pending.failed || !pending.lapsesAt.IsZero() {
+	if !ok || !pending.unwanted || pending.failures == 0 || !pending.lapsesAt.IsZero() {
 		return
 	}
 	pending.lapsesAt = now.Add(MaxSuspension)
@@ -110,9 +115,9 @@
 			scheduler.forgetStop(key)
 			continue
 		}
-		interval := stopRepeatInterval
-		if target.unreachable || target.unreachableByReader {
-			interval = stopProbeInterval
+		interval := maxStopInterval
+		if !target.unreachable && !target.unreachableByReader {
+			interval = min(minStopInterval<<min(max(0, pending.failures-1), 8), maxStopInterval)
 		}
 		if pending.underWay == 0 && now.Sub(pending.requestedAt) >= interval {
 			scheduler.requestStop(target, key.run, pending.reason, false, now)
