--- a/scheduler/loss.go
+++ b/scheduler/loss.go
@@ -141,15 +141,14 @@
 // HandlePeerLoss merges a loss that another instance recorded, and adds what this instance knows about its own runs there. A
 // loss may be the first news of a restart.
 func (scheduler *Scheduler) HandlePeerLoss(loss isolator.Loss, now time.Time) {
-	added := false
+	var added []isolator.Suspect
 	if target, ok := scheduler.targets[loss.Target]; ok {
 		scheduler.adoptIncarnation(target, &loss)
 		for _, run := range sortedRuns(target.allocations) {
 			allocation := target.allocations[run]
 			if allocation.owner == scheduler.self && allocation.incarnation == loss.Incarnation && allocation.claimedAt.Before(loss.At) &&
 				(!allocation.confirmedAt.IsZero() || allocation.unanswered) {
-				loss.Suspects = append(loss.Suspects, scheduler.suspect(run, allocation, loss.At))
-				added = true
+				added = append(added, scheduler.suspect(run, allocation, loss.At))
 			}
 		}
 		if target.Incarnation > loss.Incarnation {
@@ -162,14 +161,16 @@
 			}
 		}
 	}
+	loss.Suspects = append(loss.Suspects, added...)
 	for i := range loss.Suspects {
 		suspect := &loss.Suspects[i]
 		task, ok := scheduler.tasks[suspect.Task]
 		if ok && !suspect.Cleared && slices.Contains(task.notTaken, targetRun{loss.Target, Run{suspect.Task, suspect.Attempt}}) {
-			suspect.Cleared, added = true, true
+			suspect.Cleared = true
+			added = append(added, *suspect)
 		}
 	}
-	scheduler.mergeLoss(loss, added, now)
+	scheduler.mergePeerLoss(loss, added, now)
 }
 
 // adoptIncarnation corrects the incarnation of this instance's runs that another instance saw on the lost target. An
@@ -209,7 +210,27 @@
 	if change == isolator.Unchanged {
 		return
 	}
-	scheduler.emit(LossRecorded{Loss: merged, Share: share, Discovered: share && change == isolator.Discovered})
+	if share {
+		scheduler.shareLoss(merged, loss, change == isolator.Discovered, now)
+	} else {
+		scheduler.emit(LossRecorded{Loss: merged})
+	}
+	scheduler.applyLoss(&merged, now)
+}
+
+// mergePeerLoss merges a loss that another instance has sent, and shares what this instance has added to it.
+func (scheduler *Scheduler) mergePeerLoss(loss isolator.Loss, added []isolator.Suspect, now time.Time) {
+	scheduler.shared[lossKey{loss.Target, loss.Incarnation}] = true
+	merged, change := scheduler.isolator.Record(loss)
+	if change == isolator.Unchanged {
+		return
+	}
+	if len(added) > 0 {
+		loss.Suspects = added
+		scheduler.shareLoss(merged, loss, change == isolator.Discovered, now)
+	} else {
+		scheduler.emit(LossRecorded{Loss: merged})
+	}
 	scheduler.applyLoss(&merged, now)
 }
 
@@ -329,17 +350,10 @@
 	return ok
 }
 
-// withdrawLoss removes an unconfirmed loss of a target that has answered a request sent at the given time.
-func (scheduler *Scheduler) withdrawLoss(target *target, sent time.Time) {
-	if scheduler.isolator.Withdraw(target.ID, target.Incarnation, sent) {
-		scheduler.emit(LossWithdrawn{Target: target.ID, Incarnation: target.Incarnation})
-	}
-}
-
 // HandlePeerWithdrawnLoss removes an unconfirmed loss because the target has answered another instance.
 func (scheduler *Scheduler) HandlePeerWithdrawnLoss(targetID string, incarnation int64, now time.Time) {
-	scheduler.isolator.Withdraw(targetID, incarnation, now)
+	if scheduler.isolator.Withdraw(targetID, incarnation, now) {
+		delete(scheduler.unshared, lossKey{targetID, incarnation})
+		delete(scheduler.shared, lossKey{targetID, incarnation})
+	}
 }
-
-// Losses returns all known losses, for an instance that may have missed them.
-func (scheduler *Scheduler) Losses() []isolator.Loss { return scheduler.isolator.Losses() }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -122,6 +122,7 @@
 	actions           []Action
 	// isolator knows which tasks were on targets that were lost.
 	isolator *isolator.Isolator
+	lossSharing
 	// candidateBuffer is reused between placements.
 	candidateBuffer []candidate
 }
@@ -159,6 +160,7 @@
 		completedAt:    make(map[string]time.Time),
 		releaseRates:   make(map[string]releaseRate),
 		isolator:       isolator.New(),
+		lossSharing:    newLossSharing(),
 	}
 }
 
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -65,6 +65,7 @@
 	scheduler.expirePendingEntries(now)
 	scheduler.expireCancellations(now)
 	scheduler.isolator.Expire(now)
+	scheduler.shareLastingLosses(now)
 	scheduler.expireLateStarts(now)
 	for _, target := range scheduler.ordered {
 		if len(target.allocations) > 0 {
