--- a/follower/follower.go
+++ b/follower/follower.go
@@ -29,9 +29,9 @@
 type Source interface {
 	// Newest returns the newest record of each key, and the offset from which to continue reading.
 	Newest(ctx context.Context, topic string) ([]Record, int64, error)
-	// Read returns the records starting at an offset, and the offset that follows them. It waits up to wait for a
-	// record.
-	Read(ctx context.Context, topic string, from int64, wait time.Duration) ([]Record, int64, error)
+	// Read returns the records starting at an offset, and the offset that follows them. It returns at most about maxKB kilobytes
+	// of records, and waits up to wait for the first one.
+	Read(ctx context.Context, topic string, from int64, maxKB int, wait time.Duration) ([]Record, int64, error)
 }
 
 // PollOptions controls how a topic is polled.
@@ -50,6 +50,35 @@
 	maxRetryDelay = 500 * time.Millisecond
 )
 
+// readSize is the size that the next read requests, in kilobytes. It is halved after each read that fails, and doubled after one
+// that was filled in a small part of the time-out: an instance that is far behind on a narrow link would otherwise ask for more
+// than it can receive, time out, and ask again without end.
+type readSize int
+
+const (
+	minReadSize   readSize = 16
+	firstReadSize readSize = 256
+	maxReadSize   readSize = 1024
+	// fastReadShare is the share of the time-out margin within which a full read must be answered to double the next one.
+	fastReadShare = 4
+)
+
+// afterFailure returns the size that follows a read that failed.
+func (size readSize) afterFailure() readSize { return max(size/2, minReadSize) }
+
+// afterSuccess returns the size that follows a read that returned the given records after the given time.
+func (size readSize) afterSuccess(records []Record, took, margin time.Duration) readSize {
+	bytes := 0
+	for i := range records {
+		bytes += len(records[i].Key) + len(records[i].Value)
+	}
+	const bytesPerKB = 1024
+	if full := bytes >= int(size)*bytesPerKB*3/4; full && took <= margin/fastReadShare {
+		return min(2*size, maxReadSize)
+	}
+	return size
+}
+
 // Update holds new records of a topic.
 type Update struct {
 	// Snapshot means that Records holds every key of the topic; keys that are not in it no longer exist.
@@ -60,7 +89,7 @@
 // Follow calls update with the records of a topic until ctx is done. The first update, and the one after each trim of
 // unread records, is a snapshot.
 func Follow(ctx context.Context, source Source, topic string, options PollOptions, logger hclog.Logger, update func(Update)) {
-	next, synced, failures := int64(0), false, 0
+	next, synced, failures, size := int64(0), false, 0, firstReadSize
 	var failingSince time.Time
 	for ctx.Err() == nil {
 		var err error
@@ -68,7 +97,7 @@
 			next, err = readSnapshot(ctx, source, topic, options, logger, update)
 			synced = err == nil
 		} else {
-			next, err = readUpdates(ctx, source, topic, next, options, logger, update)
+			next, size, err = readUpdates(ctx, source, topic, next, size, options, logger, update)
 			if errors.Is(err, ErrTrimmed) {
 				logger.Info("topic was trimmed, reloading its newest records", "topic", topic)
 				synced = false
@@ -103,19 +132,21 @@
 	return next, err
 }
 
-// readUpdates reads the records that follow offset from. It returns the offset of the next read; after an error, that
-// is from.
-func readUpdates(ctx context.Context, source Source, topic string, from int64, options PollOptions, logger hclog.Logger, update func(Update)) (int64, error) {
+// readUpdates reads the records that follow offset from. It returns the offset and the size of the next read; after an error,
+// the offset is from.
+func readUpdates(ctx context.Context, source Source, topic string, from int64, size readSize, options PollOptions, logger hclog.Logger, update func(Update)) (int64, readSize, error) {
 	ctx, cancel := context.WithTimeout(ctx, options.MaxWait+options.TimeoutMargin)
 	defer cancel()
-	records, next, err := source.Read(ctx, topic, from, options.MaxWait)
+	began := time.Now()
+	records, next, err := source.Read(ctx, topic, from, int(size), options.MaxWait)
 	if err != nil {
-		return from, err
+		return from, size.afterFailure(), err
 	}
+	size = size.afterSuccess(records, time.Since(began), options.TimeoutMargin)
 	if records = dropUnreadable(topic, records, logger); len(records) > 0 {
 		update(Update{Records: records})
 	}
-	return next, nil
+	return next, size, nil
 }
 
 // dropUnreadable returns the records that can be read and logs the others.
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -33,7 +33,7 @@
 	return scriptedSource.next(ctx, "newest")
 }
 
-func (scriptedSource *scriptedSource) Read(ctx context.Context, _ string, from int64, _ time.Duration) ([]Record, int64, error) {
+func (scriptedSource *scriptedSource) Read(ctx context.Context, _ string, from int64, _ int, _ time.Duration) ([]Record, int64, error) {
 	return scriptedSource.next(ctx, fmt.Sprintf("read %d", from))
 }
 
@@ -99,3 +99,58 @@
 		is.True(!IsReadableKey(key))
 	}
 }
+
+// narrowSource holds a backlog of records of one kilobyte, which it sends at a bandwidth, and gets further ones.
+type narrowSource struct {
+	kilobytesPerSecond int64
+	recordsPerSecond   int64
+	backlog            int64
+	began              time.Time
+	sentKB             int64
+}
+
+func (source *narrowSource) end() int64 {
+	return source.backlog + int64(time.Since(source.began).Seconds()*float64(source.recordsPerSecond))
+}
+
+func (source *narrowSource) Newest(context.Context, string) ([]Record, int64, error) {
+	return nil, 0, nil
+}
+
+func (source *narrowSource) Read(ctx context.Context, _ string, from int64, maxKB int, _ time.Duration) ([]Record, int64, error) {
+	count := min(int64(maxKB), source.end()-from)
+	timer := time.NewTimer(time.Duration(count) * time.Second / time.Duration(source.kilobytesPerSecond))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-timer.C:
+	}
+	source.sentKB += count
+	records := make([]Record, count)
+	for i := range records {
+		records[i] = Record{Key: "a", Value: make([]byte, 1023), Offset: from + int64(i)}
+	}
+	return records, from + count, nil
+}
+
+// An instance that is seconds behind on a narrow link must catch up: it asked for all it had missed, was given less than that
+// before its time-out, and asked for the same again without end, with its link full.
+func TestReadsShrinkToWhatTheLinkCarries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := &narrowSource{kilobytesPerSecond: 200, recordsPerSecond: 27, backlog: 400, began: time.Now()}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		latest := int64(0)
+		options := PollOptions{Interval: 500 * time.Millisecond, TimeoutMargin: 800 * time.Millisecond}
+		go Follow(ctx, source, "topic", options, hclog.NewNullLogger(), func(update Update) {
+			if len(update.Records) > 0 {
+				latest = update.Records[len(update.Records)-1].Offset
+			}
+		})
+		time.Sleep(20 * time.Second)
+		synctest.Wait()
+		is.True(source.end()-latest < 40) // what comes in between two reads, and the read under way
+	})
+}
