--- a/executor/executor.go
+++ b/executor/executor.go
@@ -106,6 +106,9 @@
 	foreignJobs map[foreignJob]context.CancelFunc
 	// cancelQueries holds the jobs of cancellations that other instances have not answered.
 	cancelQueries map[*cancelQuery]string
+	// framesSent and bytesSent are what was sent to other instances until the last tick.
+	framesSent int64
+	bytesSent  int64
 	// tickDelay is the longest time by which a tick was late since the load was last reported.
 	tickDelay time.Duration
 	// leaving means that a planned stop has begun, and reassign that the readers must be assigned again.
@@ -135,6 +138,7 @@
 		foreignJobs:   make(map[foreignJob]context.CancelFunc),
 		cancelQueries: make(map[*cancelQuery]string),
 	}
+	executor.scheduler.SetLink(executor.uplink)
 	executor.meter.registerGauges(executor)
 	executor.peers = gossiper.New(self, executor, now)
 	executor.group.Go(executor.tick)
@@ -301,7 +305,7 @@
 			executor.peers.Claim(reader, action.Claim)
 		}
 		executor.wake(action.Target)
-		go executor.start(action, startTimeout+executor.uplink.send(len(action.Body), executor.now()))
+		go executor.start(action)
 	case scheduler.StopRun:
 		go executor.stop(action)
 	case scheduler.AnswerJob:
@@ -367,10 +371,10 @@
 }
 
 // start sends a start request and reports the result to the scheduler.
-func (executor *Executor) start(start scheduler.StartTask, timeout time.Duration) {
-	ctx, cancel := context.WithTimeout(executor.ctx, timeout)
-	defer cancel()
+func (executor *Executor) start(start scheduler.StartTask) {
 	sent := executor.now()
+	ctx, cancel := context.WithTimeout(executor.ctx, startTimeout+max(0, start.TransmittedAt.Sub(sent)))
+	defer cancel()
 	lease := start.Issued.Add(scheduler.LeaseDuration)
 	// This instance may have been paused since the start was decided.
 	result := scheduler.StartLate
@@ -390,7 +394,7 @@
 func (executor *Executor) stop(stop scheduler.StopRun) {
 	var err error
 	for range stop.Attempts() {
-		ctx, cancel := context.WithTimeout(executor.ctx, stopTimeout+executor.uplink.send(0, executor.now()))
+		ctx, cancel := context.WithTimeout(executor.ctx, stopTimeout+executor.uplink.Send(0, executor.now()))
 		err = executor.client.Stop(ctx, stop.RunTarget, stop.Run)
 		cancel()
 		if err == nil || errors.Is(err, ErrReplaced) {
@@ -427,6 +431,7 @@
 			executor.scheduler.RecordPause(now)
 			lastDomainCheck = now.Add(pauseThreshold)
 		}
+		executor.recordMessages(now)
 		executor.tickDelay = max(executor.tickDelay, now.Sub(lastTick)-interval)
 		lastTick = now
 		if now.Sub(lastDomainCheck) >= domainCheckInterval {
@@ -462,6 +467,13 @@
 	}
 }
 
+// recordMessages counts what was sent to other instances since the last call as queued on the link; the caller holds the lock.
+func (executor *Executor) recordMessages(now time.Time) {
+	frames, bytes := executor.peers.Sent()
+	executor.uplink.RecordMessages(frames-executor.framesSent, bytes-executor.bytesSent, now)
+	executor.framesSent, executor.bytesSent = frames, bytes
+}
+
 // updateSuspendedDomains suspends failure domains whose instances are all unresponsive, and resumes those that respond
 // again. During a partition, starts would otherwise be sent to each target there until that target itself is found
 // unreachable. The caller holds the lock.
--- a/executor/pause_test.go
+++ b/executor/pause_test.go
@@ -64,7 +64,7 @@
 		{-500 * time.Millisecond, time.Second, 1},
 	} {
 		start := scheduler.StartTask{Job: "j", RunTarget: infosOf(1)[0], Issued: now.Add(test.issued), Deadline: now.Add(test.deadline)}
-		executor.start(start, startTimeout)
+		executor.start(start)
 		is.Equal(len(client.started), test.sent)
 	}
 }
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -206,7 +206,7 @@
 	if executor.degraded(poller.lastPoll) {
 		timeout = request.Wait + degradedPollTimeout
 	}
-	pollContext, cancel := context.WithTimeout(ctx, timeout+executor.uplink.send(0, executor.now()))
+	pollContext, cancel := context.WithTimeout(ctx, timeout+executor.uplink.Send(0, executor.now()))
 	defer cancel()
 	poll, err := executor.client.Poll(pollContext, target, request)
 	executor.meter.polls.Inc()
--- a/gossiper/traffic.go
+++ b/gossiper/traffic.go
@@ -41,6 +41,15 @@
 	}
 }
 
+// Sent returns the number and the total size of the frames sent to other instances so far.
+func (gossiper *Gossiper) Sent() (frames, bytes int64) {
+	links := gossiper.currentLinks()
+	if links == nil {
+		return 0, 0
+	}
+	return links.Traffic().FramesSent(), links.Traffic().BytesSent()
+}
+
 // Entries is how many entries of a kind were sent to other instances.
 type Entries struct {
 	kind  string
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -278,6 +278,8 @@
 	FreeCapacityAge time.Duration
 	// Predicted is the expected run time on this target.
 	Predicted time.Duration
+	// TransmittedAt is when this instance's link will have sent the request.
+	TransmittedAt time.Time
 }
 
 // StopRun asks to stop a run on a target.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -34,6 +34,9 @@
 	if len(scheduler.queue) == 0 {
 		return
 	}
+	if scheduler.link.Backlog(now) > maxStartBacklog {
+		return
+	}
 	candidates := scheduler.candidates(now)
 	if len(candidates) == 0 {
 		return
@@ -41,7 +44,7 @@
 	kept := scheduler.queue[:0]
 	for _, task := range scheduler.queue {
 		// After a pause, jobs may be past their deadlines before Tick has removed them.
-		if now.Before(task.notBefore) || !now.Before(task.job.Deadline) || scheduler.held(task.job) || scheduler.mayStillRun(task.name, now) || !scheduler.placeTask(task, candidates, now) {
+		if scheduler.link.Backlog(now) > maxStartBacklog || now.Before(task.notBefore) || !now.Before(task.job.Deadline) || scheduler.held(task.job) || scheduler.mayStillRun(task.name, now) || !scheduler.placeTask(task, candidates, now) {
 			kept = append(kept, task)
 		}
 	}
@@ -207,6 +210,7 @@
 		FreeCapacity:    freeCapacity,
 		FreeCapacityAge: runTarget.freeCapacityAge(now),
 		Predicted:       task.predicted,
+		TransmittedAt:   now.Add(scheduler.link.Send(len(task.job.Body), now)),
 	})
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -123,6 +123,7 @@
 	// isolator knows which tasks were on targets that were lost.
 	isolator *isolator.Isolator
 	lossSharing
+	link Link
 	// candidateBuffer is reused between placements.
 	candidateBuffer []candidate
 }
@@ -161,6 +162,7 @@
 		releaseRates:   make(map[string]releaseRate),
 		isolator:       isolator.New(),
 		lossSharing:    newLossSharing(),
+		link:           idleLink{},
 	}
 }
 
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -98,6 +98,9 @@
 	crashing *crashingTasks
 	// spontaneous is set in simulations with targets that end for reasons of their own.
 	spontaneous *spontaneousEnds
+	// links is set in simulations of instances with narrow links, and acting is the instance that sends.
+	links  *narrowLinks
+	acting int
 }
 
 func newSimulation(seed uint64, naive bool) *simulation {
@@ -231,6 +234,7 @@
 	simulation.origin[id] = entry
 	simulation.deadlines[id] = simulation.now + 3000
 	instance := simulation.instances[entry]
+	simulation.acting = entry
 	instance.scheduler.Submit(testJob(id, 1+simulation.random.IntN(4), 50+simulation.random.IntN(800), simulation.now), at(simulation.now))
 	simulation.runActions(entry)
 }
@@ -241,6 +245,7 @@
 		if instance.crashed || simulation.now < instance.pausedUntil {
 			continue
 		}
+		simulation.acting = number
 		if instance.pausedUntil != 0 {
 			instance.scheduler.RecordPause(at(simulation.now))
 			instance.pausedUntil = 0
@@ -279,6 +284,10 @@
 			simulation.spontaneous.poll(simulation, number, index)
 			continue
 		}
+		if simulation.links != nil {
+			simulation.links.poll(simulation, number, index)
+			continue
+		}
 		if !reads && !instance.scheduler.TargetState(target.id).Unverified {
 			continue
 		}
@@ -362,12 +371,19 @@
 
 // send delivers a message to an instance after a short delay, if it is up then.
 func (simulation *simulation) send(name string, do func(*Scheduler)) {
+	simulation.sendSized(name, messageBytes, do)
+}
+
+// sendSized delivers a message of a size that matters on narrow links.
+func (simulation *simulation) sendSized(name string, bytes int, do func(*Scheduler)) {
+	queued := simulation.links.transmit(simulation.acting, bytes, simulation.now)
 	for number := range simulation.instances {
 		if simulation.instances[number].name != name {
 			continue
 		}
-		simulation.after(1+simulation.random.IntN(3), func() {
+		simulation.after(queued+1+simulation.random.IntN(3), func() {
 			if simulation.up(number) {
+				simulation.acting = number
 				do(simulation.instances[number].scheduler)
 				simulation.runActions(number)
 			} else if simulation.responsive(number) {
@@ -399,6 +415,10 @@
 }
 
 func (simulation *simulation) report(from int, report CapacityReport) {
+	if simulation.links != nil {
+		simulation.links.reports[from] = append(simulation.links.reports[from], report)
+		return
+	}
 	for number, instance := range simulation.instances {
 		if number != from {
 			simulation.send(instance.name, func(peer *Scheduler) { peer.HandlePeerReport(report, at(simulation.now)) })
@@ -442,7 +462,7 @@
 			if simulation.spontaneous != nil {
 				simulation.spontaneous.wake(simulation, number, action.Target)
 			}
-			simulation.request(number, action.Target, func(target *simulatedTarget) StartResult { return simulation.start(target, number, action) },
+			simulation.request(number, action.Target, action.TransmittedAt, func(target *simulatedTarget) StartResult { return simulation.start(target, number, action) },
 				func(result StartResult, answered bool) {
 					if !answered && simulation.naive {
 						result = StartRefused
@@ -453,7 +473,7 @@
 					scheduler.HandleStartResult(action.Target, action.Run, result, at(simulation.now))
 				})
 		case StopRun:
-			simulation.request(number, action.RunTarget.ID, func(target *simulatedTarget) StartResult { return simulation.stop(target, action.Run) },
+			simulation.request(number, action.RunTarget.ID, time.Time{}, func(target *simulatedTarget) StartResult { return simulation.stop(target, action.Run) },
 				func(_ StartResult, answered bool) {
 					scheduler.HandleStopResult(action.RunTarget.ID, action.Run, answered, at(simulation.now))
 				})
@@ -483,7 +503,11 @@
 			}
 		case LossRecorded:
 			if action.Share {
-				simulation.broadcast(number, func(peer *Scheduler) { peer.HandlePeerLoss(action.Loss, at(simulation.now)) })
+				for _, instance := range simulation.instances {
+					if instance.scheduler != scheduler {
+						simulation.sendSized(instance.name, messageBytes+suspectBytes*len(action.Suspects), func(peer *Scheduler) { peer.HandlePeerLoss(action.Loss, at(simulation.now)) })
+					}
+				}
 			}
 		case LossWithdrawn:
 			simulation.broadcast(number, func(peer *Scheduler) {
@@ -506,12 +530,16 @@
 }
 
 // request delivers a request to a target and returns its answer. A request that gets no answer may still be executed
-// seconds later.
-func (simulation *simulation) request(from int, id string, execute func(*simulatedTarget) StartResult, answer func(StartResult, bool)) {
+// seconds later. transmittedAt is when a narrow link will have sent it; zero if it was not queued yet.
+func (simulation *simulation) request(from int, id string, transmittedAt time.Time, execute func(*simulatedTarget) StartResult, answer func(StartResult, bool)) {
 	if simulation.spontaneous != nil {
 		simulation.spontaneous.request(simulation, from, id, execute, answer)
 		return
 	}
+	if simulation.links != nil {
+		simulation.links.request(simulation, from, id, transmittedAt, execute, answer)
+		return
+	}
 	target := simulation.targets[simulation.index(id)]
 	reply := func(delay int, result StartResult, answered bool) {
 		simulation.after(delay, func() {
