--- a/linker/link.go
+++ b/linker/link.go
@@ -74,7 +74,6 @@
 	link.closed = true
 	link.queue = nil
 	link.mu.Unlock()
-	close(link.done)
 	return context.Cause(ctx)
 }
 
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -358,15 +358,23 @@
 	linker.mu.Unlock()
 	linker.receive(established.remote, established.remote)
 	err := established.run(ctx, linker.deliver)
+	linker.remove(established)
+	// Whoever waits for the end of the link must not find it again.
+	close(established.done)
 	linker.receive(established.remote, LinkEnded{})
+	return err
+}
+
+// remove forgets a link that has ended.
+func (linker *Linker) remove(ended *link) {
 	linker.mu.Lock()
 	defer linker.mu.Unlock()
-	remaining := slices.DeleteFunc(linker.links[incarnation], func(other *link) bool { return other == established })
+	incarnation := ended.remote.Incarnation
+	remaining := slices.DeleteFunc(linker.links[incarnation], func(other *link) bool { return other == ended })
 	linker.links[incarnation] = remaining
 	if len(remaining) == 0 {
 		delete(linker.links, incarnation)
 	}
-	return err
 }
 
 // deliver passes a response to its pending request and any other message to the receiver.
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -426,3 +426,19 @@
 	_ = listener.Close()
 	return listener.Addr().String()
 }
+
+// A link that had ended was found again until its end was reported, which takes a lock of the receiver: the goroutine that maintains
+// the link took all processor time that the instance had meanwhile.
+func TestEndedLinkIsNotFound(t *testing.T) {
+	is := is.New(t)
+	a, b := startNode(t, "local", "a", testLimits()), startNode(t, "local", "b", testLimits())
+	found := make(chan bool, 10)
+	a.receive = func(from Hello, message Message) {
+		if _, ended := message.(LinkEnded); ended {
+			found <- a.Connected(from.Incarnation)
+		}
+	}
+	join(t, a, b)
+	b.Close()
+	is.True(!<-found)
+}
