--- a/executor/executor.go
+++ b/executor/executor.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -84,8 +83,7 @@
 	// peersKnownAt is the time by which the other instances, if any, are known.
 	peersKnownAt time.Time
 
-	// lastPollFailure is the time of the last unanswered poll, in nanoseconds since 1970.
-	lastPollFailure atomic.Int64
+	degradation degradation
 
 	mu        sync.Mutex
 	scheduler *scheduler.Scheduler
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -19,11 +19,10 @@
 	pollWait = 300 * time.Millisecond
 	// pollTimeout is how long to wait for an answer beyond the requested wait: a few slow round trips.
 	pollTimeout = 100 * time.Millisecond
-	// degradedPollWait and degradedPollTimeout apply for degradedPeriod after an unanswered poll. If one request in
-	// twenty is lost, longer polls would delay the ends on a third of the targets.
+	// degradedPollWait and degradedPollTimeout apply while many polls get no answer. If one request in twenty is lost, longer
+	// polls would delay the ends on a third of the targets.
 	degradedPollWait    = 50 * time.Millisecond
 	degradedPollTimeout = 40 * time.Millisecond
-	degradedPeriod      = 5 * time.Second
 	// minPollInterval is the minimum time between two polls of a target, so that ends in quick succession share a poll.
 	minPollInterval = 4 * time.Millisecond
 	// acknowledgeDelay is how long ends stay unacknowledged while nothing else runs on the target.
@@ -127,7 +126,7 @@
 		executor.scheduler.RecordLeaseRenewal(poller.id, now)
 		executor.mu.Unlock()
 	}
-	if executor.degraded(now) {
+	if executor.degradation.isDegraded() {
 		request.Wait = min(request.Wait, degradedPollWait)
 	}
 	executor.poll(ctx, poller, target, request)
@@ -203,7 +202,7 @@
 // poll polls the target and processes its answer.
 func (executor *Executor) poll(ctx context.Context, poller *poller, target scheduler.Target, request PollRequest) {
 	timeout := request.Wait + pollTimeout
-	if executor.degraded(poller.lastPoll) {
+	if executor.degradation.isDegraded() {
 		timeout = request.Wait + degradedPollTimeout
 	}
 	pollContext, cancel := context.WithTimeout(ctx, timeout+executor.uplink.Send(0, executor.now()))
@@ -217,6 +216,7 @@
 		executor.handlePollFailure(poller, target, err)
 		return
 	}
+	executor.degradation.record(true)
 	poll.Address = target.Address
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
@@ -283,16 +283,13 @@
 	return withheld
 }
 
-// degraded reports whether a poll failed within the last degradedPeriod.
-func (executor *Executor) degraded(now time.Time) bool {
-	return now.UnixNano()-executor.lastPollFailure.Load() < int64(degradedPeriod)
-}
-
 // handlePollFailure handles a poll of the given target that failed or was refused.
 func (executor *Executor) handlePollFailure(poller *poller, target scheduler.Target, err error) {
 	poller.failures++
 	executor.meter.unansweredPolls.Inc()
-	executor.lastPollFailure.Store(executor.now().UnixNano())
+	if poller.failures == 1 && !errors.Is(err, syscall.ECONNREFUSED) {
+		executor.degradation.record(false)
+	}
 	if poller.failures == 1 {
 		executor.logger.Info("poll not answered", "target", poller.id, "error", eris.ToString(err, false))
 	}
--- a/executor/poller_test.go
+++ b/executor/poller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -178,3 +179,35 @@
 	is.Equal(pause(true, false, 10), probeInterval)
 	is.Equal(pause(false, true, 10), probeInterval)
 }
+
+// One target that is gone must not shorten the polls of all others: on grown deployments some target always was, so that each
+// instance polled three times as often as without, at a quarter of its processor time.
+func TestSilentTargetDoesNotShortenOtherPolls(t *testing.T) {
+	is := is.New(t)
+	executor := newTestExecutor(t)
+	gone, refused := &poller{id: "t"}, &poller{id: "t"}
+	for range 10 {
+		executor.handlePollFailure(gone, scheduler.Target{ID: "t"}, eris.New("timeout"))
+		executor.handlePollFailure(refused, scheduler.Target{ID: "t"}, syscall.ECONNREFUSED)
+	}
+	is.True(!executor.degradation.isDegraded())
+}
+
+// If one poll in twenty is lost, polls must be short: a lost one delays the ends by its whole wait.
+func TestLostPollsShortenPolls(t *testing.T) {
+	is := is.New(t)
+	executor := newTestExecutor(t)
+	for number := range 400 {
+		lossy := &poller{id: "t"}
+		if number%20 == 0 {
+			executor.handlePollFailure(lossy, scheduler.Target{ID: "t"}, eris.New("timeout"))
+		} else {
+			executor.degradation.record(true)
+		}
+		is.True(number < 100 || executor.degradation.isDegraded())
+	}
+	for range 200 {
+		executor.degradation.record(true)
+	}
+	is.True(!executor.degradation.isDegraded())
+}
