--- a/supervisor/registry.go
+++ b/supervisor/registry.go
@@ -21,13 +21,15 @@
 type targetRegistry struct {
 	logger  hclog.Logger
 	targets map[string]scheduler.Target
+	// entries holds the encoded entries of targets.
+	entries map[string][]byte
 	// incarnationsNamed means that an entry has named the incarnation of its target. All targets of a platform do, or none;
 	// an entry without it then comes from another writer.
 	incarnationsNamed bool
 }
 
 func newTargetRegistry(logger hclog.Logger) *targetRegistry {
-	return &targetRegistry{logger: logger, targets: make(map[string]scheduler.Target)}
+	return &targetRegistry{logger: logger, targets: make(map[string]scheduler.Target), entries: make(map[string][]byte)}
 }
 
 // update applies records of targets and reports whether the list of targets may have changed. A snapshot always counts
@@ -55,6 +57,7 @@
 // dropUnnamed removes the targets whose entries lack the incarnation that others name, and reports whether there were any.
 func (registry *targetRegistry) dropUnnamed() bool {
 	known := len(registry.targets)
+	maps.DeleteFunc(registry.entries, func(id string, _ []byte) bool { _, listed := registry.targets[id]; return !listed })
 	if registry.incarnationsNamed {
 		maps.DeleteFunc(registry.targets, func(_ string, target scheduler.Target) bool { return target.Incarnation == 0 })
 	}
@@ -67,13 +70,16 @@
 		delete(registry.targets, record.Key)
 		return ok
 	}
+	if ok && platform.IsHeartbeat(registry.entries[record.Key], record.Value) {
+		return false
+	}
 	target, err := platform.DecodeTarget(record.Key, record.Value)
 	if err != nil {
 		registry.logger.Debug("target entry is invalid, target not used", "target", record.Key, "error", eris.ToString(err, false))
 		delete(registry.targets, record.Key)
 		return ok
 	}
-	registry.targets[record.Key] = target
+	registry.targets[record.Key], registry.entries[record.Key] = target, record.Value
 	registry.incarnationsNamed = registry.incarnationsNamed || target.Incarnation != 0
 	if !ok || previous.Draining != target.Draining || previous.Incarnation != target.Incarnation {
 		registry.logger.Info("target updated", "target", target.ID, "domain", target.Domain, "draining", target.Draining, "incarnation", target.Incarnation)
