--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -19,6 +19,9 @@
 	if task != nil && result.mayHaveRun() {
 		task.job.mayHaveStarted = true
 	}
+	if target != nil && !target.readBySelf && (result == StartTaken || result == StartNoRoom) {
+		scheduler.contention.record(result == StartNoRoom)
+	}
 	switch result {
 	case StartTaken:
 		scheduler.handleStartTaken(target, task, current, run, now)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -115,6 +115,7 @@
 	rate := scheduler.releaseRateOf(task.job.Service, now)
 	// If some target can still meet the objective, targets that would miss it are not considered.
 	canMeetObjective := now.Add(startOverhead + time.Duration(float64(step.Estimate)/rate.bestSpeed)).Before(task.job.Objective)
+	contentionCost := scheduler.contention.cost()
 	var best *candidate
 	bestCost := time.Duration(0)
 	for i := range candidates {
@@ -136,7 +137,7 @@
 			cost += crossDomainCost
 		}
 		if !candidate.readBySelf {
-			cost += nonReaderCost + time.Duration(candidate.nonReaderBias*float64(cost))
+			cost += nonReaderCost + time.Duration(candidate.nonReaderBias*float64(cost)) + contentionCost
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = candidate, cost
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -123,7 +123,8 @@
 	// isolator knows which tasks were on targets that were lost.
 	isolator *isolator.Isolator
 	lossSharing
-	link Link
+	link       Link
+	contention contention
 	// candidateBuffer is reused between placements.
 	candidateBuffer []candidate
 }
