--- a/executor/executor.go
+++ b/executor/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -83,7 +84,8 @@
 	// peersKnownAt is the time by which the other instances, if any, are known.
 	peersKnownAt time.Time
 
-	degradation degradation
+	// lastSilence is when a target that had answered before last left a poll unanswered, in nanoseconds since 1970.
+	lastSilence atomic.Int64
 
 	mu        sync.Mutex
 	scheduler *scheduler.Scheduler
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -19,10 +19,12 @@
 	pollWait = 300 * time.Millisecond
 	// pollTimeout is how long to wait for an answer beyond the requested wait: a few slow round trips.
 	pollTimeout = 100 * time.Millisecond
-	// degradedPollWait and degradedPollTimeout apply while many polls get no answer. If one request in twenty is lost, longer
-	// polls would delay the ends on a third of the targets.
+	// degradedPollWait and degradedPollTimeout apply for degradedPeriod after a target has fallen silent. If one request in twenty is
+	// lost, longer polls would delay the ends on a third of the targets. A target that stays silent, or whose host refuses
+	// connections, does not extend the period: where some target is always down, all polls would stay short.
 	degradedPollWait    = 50 * time.Millisecond
 	degradedPollTimeout = 40 * time.Millisecond
+	degradedPeriod      = 2 * time.Second
 	// minPollInterval is the minimum time between two polls of a target, so that ends in quick succession share a poll.
 	minPollInterval = 4 * time.Millisecond
 	// acknowledgeDelay is how long ends stay unacknowledged while nothing else runs on the target.
@@ -126,7 +128,7 @@
 		executor.scheduler.RecordLeaseRenewal(poller.id, now)
 		executor.mu.Unlock()
 	}
-	if executor.degradation.isDegraded() {
+	if executor.degraded(now) {
 		request.Wait = min(request.Wait, degradedPollWait)
 	}
 	executor.poll(ctx, poller, target, request)
@@ -202,7 +204,7 @@
 // poll polls the target and processes its answer.
 func (executor *Executor) poll(ctx context.Context, poller *poller, target scheduler.Target, request PollRequest) {
 	timeout := request.Wait + pollTimeout
-	if executor.degradation.isDegraded() {
+	if poller.failures > 0 || executor.degraded(poller.lastPoll) {
 		timeout = request.Wait + degradedPollTimeout
 	}
 	pollContext, cancel := context.WithTimeout(ctx, timeout+executor.uplink.Send(0, executor.now()))
@@ -216,7 +218,6 @@
 		executor.handlePollFailure(poller, target, err)
 		return
 	}
-	executor.degradation.record(true)
 	poll.Address = target.Address
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
@@ -283,12 +284,17 @@
 	return withheld
 }
 
+// degraded reports whether a target that had answered before left a poll unanswered within the last degradedPeriod.
+func (executor *Executor) degraded(now time.Time) bool {
+	return now.UnixNano()-executor.lastSilence.Load() < int64(degradedPeriod)
+}
+
 // handlePollFailure handles a poll of the given target that failed or was refused.
 func (executor *Executor) handlePollFailure(poller *poller, target scheduler.Target, err error) {
 	poller.failures++
 	executor.meter.unansweredPolls.Inc()
 	if poller.failures == 1 && !errors.Is(err, syscall.ECONNREFUSED) {
-		executor.degradation.record(false)
+		executor.lastSilence.Store(executor.now().UnixNano())
 	}
 	if poller.failures == 1 {
 		executor.logger.Info("poll not answered", "target", poller.id, "error", eris.ToString(err, false))
