--- a/commander/platform.go
+++ b/commander/platform.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
@@ -17,6 +18,15 @@
 	"github.com/hyssoplift/hyssoplift/supervisor"
 )
 
+const (
+	// heapGrowthPercent is by how much the heap grows between two garbage collections. An instance has a few megabytes in use and a
+	// goroutine for each target and peer, so that each collection costs far more than the memory that it frees.
+	heapGrowthPercent = 300
+	// softMemoryLimit is the memory in bytes from which garbage is collected more often: less than half of what the smallest
+	// instances have.
+	softMemoryLimit = 64 << 20
+)
+
 // newPlatform returns the subcommand that runs an instance on the users' platform.
 func newPlatform(stdout io.Writer) *ffcli.Command {
 	flags := flag.NewFlagSet("hyssoplift platform", flag.ContinueOnError)
@@ -37,6 +47,8 @@
 			if err != nil {
 				return err
 			}
+			debug.SetGCPercent(heapGrowthPercent)
+			debug.SetMemoryLimit(softMemoryLimit)
 			logWriter := recorder.New(stdout)
 			defer logWriter.Close()
 			logger := hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: logWriter, Level: hclog.LevelFromString(*level)})
