--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -110,8 +110,9 @@
 	delegating bool
 	// heartbeatSentAt is when heartbeats were last sent to all peers; zero makes them due at once.
 	heartbeatSentAt time.Time
-	// peersVersion counts the changes of the eligible peers.
+	// peersVersion counts the changes of assigned.
 	peersVersion int64
+	assigned     assignment
 }
 
 // New returns a gossiper for the instance self that passes messages to receiver; now returns the current time.
@@ -664,7 +665,8 @@
 	return links != nil && links.Connected(incarnation)
 }
 
-// PeersVersion returns a number that grows with each change of the result of EligiblePeers.
+// PeersVersion returns a number that grows with each change of the result of EligiblePeers, and of whether this instance delegates its
+// jobs or is joining.
 func (gossiper *Gossiper) PeersVersion() int64 {
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
@@ -679,7 +681,7 @@
 	defer gossiper.mu.Unlock()
 	var eligible []linker.Hello
 	for _, peer := range gossiper.peers {
-		if !peer.lost && !peer.leaving && !peer.delegating && !gossiper.isJoining(peer.startedAt, now) {
+		if gossiper.isEligible(peer, now) {
 			eligible = append(eligible, peer.hello)
 		}
 	}
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -381,3 +381,33 @@
 	gossiper.contact("former", 1)
 	is.Equal(len(gossiper.EligiblePeers()), 1)
 }
+
+// Instances that delegate their jobs come and go by dozens in an upgrade of a large deployment; all readers were assigned anew on all
+// instances each time.
+func TestReadersStayWhenDelegatingInstancesChange(t *testing.T) {
+	is := is.New(t)
+	gossiper, recorder, now := newTestGossiper(0.8)
+	for _, large := range []string{"l1", "l2", "l3"} {
+		gossiper.contact(large, 0.8)
+	}
+	gossiper.contact("s1", 0.1)
+	version := gossiper.PeersVersion()
+	gossiper.contact("s2", 0.1)
+	pass := func(large ...string) {
+		for range 2 * PeerTimeout / heartbeatInterval {
+			*now = now.Add(heartbeatInterval)
+			for _, incarnation := range large {
+				gossiper.contact(incarnation, 0.8)
+			}
+			gossiper.detectLostPeers()
+		}
+	}
+	pass("l1", "l2", "l3")
+	slices.Sort(recorder.lost)
+	is.Equal(recorder.lost, []string{"s1", "s2"})
+	is.Equal(len(gossiper.EligiblePeers()), 3)
+	is.Equal(gossiper.PeersVersion(), version)
+	pass("l1", "l2")
+	is.Equal(len(gossiper.EligiblePeers()), 2)
+	is.True(gossiper.PeersVersion() > version)
+}
--- a/gossiper/roles.go
+++ b/gossiper/roles.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hyssoplift/hyssoplift/linker"
@@ -103,7 +104,6 @@
 // updateRoles determines which instances delegate their jobs, after a change of the live instances; the caller holds
 // the lock.
 func (gossiper *Gossiper) updateRoles() {
-	gossiper.peersVersion++
 	gossiper.joining = gossiper.countJoining(gossiper.now())
 	weights := []float64{gossiper.self.EffectiveWeight()}
 	for _, peer := range gossiper.peers {
@@ -118,6 +118,41 @@
 			peer.delegating = peer.hello.EffectiveWeight() < threshold
 		}
 	})
+	if assignment := gossiper.assignment(); !assignment.equal(&gossiper.assigned) {
+		gossiper.assigned = assignment
+		gossiper.peersVersion++
+	}
+}
+
+// assignment is what determines the readers of targets, apart from the targets. Most changes of a large deployment concern
+// instances that delegate their jobs and read nothing; assigning all readers anew for each of them would take more processor
+// time than the work itself.
+type assignment struct {
+	eligible map[string]bool
+	// delegating and joining are the states of this instance.
+	delegating bool
+	joining    bool
+}
+
+func (assignment *assignment) equal(other *assignment) bool {
+	return assignment.delegating == other.delegating && assignment.joining == other.joining && maps.Equal(assignment.eligible, other.eligible)
+}
+
+// assignment returns the present assignment; the caller holds the lock.
+func (gossiper *Gossiper) assignment() assignment {
+	now := gossiper.now()
+	current := assignment{eligible: make(map[string]bool), delegating: gossiper.delegating, joining: gossiper.isJoining(gossiper.startedAt, now)}
+	for incarnation, peer := range gossiper.peers {
+		if gossiper.isEligible(peer, now) {
+			current.eligible[incarnation] = true
+		}
+	}
+	return current
+}
+
+// isEligible reports whether an instance can be a reader or a delegate; the caller holds the lock.
+func (gossiper *Gossiper) isEligible(peer *peer, now time.Time) bool {
+	return !peer.lost && !peer.leaving && !peer.delegating && !gossiper.isJoining(peer.startedAt, now)
 }
 
 // changeContacts makes a change that may begin contact with peers; the caller holds the lock.
