--- a/executor/executor.go
+++ b/executor/executor.go
@@ -111,6 +111,8 @@
 	bytesSent  int64
 	// tickDelay is the longest time by which a tick was late since the load was last reported.
 	tickDelay time.Duration
+	// readsTargets means that this instance is the reader of some target.
+	readsTargets bool
 	// leaving means that a planned stop has begun, and reassign that the readers must be assigned again.
 	leaving  bool
 	reassign bool
@@ -434,7 +436,7 @@
 		executor.recordMessages(now)
 		executor.tickDelay = max(executor.tickDelay, now.Sub(lastTick)-interval)
 		lastTick = now
-		if now.Sub(lastDomainCheck) >= domainCheckInterval {
+		if interval == tickInterval && now.Sub(lastDomainCheck) >= domainCheckInterval {
 			lastDomainCheck = now
 			executor.updateSuspendedDomains()
 		}
@@ -494,6 +496,9 @@
 
 // stopOrphans stops runs without a live owner on the targets that this instance reads; the caller holds the lock.
 func (executor *Executor) stopOrphans(now time.Time) {
+	if !executor.readsTargets {
+		return
+	}
 	for id, poller := range executor.pollers {
 		if poller.isReader.Load() {
 			executor.scheduler.StopOrphans(id, executor.peers.Alive, now)
--- a/executor/peers.go
+++ b/executor/peers.go
@@ -211,6 +211,7 @@
 		}
 	}
 	candidates := executor.readerCandidates(executor.peers.EligiblePeers())
+	executor.readsTargets = false
 	changed := make(map[string]bool)
 	for id, poller := range executor.pollers {
 		former := poller.reader
@@ -250,6 +251,7 @@
 	best := candidates.pick(&target)
 	poller.reader = best.Incarnation
 	isReader := best.Incarnation == executor.self.Incarnation
+	executor.readsTargets = executor.readsTargets || isReader
 	executor.scheduler.SetReader(poller.id, isReader, now)
 	if poller.isReader.Swap(isReader) != isReader {
 		executor.logger.Debug("reader of target changed", "target", poller.id, "own", isReader, "reader", best.Name)
