--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -9,7 +9,7 @@
 
 const (
 	// releaseRateTTL is how long a computed release rate is reused.
-	releaseRateTTL = 20 * time.Millisecond
+	releaseRateTTL = 50 * time.Millisecond
 	// defaultRunTime is assumed for a run whose claim is not known.
 	defaultRunTime = 200 * time.Millisecond
 )
