--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -303,9 +303,10 @@
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
 	if peer, ok := gossiper.peers[incarnation]; ok {
-		before := gossiper.inContact(peer)
+		now := gossiper.now()
+		before := gossiper.inContact(peer, now)
 		peer.sharedJobs = max(0, peer.sharedJobs+change)
-		gossiper.beginContact(peer, before)
+		gossiper.beginContact(peer, before, now)
 	}
 }
 
@@ -463,7 +464,7 @@
 	var sameDomain, otherDomains, heartbeats []string
 	for incarnation, peer := range gossiper.peers {
 		switch {
-		case !gossiper.inContact(peer) && !(gossiper.leaving && !gossiper.delegating):
+		case !gossiper.inContact(peer, now) && !(gossiper.leaving && !gossiper.delegating):
 		case peer.delegating && !peer.busy:
 			if heartbeatDue {
 				heartbeats = append(heartbeats, incarnation)
@@ -529,7 +530,7 @@
 	}
 	gossiper.checkedAt = now
 	for incarnation, peer := range gossiper.peers {
-		if !gossiper.inContact(peer) && links != nil && links.Connected(incarnation) {
+		if !gossiper.inContact(peer, now) && links != nil && links.Connected(incarnation) {
 			// The peer sends nothing to this instance, and nothing depends on detecting its loss quickly.
 			continue
 		}
@@ -628,7 +629,7 @@
 	defer gossiper.mu.Unlock()
 	unresponsive := make(map[string]bool)
 	for _, peer := range gossiper.peers {
-		if peer.leaving || !gossiper.inContact(peer) {
+		if peer.leaving || !gossiper.inContact(peer, now) {
 			continue
 		}
 		peerUnresponsive := now.Sub(peer.lastHeard) > duration
--- a/gossiper/roles.go
+++ b/gossiper/roles.go
@@ -157,21 +157,22 @@
 
 // changeContacts makes a change that may begin contact with peers; the caller holds the lock.
 func (gossiper *Gossiper) changeContacts(change func()) {
+	now := gossiper.now()
 	before := make(map[*peer]bool, len(gossiper.peers))
 	for _, peer := range gossiper.peers {
-		before[peer] = gossiper.inContact(peer)
+		before[peer] = gossiper.inContact(peer, now)
 	}
 	change()
 	for _, peer := range gossiper.peers {
-		gossiper.beginContact(peer, before[peer])
+		gossiper.beginContact(peer, before[peer], now)
 	}
 }
 
 // beginContact prepares the exchange of heartbeats if the peer was not in contact before: their absence until now is no
 // evidence of a loss. The caller holds the lock.
-func (gossiper *Gossiper) beginContact(peer *peer, before bool) {
-	if !before && gossiper.inContact(peer) {
-		peer.lastHeard = gossiper.now()
+func (gossiper *Gossiper) beginContact(peer *peer, before bool, now time.Time) {
+	if !before && gossiper.inContact(peer, now) {
+		peer.lastHeard = now
 		gossiper.heartbeatSentAt = time.Time{}
 		notify(gossiper.changed)
 	}
@@ -184,19 +185,19 @@
 	return gossiper.delegating
 }
 
-// inContact reports whether this instance and the peer send each other heartbeats. Larger instances do so among
+// inContact reports whether this instance and the peer send each other heartbeats at now. Larger instances do so among
 // themselves, and with the delegating ones of their failure domain, which choose their delegates there. Across failure
 // domains, a delegating instance and a larger one are in contact only while one of them runs a job for the other one or
 // the delegating one owns jobs, so that an instance does not exchange heartbeats with every other one. The caller holds
 // the lock.
-func (gossiper *Gossiper) inContact(peer *peer) bool {
+func (gossiper *Gossiper) inContact(peer *peer, now time.Time) bool {
 	switch {
 	case gossiper.delegating && peer.delegating:
 		return false
 	case gossiper.delegating == peer.delegating, peer.hello.Domain == gossiper.self.Domain, peer.sharedJobs > 0:
 		return true
 	case gossiper.delegating:
-		return gossiper.busy || gossiper.now().Before(gossiper.busyAnnouncedUntil)
+		return gossiper.busy || now.Before(gossiper.busyAnnouncedUntil)
 	}
 	return peer.busy
 }
--- a/linker/link.go
+++ b/linker/link.go
@@ -221,7 +221,7 @@
 
 // silentPingFactor is how many times less often the peer is pinged while nothing is sent to it either. Such links exist
 // between most pairs of instances of a large deployment, and nothing waits for their messages.
-const silentPingFactor = 10
+const silentPingFactor = 30
 
 // pingDue reports whether the peer has sent nothing for so long that it is pinged. Any frame, such as a heartbeat, proves
 // that the peer is alive.
