--- a/scheduler/loss_sharing.go
+++ b/scheduler/loss_sharing.go
@@ -59,7 +59,10 @@
 func (scheduler *Scheduler) emitSharedLoss(key lossKey, observed *unsharedLoss, loss isolator.Loss, discovered bool) {
 	delete(scheduler.unshared, key)
 	scheduler.shared[key] = true
-	loss.Suspects = slices.DeleteFunc(loss.Suspects, func(suspect isolator.Suspect) bool { return !observed.runs[Run{suspect.Task, suspect.Attempt}] })
+	// The caller goes on using the runs of the loss.
+	loss.Suspects = slices.DeleteFunc(slices.Clone(loss.Suspects), func(suspect isolator.Suspect) bool {
+		return !observed.runs[Run{suspect.Task, suspect.Attempt}]
+	})
 	scheduler.emit(LossRecorded{Loss: loss, Share: true, Discovered: discovered})
 }
 
--- a/supervisor/load.go
+++ b/supervisor/load.go
@@ -19,7 +19,7 @@
 	value  func() int64
 }
 
-// counters returns the counters that tell an overloaded link from an overloaded processor, and where the load comes from.
+// counters returns the counters that distinguish an overloaded link from an overloaded processor and show what causes the load.
 func (supervisor *Supervisor) counters() []counter {
 	targets, peers := supervisor.targetClient.Traffic(), supervisor.links.Traffic()
 	counters := []counter{
