--- a/scheduler/loss.go
+++ b/scheduler/loss.go
@@ -206,28 +206,23 @@
 // mergeLoss merges a loss, shares it with the other instances if share is set and it brings anything new, and gives up
 // the jobs that it convicts.
 func (scheduler *Scheduler) mergeLoss(loss isolator.Loss, share bool, now time.Time) {
-	merged, change := scheduler.isolator.Record(loss)
-	if change == isolator.Unchanged {
-		return
-	}
-	if share {
-		scheduler.shareLoss(merged, loss, change == isolator.Discovered, now)
-	} else {
-		scheduler.emit(LossRecorded{Loss: merged})
-	}
-	scheduler.applyLoss(&merged, now)
+	scheduler.mergeAndShare(loss, loss.Suspects, share, now)
 }
 
 // mergePeerLoss merges a loss that another instance has sent, and shares what this instance has added to it.
 func (scheduler *Scheduler) mergePeerLoss(loss isolator.Loss, added []isolator.Suspect, now time.Time) {
 	scheduler.shared[lossKey{loss.Target, loss.Incarnation}] = true
+	scheduler.mergeAndShare(loss, added, len(added) > 0, now)
+}
+
+// mergeAndShare merges a loss and, if share is set and it brings anything new, shares the runs that this instance has observed.
+func (scheduler *Scheduler) mergeAndShare(loss isolator.Loss, observed []isolator.Suspect, share bool, now time.Time) {
 	merged, change := scheduler.isolator.Record(loss)
 	if change == isolator.Unchanged {
 		return
 	}
-	if len(added) > 0 {
-		loss.Suspects = added
-		scheduler.shareLoss(merged, loss, change == isolator.Discovered, now)
+	if share {
+		scheduler.shareLoss(merged, observed, change == isolator.Discovered, now)
 	} else {
 		scheduler.emit(LossRecorded{Loss: merged})
 	}
--- a/scheduler/loss_sharing.go
+++ b/scheduler/loss_sharing.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -38,13 +39,13 @@
 
 // shareLoss sends what this instance has observed of a loss to all others, at once if the target has probably crashed, and
 // otherwise if it stays silent. merged is all that is known about the loss.
-func (scheduler *Scheduler) shareLoss(merged, observed isolator.Loss, discovered bool, now time.Time) {
+func (scheduler *Scheduler) shareLoss(merged isolator.Loss, observed []isolator.Suspect, discovered bool, now time.Time) {
 	key := lossKey{merged.Target, merged.Incarnation}
 	pending, waiting := scheduler.unshared[key]
 	if !waiting {
 		pending = &unsharedLoss{dueAt: now.Add(silentLossDelay), runs: make(map[Run]bool)}
 	}
-	for _, suspect := range observed.Suspects {
+	for _, suspect := range observed {
 		pending.runs[Run{suspect.Task, suspect.Attempt}] = true
 	}
 	if merged.Evidence == isolator.Silent {
@@ -68,25 +69,20 @@
 
 // shareLastingLosses sends the losses of targets that have stayed silent, and forgets the expired ones.
 func (scheduler *Scheduler) shareLastingLosses(now time.Time) {
-	if len(scheduler.unshared)+len(scheduler.shared) == 0 {
-		return
-	}
-	for _, loss := range scheduler.isolator.Losses() {
-		key := lossKey{loss.Target, loss.Incarnation}
-		if pending, ok := scheduler.unshared[key]; ok && !now.Before(pending.dueAt) {
-			scheduler.emitSharedLoss(key, pending, loss, false)
+	if len(scheduler.unshared) > 0 {
+		for _, loss := range scheduler.isolator.Losses() {
+			key := lossKey{loss.Target, loss.Incarnation}
+			if pending, ok := scheduler.unshared[key]; ok && !now.Before(pending.dueAt) {
+				scheduler.emitSharedLoss(key, pending, loss, false)
+			}
 		}
 	}
-	for key := range scheduler.shared {
-		if _, known := scheduler.isolator.LostAt(key.target, key.incarnation); !known {
-			delete(scheduler.shared, key)
-		}
-	}
-	for key := range scheduler.unshared {
-		if _, known := scheduler.isolator.LostAt(key.target, key.incarnation); !known {
-			delete(scheduler.unshared, key)
-		}
+	expired := func(key lossKey) bool {
+		_, known := scheduler.isolator.LostAt(key.target, key.incarnation)
+		return !known
 	}
+	maps.DeleteFunc(scheduler.shared, func(key lossKey, _ bool) bool { return expired(key) })
+	maps.DeleteFunc(scheduler.unshared, func(key lossKey, _ *unsharedLoss) bool { return expired(key) })
 }
 
 // withdrawLoss removes an unconfirmed loss of a target that has answered a request sent at the given time.
