Log why a lease counts as over, and runs that overlapped

The logs of two runs at once could not tell apart why an owner had started a task again: what the end of the lease was derived from, whether a listed run without an owner began after a restart of its target, or that a run went on although it had counted as lost.

run lost names the evidence for the end of the lease, the age of the last known renewal and of the last list. The query for an owner names the incarnation and the time since the restart. An end that shows that a run went on after a later one had been started is logged as a warning and counted (hyssoplift_overlapping_runs_total), which is a fault whenever it occurs.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -324,7 +324,7 @@
 		executor.logSuspension(action)
 		executor.peers.BroadcastSuspension(action.Suspension)
 	case scheduler.QueryOwner:
-		executor.logger.Info("owner of a run is unknown or silent", "task", action.Run.Task, "attempt", action.Run.Attempt, "target", action.Target, "asked", len(action.To))
+		executor.logQuery(action)
 		for _, peer := range action.To {
 			executor.peers.QueryOwner(peer, action.OwnedRun)
 		}
@@ -333,6 +333,9 @@
 	case scheduler.RunLost:
 		executor.meter.countLostRun(action)
 		executor.logLostRun(action)
+	case scheduler.RunsOverlapped:
+		executor.meter.overlappingRuns.Inc()
+		executor.logOverlap(action)
 	case scheduler.TaskGivenUp:
 		executor.meter.tasksGivenUp.Inc()
 		executor.logGivenUp(action)
--- a/executor/log.go
+++ b/executor/log.go
@@ -66,7 +66,19 @@
 
 func (executor *Executor) logLostRun(lost scheduler.RunLost) {
 	executor.logger.Info("run lost", "job", lost.Job, "task", lost.Run.Task, "attempt", lost.Run.Attempt, "target", lost.Target,
-		"incarnation", lost.Incarnation, "reason", string(lost.Reason), "losses", lost.Restarts)
+		"incarnation", lost.Incarnation, "reason", string(lost.Reason), "losses", lost.Restarts,
+		"lease", string(lost.Lease), "renewal-age-ms", lost.RenewalAge.Milliseconds(), "list-age-ms", lost.ListAge.Milliseconds())
+}
+
+func (executor *Executor) logOverlap(overlapped scheduler.RunsOverlapped) {
+	executor.logger.Warn("runs of a task overlapped", "task", overlapped.Run.Task, "attempt", overlapped.Run.Attempt, "target", overlapped.Target,
+		"cause", overlapped.Cause.String(), "later-attempt", overlapped.Later.Attempt, "later-target", overlapped.LaterTarget,
+		"listed-after-ms", overlapped.ListedAfter.Milliseconds())
+}
+
+func (executor *Executor) logQuery(query scheduler.QueryOwner) {
+	executor.logger.Info("owner of a run is unknown or silent", "task", query.Run.Task, "attempt", query.Run.Attempt, "target", query.Target,
+		"incarnation", query.Incarnation, "listed-ms", query.ListedFor.Milliseconds(), "restarted-ms", query.RestartedFor.Milliseconds(), "asked", len(query.To))
 }
 
 func (executor *Executor) logLoss(recorded scheduler.LossRecorded) {
--- a/executor/meter.go
+++ b/executor/meter.go
@@ -16,6 +16,7 @@
 	stops           *metrics.Counter
 	suspensions     *metrics.Counter
 	targetRestarts  *metrics.Counter
+	overlappingRuns *metrics.Counter
 	tasksGivenUp    *metrics.Counter
 	polls           *metrics.Counter
 	unansweredPolls *metrics.Counter
@@ -33,6 +34,7 @@
 		stops:           set.NewCounter("hyssoplift_stops_total"),
 		suspensions:     set.NewCounter("hyssoplift_lease_suspensions_total"),
 		targetRestarts:  set.NewCounter("hyssoplift_target_restarts_total"),
+		overlappingRuns: set.NewCounter("hyssoplift_overlapping_runs_total"),
 		tasksGivenUp:    set.NewCounter("hyssoplift_tasks_given_up_total"),
 		polls:           set.NewCounter("hyssoplift_looks_total"),
 		unansweredPolls: set.NewCounter("hyssoplift_looks_unanswered_total"),
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -212,8 +212,10 @@
 // requeueLost queues a task again whose run was lost or stopped.
 func (scheduler *Scheduler) requeueLost(task *task, reason LossReason, now time.Time) {
 	task.restarts++
+	target := task.runTarget
 	scheduler.emit(RunLost{
-		Target: task.runTarget.ID, Incarnation: task.incarnation, Run: task.run(), Job: task.job.ID, Reason: reason, Restarts: task.restarts,
+		Target: target.ID, Incarnation: task.incarnation, Run: task.run(), Job: task.job.ID, Reason: reason, Restarts: task.restarts,
+		Lease: target.leaseEvidence, RenewalAge: now.Sub(target.lastRenewal()), ListAge: now.Sub(target.lastPolled),
 	})
 	if reason == LossLapsed || reason == LossUnanswered || task.incarnation < task.runTarget.Incarnation {
 		scheduler.recordLostRun(task, now)
@@ -292,6 +294,7 @@
 	if end.Cause != NeverRan {
 		task.job.mayHaveStarted = true
 	}
+	scheduler.recordOverlap(task, targetID, end, now)
 	isLatest := task.latest(targetID, end.Run) && end.endsRun(task.incarnation, task.startedAt, now)
 	isActive := isLatest && task.mayBeRunning()
 	switch {
@@ -315,6 +318,18 @@
 	}
 }
 
+// recordOverlap records that an earlier run of a task went on to its own end after the latest one had been started. A run that
+// was stopped or has lapsed may have ended long before its end was listed.
+func (scheduler *Scheduler) recordOverlap(task *task, targetID string, end End, now time.Time) {
+	listedAfter := now.Add(-end.Age).Sub(task.startedAt)
+	if end.Cause != Done && end.Cause != Failed || end.Run.Attempt >= task.attempt || !task.mayBeRunning() || listedAfter <= 0 {
+		return
+	}
+	scheduler.emit(RunsOverlapped{
+		Target: targetID, Run: end.Run, Cause: end.Cause, LaterTarget: task.runTarget.ID, Later: task.run(), ListedAfter: listedAfter,
+	})
+}
+
 func (scheduler *Scheduler) completeTask(task *task, now time.Time) {
 	job := task.job
 	task.state = done
@@ -405,7 +420,7 @@
 		task.incarnation, task.accepted = target.Incarnation, true
 	}
 	// Another instance may have renewed the lease just before the poll.
-	target.extendLease(now)
+	target.extendLease(now, LeaseListed)
 }
 
 // handleMissingRun handles a run that its target listed before but lists no longer: either another instance
@@ -503,7 +518,7 @@
 	}
 	target.allocate(claim.Run, added)
 	added.incarnation = incarnation
-	target.extendLease(now)
+	target.extendLease(now, LeaseClaimed)
 	scheduler.recordRunResources(claim.Resources)
 	if target.unreachable {
 		scheduler.recordLoss(target, isolator.Silent, now)
@@ -563,37 +578,6 @@
 	}
 }
 
-// HandlePeerReport records a target's free capacity as reported by its reader, or that the reader cannot reach the
-// target.
-func (scheduler *Scheduler) HandlePeerReport(report CapacityReport, now time.Time) {
-	target, ok := scheduler.targets[report.Target]
-	if !ok || target.readBySelf {
-		return
-	}
-	target.reportedFree, target.reportedAt, target.unreachableByReader = report.FreeCapacity, now, report.Unreachable
-	if !report.Unreachable {
-		target.recordResponse(now)
-		target.lastPolled = now
-		target.extendLease(now.Add(cutOffRenewalPeriod))
-		if target.reporter != report.Reporter && target.reporter != "" {
-			target.formerRenewalsUntil = now.Add(cutOffRenewalPeriod)
-		}
-		target.reporter = report.Reporter
-		return
-	}
-	if target.reporter != "" && target.reporter != report.Reporter {
-		return
-	}
-	// The reader has not renewed the lease since it lost contact with the target; a former reader may have.
-	renewed := now
-	if target.formerRenewalsUntil.After(now) {
-		renewed = target.formerRenewalsUntil
-	}
-	if end := renewed.Add(LeaseDuration + leaseMargin); end.Before(target.leaseEnd) {
-		target.leaseEnd = end
-	}
-}
-
 // HandlePeerDemand records the number of waiting tasks of another instance. Negative numbers count as zero.
 func (scheduler *Scheduler) HandlePeerDemand(owner string, demand Demand) {
 	for priority := range demand {
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -403,3 +403,33 @@
 	scheduler.Tick(at(50 + int((LeaseDuration+leaseMargin)/time.Millisecond)))
 	is.Equal(len(drain(scheduler).starts), 1)
 }
+
+// Overlapping runs must not go unrecorded.
+func TestOverlappingRunsAreRecorded(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	start := startOne(scheduler, testJob("j", 2, 1000, 0))
+	lapsed := 2 + int((LeaseDuration+leaseMargin)/time.Millisecond)
+	scheduler.Tick(at(lapsed))
+	var lost []RunLost
+	for _, action := range scheduler.TakeActions() {
+		if action, ok := action.(RunLost); ok && action.Run == start.Run {
+			lost = append(lost, action)
+		}
+	}
+	is.Equal(len(lost), 1)
+	is.Equal(lost[0].Reason, LossLapsed)
+	is.Equal(lost[0].Lease, LeaseStarted)
+	is.True(lost[0].RenewalAge >= LeaseDuration)
+	scheduler.HandleEnd(start.Target, End{Run: start.Run, Cause: Done}, at(lapsed+100))
+	var overlapped []RunsOverlapped
+	for _, action := range scheduler.TakeActions() {
+		if action, ok := action.(RunsOverlapped); ok {
+			overlapped = append(overlapped, action)
+		}
+	}
+	is.Equal(len(overlapped), 1)
+	is.Equal(overlapped[0].Run, start.Run)
+	is.Equal(overlapped[0].Later, Run{start.Run.Task, 2})
+	is.Equal(overlapped[0].ListedAfter, 100*time.Millisecond)
+}
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -257,8 +257,8 @@
 }
 
 // Action is something that the caller of the scheduler has to do: StartTask, StopRun, RelayStop, SuspendRenewals, QueryOwner,
-// WithdrawClaim, OfferCapacity, AnswerJob, LossRecorded, LossWithdrawn or TargetVerified, or to record: RunLost, TaskGivenUp or
-// TargetRestarted.
+// WithdrawClaim, OfferCapacity, AnswerJob, LossRecorded, LossWithdrawn or TargetVerified, or to record: RunLost, RunsOverlapped,
+// TaskGivenUp or TargetRestarted.
 type Action interface{ isAction() }
 
 // StartTask asks to start a run on a target.
@@ -384,6 +384,23 @@
 	Reason      LossReason
 	// Restarts counts the losses of the task since its job was submitted, including this one.
 	Restarts int
+	// Lease is the evidence for the end of the target's lease, and RenewalAge the time since the lease was last renewed
+	// by it.
+	Lease      LeaseEvidence
+	RenewalAge time.Duration
+	// ListAge is the time since the target last listed its runs to this instance or its reader.
+	ListAge time.Duration
+}
+
+// RunsOverlapped records that a run of a task of this instance went on to its own end after a later one had been started.
+type RunsOverlapped struct {
+	Target string
+	Run    Run
+	Cause  Cause
+	// LaterTarget and Later are those of the later run, which was started ListedAfter before the end was listed.
+	LaterTarget string
+	Later       Run
+	ListedAfter time.Duration
 }
 
 // TaskGivenUp records that a job is answered as failed because of one of its tasks, with the losses that count against the
@@ -442,6 +459,7 @@
 func (QueryOwner) isAction()      {}
 func (OfferCapacity) isAction()   {}
 func (RunLost) isAction()         {}
+func (RunsOverlapped) isAction()  {}
 func (TaskGivenUp) isAction()     {}
 func (LossRecorded) isAction()    {}
 func (LossWithdrawn) isAction()   {}
--- a/scheduler/orphan.go
+++ b/scheduler/orphan.go
@@ -37,6 +37,10 @@
 type QueryOwner struct {
 	OwnedRun
 	To []string
+	// ListedFor is the time since the run was claimed or first listed, and RestartedFor the time since the target restarted;
+	// zero if it did not since this instance knows it.
+	ListedFor    time.Duration
+	RestartedFor time.Duration
 }
 
 // StopOrphans stops the runs on a target whose owner is lost, that no instance owns, or that this instance started but
@@ -63,7 +67,7 @@
 			scheduler.stopOrphan(target, run, "the run's instance is lost", now)
 		case now.Sub(allocation.lastClaimed()) >= orphanGrace:
 			// The owner repeats the claims of all its runs.
-			scheduler.queryOwner(target, run, allocation, []string{allocation.owner})
+			scheduler.queryOwner(target, run, allocation, []string{allocation.owner}, now)
 		}
 	}
 }
@@ -82,12 +86,16 @@
 	case listedFor >= orphanGrace, listedFor >= ownerQueryDelay && scheduler.peers.Complete && len(unasked) == 0:
 		scheduler.stopOrphan(target, run, "no instance owns the run", now)
 	case listedFor >= ownerQueryDelay && len(unasked) > 0:
-		scheduler.queryOwner(target, run, allocation, unasked)
+		scheduler.queryOwner(target, run, allocation, unasked, now)
 	}
 }
 
-func (scheduler *Scheduler) queryOwner(target *target, run Run, allocation *allocation, to []string) {
-	scheduler.emit(QueryOwner{OwnedRun: OwnedRun{target.ID, allocation.incarnation, run}, To: to})
+func (scheduler *Scheduler) queryOwner(target *target, run Run, allocation *allocation, to []string, now time.Time) {
+	query := QueryOwner{OwnedRun: OwnedRun{target.ID, allocation.incarnation, run}, To: to, ListedFor: now.Sub(allocation.claimedAt)}
+	if !target.restartedAt.IsZero() {
+		query.RestartedFor = now.Sub(target.restartedAt)
+	}
+	scheduler.emit(query)
 }
 
 // stopOrphan requests the stop of a run unless that has been done recently.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -195,7 +195,7 @@
 	task.missingSince = time.Time{}
 	task.predicted = runTarget.predict(step.Estimate)
 	runTarget.allocate(task.run(), &allocation{owner: scheduler.self, resources: claimed, estimate: step.Estimate, claimedAt: now})
-	runTarget.extendLease(now)
+	runTarget.extendLease(now, LeaseStarted)
 	scheduler.recordRunResources(step.Resources)
 	if runTarget.readBySelf {
 		scheduler.changedTargets[runTarget.ID] = true
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -126,8 +126,10 @@
 	suspended bool
 	// unrenewedUntil is until when no request may renew the lease, because a run there must end and cannot be stopped.
 	unrenewedUntil time.Time
-	// leaseEnd is the latest possible end of the target's lease, based on the requests that are known to this instance.
-	leaseEnd time.Time
+	// leaseEnd is the latest possible end of the target's lease, based on the requests that are known to this instance, and
+	// leaseEvidence is what it was derived from.
+	leaseEnd      time.Time
+	leaseEvidence LeaseEvidence
 	// lastHeard is the time of the target's last known response, to this instance or to its reader.
 	lastHeard time.Time
 	// lastPolled is when the target last listed its runs, directly or through its reader.
@@ -311,13 +313,6 @@
 	return target.unanswered > maxUnanswered
 }
 
-// extendLease records a request that may have renewed the lease at now.
-func (target *target) extendLease(now time.Time) {
-	if end := now.Add(LeaseDuration + leaseMargin); end.After(target.leaseEnd) {
-		target.leaseEnd = end
-	}
-}
-
 // exclude blocks new work for a time that doubles with each exclusion in a row.
 func (target *target) exclude(now time.Time) {
 	if now.Before(target.excludedUntil) {
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -42,13 +42,6 @@
 	}
 }
 
-// RecordLeaseRenewal records that a request that renews a target's lease is about to be sent.
-func (scheduler *Scheduler) RecordLeaseRenewal(targetID string, now time.Time) {
-	if target, ok := scheduler.targets[targetID]; ok {
-		target.extendLease(now)
-	}
-}
-
 // ExpireOffers offers capacity again that was not claimed within offerTimeout; call it at about that interval.
 func (scheduler *Scheduler) ExpireOffers(now time.Time) {
 	if len(scheduler.offered) > 0 {
