Do not count a run as missing that its target lists again

Callers could see a task run twice: a list omits a run, a later list shows it, and 150 ms after the first one the task starts elsewhere. The time since when the run is missing was kept for its capacity and for its task, and only the former was cleared.

Both are cleared now. TestRunThatIsListedAgainIsNotMissing failed before (one start too many at 252 ms) and passes. Whether a target can omit a run that is there has not been seen: a list is compared only with runs that were accepted before it was asked for, and lists of former incarnations are ignored.

--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -417,7 +417,7 @@
 	known.confirmedAt, known.missingSince, known.restarted = now, time.Time{}, false
 	known.incarnation = target.Incarnation
 	if task := scheduler.tasks[active.Run.Task]; task != nil && task.latest(target.ID, active.Run) {
-		task.incarnation, task.accepted = target.Incarnation, true
+		task.incarnation, task.accepted, task.missingSince = target.Incarnation, true, time.Time{}
 	}
 	// Another instance may have renewed the lease just before the poll.
 	target.extendLease(now, LeaseListed)
