Renew a lease only in contact with the target's reader

A lease covers all runs of a target, and every start renews it. When the reader reported its target as unreachable, which a reader that lacks processor time does, owners held the lease for over 1,060 ms later, although an instance that had not learned of the report went on starting runs there: the lease went on, and the first run with it.

The class: a lease was held for over by the requests that an instance knows of, while others renewed it. Now - an instance starts runs on a target of another reader, and renews its lease by polls, only within 250 ms after the sending of the last broadcast that it has received from that reader; one that reads the target itself must have heard any other instance, so that it starts nothing right after a pause in which others took over; - after a report that the target is unreachable, owners add these 250 ms, also if they had assumed an earlier end; - once the 250 ms are over and the reader has heard all instances that start runs, so that it has their claims, it announces the end of the lease to the owners. Without requests by others this is the end that was assumed before; - the reader holds its own leases for over only if it has heard all others, or by the same bound.

Two tests stated the wrong bound. TestLostTargetGetsNoWorkAndNoLease wanted the second start 1,060 ms after the first one, whatever others had started until the report; it now wants exactly the announced end, or exactly that of the latest start of others. TestReportOfPresentReaderShortensTheLease wants 250 ms more, and now also nothing earlier.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -328,6 +328,10 @@
 		for _, peer := range action.To {
 			executor.peers.QueryOwner(peer, action.OwnedRun)
 		}
+	case scheduler.AnnounceLeaseEnd:
+		for _, peer := range action.To {
+			executor.peers.AnnounceLeaseEnd(peer, action.Target, action.End)
+		}
 	case scheduler.OfferCapacity:
 		executor.peers.Offer(action.To, action.Target, action.FreeCapacity)
 	case scheduler.RunLost:
--- a/executor/peers.go
+++ b/executor/peers.go
@@ -35,6 +35,9 @@
 	for _, id := range update.Stops {
 		executor.scheduler.HandlePeerStop(from, id.Target, runOf(id))
 	}
+	for _, lease := range update.LeaseEnds {
+		executor.scheduler.HandlePeerLeaseEnd(from, lease.Target, now.Add(milliseconds(lease.RemainingMS)))
+	}
 	for _, suspension := range update.Suspensions {
 		executor.scheduler.HandlePeerSuspension(from, decodeSuspension(suspension, now), now)
 	}
@@ -45,6 +48,7 @@
 		}, now)
 	}
 	if len(update.Waiting) > 0 {
+		executor.scheduler.RecordBroadcast(from, now.Add(-delay))
 		var demand scheduler.Demand
 		copy(demand[:], update.Waiting)
 		executor.scheduler.HandlePeerDemand(from, demand)
@@ -253,6 +257,11 @@
 	isReader := best.Incarnation == executor.self.Incarnation
 	executor.readsTargets = executor.readsTargets || isReader
 	executor.scheduler.SetReader(poller.id, isReader, now)
+	if isReader {
+		executor.scheduler.AttachReader(poller.id, "")
+	} else {
+		executor.scheduler.AttachReader(poller.id, best.Incarnation)
+	}
 	if poller.isReader.Swap(isReader) != isReader {
 		executor.logger.Debug("reader of target changed", "target", poller.id, "own", isReader, "reader", best.Name)
 		executor.wake(poller.id)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -206,6 +206,16 @@
 	gossiper.updateAll(linker.RevisionOwnership, func(update *linker.StateUpdate) { update.Suspensions = append(update.Suspensions, encoded) })
 }
 
+// AnnounceLeaseEnd sends the end of a target's lease without delay to an instance that owns runs there.
+func (gossiper *Gossiper) AnnounceLeaseEnd(to, target string, end time.Time) {
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	if peer, ok := gossiper.peers[to]; ok && peer.hello.Revision >= linker.RevisionLeases {
+		update := gossiper.updateFor(to, true)
+		update.LeaseEnds = append(update.LeaseEnds, linker.LeaseEnd{Target: target, RemainingMS: max(0, end.Sub(gossiper.now()).Milliseconds()+1)})
+	}
+}
+
 // QueryOwner asks an instance without delay whether it owns a run.
 func (gossiper *Gossiper) QueryOwner(to string, run scheduler.OwnedRun) {
 	gossiper.mu.Lock()
@@ -231,6 +241,7 @@
 // Answering returns the live instances that answer queries for the owner of a run.
 func (gossiper *Gossiper) Answering() scheduler.Peers {
 	links := gossiper.currentLinks()
+	now := gossiper.now()
 	answering := scheduler.Peers{Complete: links != nil && links.MembersSettled(PeerTimeout)}
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
@@ -242,10 +253,19 @@
 		default:
 			answering.Complete = false
 		}
+		if !peer.lost && gossiper.startsRuns(peer, now) {
+			answering.Starting = append(answering.Starting, incarnation)
+		}
 	}
 	return answering
 }
 
+// startsRuns reports whether an instance that broadcasts to this one starts runs: one that delegates its jobs does not, unless
+// it still owns some. The caller holds the lock.
+func (gossiper *Gossiper) startsRuns(peer *peer, now time.Time) bool {
+	return (!peer.delegating || peer.busy) && gossiper.inContact(peer, now)
+}
+
 // SendSuspension asks an instance without delay to suspend the renewals of a target's lease.
 func (gossiper *Gossiper) SendSuspension(to string, suspension scheduler.Suspension) {
 	gossiper.mu.Lock()
--- a/gossiper/traffic.go
+++ b/gossiper/traffic.go
@@ -14,6 +14,7 @@
 	{"claims", func(update *linker.StateUpdate) int { return len(update.Claims) }},
 	{"withdrawals", func(update *linker.StateUpdate) int { return len(update.Withdrawn) }},
 	{"stops", func(update *linker.StateUpdate) int { return len(update.Stops) }},
+	{"lease-ends", func(update *linker.StateUpdate) int { return len(update.LeaseEnds) }},
 	{"suspensions", func(update *linker.StateUpdate) int { return len(update.Suspensions) }},
 	{"queries", func(update *linker.StateUpdate) int { return len(update.Queries) + len(update.Disowned) }},
 	{"ends", func(update *linker.StateUpdate) int { return len(update.Ends) }},
--- a/linker/codec.go
+++ b/linker/codec.go
@@ -282,6 +282,9 @@
 	for i := range update.CancelAnswers {
 		texts = append(texts, update.CancelAnswers[i].Job)
 	}
+	for i := range update.LeaseEnds {
+		texts = append(texts, update.LeaseEnds[i].Target)
+	}
 	for i := range update.FreeCapacity {
 		texts = append(texts, update.FreeCapacity[i].Target)
 	}
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -123,6 +123,7 @@
 			Losses:      []Loss{{Target: "t", Incarnation: 1, Address: "a", Evidence: 2, AgeMS: 3, Observer: "o", Runs: []LostRun{{Task: "k", Attempt: 4, Route: "r", AgeMS: 5, Cleared: true, Fate: 3}}}},
 			Queries:     []OwnedRun{{Target: "t", Incarnation: 1, Task: "k", Attempt: 2}},
 			Disowned:    []OwnedRun{{Target: "t", Incarnation: 1, Task: "k", Attempt: 2}},
+			LeaseEnds:   []LeaseEnd{{Target: "t", RemainingMS: 3}},
 			Suspensions: []Suspension{{Target: "t", Incarnation: 1, Task: "k", Attempt: 2, RemainingMS: 3}},
 			Responding:  []TargetIncarnation{{Target: "t", Incarnation: 1}},
 			Restarts:    []TargetIncarnation{{Target: "t", Incarnation: 2}},
--- a/linker/message.go
+++ b/linker/message.go
@@ -13,8 +13,10 @@
 const (
 	// RevisionOwnership adds the fields with which instances agree that a run must end.
 	RevisionOwnership = 1
+	// RevisionLeases adds the announced ends of leases.
+	RevisionLeases = 2
 	// Revision is the revision of this instance.
-	Revision = RevisionOwnership
+	Revision = RevisionLeases
 )
 
 // Hello identifies an instance. It is the first frame in each direction.
@@ -261,6 +263,14 @@
 	Unreachable bool
 }
 
+// LeaseEnd is the end of the lease of a target that its reader cannot reach, by the requests of all instances.
+type LeaseEnd struct {
+	_      struct{} `cbor:",toarray"`
+	Target string
+	// RemainingMS is the time until the lease has ended, in milliseconds.
+	RemainingMS int64
+}
+
 // LostRun is a run that was on a target when it was lost.
 type LostRun struct {
 	_       struct{} `cbor:",toarray"`
@@ -319,6 +329,8 @@
 	EndOrigins []EndOrigin `cbor:"end-origins,omitempty"`
 	// FreeCapacity lists targets that the sender reads, with their free capacity.
 	FreeCapacity []FreeCapacity `cbor:"rooms,omitempty"`
+	// LeaseEnds is sent to the owners of runs on targets that the sender reads and cannot reach.
+	LeaseEnds []LeaseEnd `cbor:"lease-ends,omitempty"`
 	// Losses lists targets that were lost, Responding those that turned out not to be, and Restarts those that came back
 	// with another incarnation.
 	Losses     []Loss              `cbor:"losses,omitempty"`
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -488,7 +488,9 @@
 		evidence = isolator.Refused
 	}
 	scheduler.recordLoss(target, evidence, now)
-	target.unreachable = true
+	if !target.unreachable {
+		target.unreachable, target.unreachableSince, target.leaseAnnounced = true, now, false
+	}
 	if target.readBySelf {
 		scheduler.changedTargets[target.ID] = true
 	}
@@ -589,6 +591,7 @@
 // RemovePeer drops the demand of a lost instance. Its runs renew no leases.
 func (scheduler *Scheduler) RemovePeer(owner string) {
 	delete(scheduler.peerDemands, owner)
+	scheduler.contactWith(owner).sentAt = time.Time{}
 	for _, target := range scheduler.ordered {
 		for _, allocation := range target.allocations {
 			allocation.ownerLost = allocation.ownerLost || allocation.owner == owner
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // LeaseEvidence is what the assumed end of a target's lease was derived from.
 type LeaseEvidence string
@@ -19,10 +22,15 @@
 	LeaseReported LeaseEvidence = "report"
 	// LeaseUnreachable means that the target's reader reported that the target does not respond.
 	LeaseUnreachable LeaseEvidence = "unreachable-report"
+	// LeaseAnnounced means that the target's reader announced the end of the lease.
+	LeaseAnnounced LeaseEvidence = "announced"
 )
 
 // extendLease records a request that may have renewed the lease at now.
 func (target *target) extendLease(now time.Time, evidence LeaseEvidence) {
+	if evidence == LeaseStarted || evidence == LeasePolled {
+		target.ownRenewal = now
+	}
 	if end := now.Add(LeaseDuration + leaseMargin); end.After(target.leaseEnd) {
 		target.leaseEnd, target.leaseEvidence = end, evidence
 	}
@@ -61,12 +69,57 @@
 	if target.reporter != "" && target.reporter != report.Reporter {
 		return
 	}
-	// The reader has not renewed the lease since it lost contact with the target; a former reader may have.
-	renewed := now
-	if target.formerRenewalsUntil.After(now) {
+	// The reader has not renewed the lease since it lost contact with the target; a former reader may have. Instances that
+	// have not received this report start runs there until they have heard nothing from the reader for ContactTimeout.
+	renewed := now.Add(ContactTimeout)
+	if target.formerRenewalsUntil.After(renewed) {
 		renewed = target.formerRenewalsUntil
 	}
-	if end := renewed.Add(LeaseDuration + leaseMargin); end.Before(target.leaseEnd) {
-		target.leaseEnd, target.leaseEvidence = end, LeaseUnreachable
+	target.leaseEnd, target.leaseEvidence = renewed.Add(LeaseDuration+leaseMargin), LeaseUnreachable
+}
+
+// announceLeaseEnd announces when the lease of a target ends that this instance reads and cannot reach, as soon as no other
+// instance can start anything there any more and the claims of all starts have arrived.
+func (scheduler *Scheduler) announceLeaseEnd(target *target, now time.Time) {
+	if !target.readBySelf || !target.unreachable || target.leaseAnnounced || now.Sub(target.unreachableSince) <= ContactTimeout || !scheduler.hearsAll(now) {
+		return
+	}
+	target.leaseAnnounced = true
+	var owners []string
+	for _, allocation := range target.allocations {
+		if allocation.owner != "" && allocation.owner != scheduler.self && !slices.Contains(owners, allocation.owner) {
+			owners = append(owners, allocation.owner)
+		}
+	}
+	if len(owners) > 0 {
+		slices.Sort(owners)
+		scheduler.emit(AnnounceLeaseEnd{Target: target.ID, To: owners, End: target.leaseEnd})
+	}
+}
+
+// HandlePeerLeaseEnd handles the announcement of a target's reader that the lease ends at the given time by the requests of all
+// instances.
+func (scheduler *Scheduler) HandlePeerLeaseEnd(from, targetID string, end time.Time) {
+	target, ok := scheduler.targets[targetID]
+	if !ok || target.readBySelf || !target.unreachableByReader || target.reporter != "" && target.reporter != from {
+		return
+	}
+	for _, renewal := range []time.Time{target.ownRenewal, target.formerRenewalsUntil} {
+		if own := renewal.Add(LeaseDuration + leaseMargin); own.After(end) {
+			end = own
+		}
+	}
+	target.leaseEnd, target.leaseEvidence = end, LeaseAnnounced
+}
+
+// leaseIsOver reports whether the lease of a target has ended by all requests of any instance. The reader of the target knows
+// of the starts of others by their claims, which arrive before later broadcasts.
+func (scheduler *Scheduler) leaseIsOver(target *target, now time.Time) bool {
+	if now.Before(target.leaseEnd) || now.Before(scheduler.lossDetectionFrom) {
+		return false
+	}
+	if !target.readBySelf || scheduler.hearsAll(now) {
+		return true
 	}
+	return !now.Before(target.unreachableSince.Add(ContactTimeout + LeaseDuration + leaseMargin))
 }
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -162,17 +162,37 @@
 	is.Equal(len(drain(scheduler).starts), 0)
 }
 
-// A target that its reader cannot reach must get no new work, and the report of this must not extend the assumed lease.
+// A target that its reader cannot reach must get no new work, and the end that the reader announces for its lease must not be
+// later by the report of this.
 func TestLostTargetGetsNoWorkAndNoLease(t *testing.T) {
-	is := is.New(t)
-	scheduler := New("self", "a")
-	scheduler.SetTargets(testTargets(2), at(0))
-	start := startOne(scheduler, testJob("j", 1, 900, 0))
-	scheduler.HandlePeerReport(CapacityReport{Target: start.Target, Unreachable: true}, at(500))
-	scheduler.Submit(testJob("k", 1, 100, 500), at(500))
-	is.True(drain(scheduler).starts[0].Target != start.Target)
-	scheduler.Tick(at(int((LeaseDuration + leaseMargin) / time.Millisecond)))
-	is.Equal(len(drain(scheduler).starts), 1) // started again 1.06 s after the only request that set the lease
+	ownEnd := int((LeaseDuration + leaseMargin) / time.Millisecond)
+	othersEnd := 500 + int((ContactTimeout+LeaseDuration+leaseMargin)/time.Millisecond)
+	for _, test := range []struct {
+		name string
+		// announced is the end of the lease that the reader announces at 760 ms, or 0 for none.
+		announced, restarted int
+	}{
+		{"not announced", 0, othersEnd},
+		{"no renewal by others", 900, ownEnd},
+		{"others have renewed it", 1400, 1400},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			scheduler := New("self", "a")
+			scheduler.SetTargets(testTargets(2), at(0))
+			start := startOne(scheduler, testJob("j", 1, 900, 0))
+			scheduler.HandlePeerReport(CapacityReport{Target: start.Target, Reporter: "reader", Unreachable: true}, at(500))
+			scheduler.Submit(testJob("k", 1, 100, 500), at(500))
+			is.True(drain(scheduler).starts[0].Target != start.Target)
+			if test.announced > 0 {
+				scheduler.HandlePeerLeaseEnd("reader", start.Target, at(test.announced))
+			}
+			scheduler.Tick(at(test.restarted - 1))
+			is.Equal(len(drain(scheduler).starts), 0)
+			scheduler.Tick(at(test.restarted))
+			is.Equal(len(drain(scheduler).starts), 1)
+		})
+	}
 }
 
 // A lease must be assumed to last beyond the reader's last report. Otherwise, if a reader that is cut off from the
@@ -400,7 +420,10 @@
 	start := startOne(scheduler, testJob("j", 1, 900, 0))
 	scheduler.HandlePeerReport(CapacityReport{Target: start.Target, Reporter: "present", FreeCapacity: Resources{MilliCores: 18000}}, at(45))
 	scheduler.HandlePeerReport(CapacityReport{Target: start.Target, Reporter: "present", Unreachable: true}, at(50))
-	scheduler.Tick(at(50 + int((LeaseDuration+leaseMargin)/time.Millisecond)))
+	end := 50 + int((ContactTimeout+LeaseDuration+leaseMargin)/time.Millisecond)
+	scheduler.Tick(at(end - 1))
+	is.Equal(len(drain(scheduler).starts), 0)
+	scheduler.Tick(at(end))
 	is.Equal(len(drain(scheduler).starts), 1)
 }
 
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -257,7 +257,7 @@
 }
 
 // Action is something that the caller of the scheduler has to do: StartTask, StopRun, RelayStop, SuspendRenewals, QueryOwner,
-// WithdrawClaim, OfferCapacity, AnswerJob, LossRecorded, LossWithdrawn or TargetVerified, or to record: RunLost, RunsOverlapped,
+// AnnounceLeaseEnd, WithdrawClaim, OfferCapacity, AnswerJob, LossRecorded, LossWithdrawn or TargetVerified, or to record: RunLost, RunsOverlapped,
 // TaskGivenUp or TargetRestarted.
 type Action interface{ isAction() }
 
@@ -344,6 +344,14 @@
 // SuspendRenewals asks all other instances to apply a suspension.
 type SuspendRenewals struct{ Suspension }
 
+// AnnounceLeaseEnd asks to notify the owners of runs on a target, which its reader cannot reach, of the end of its lease by the
+// requests of all instances.
+type AnnounceLeaseEnd struct {
+	Target string
+	To     []string
+	End    time.Time
+}
+
 // RelayStop asks to have the target's reader stop a run that this instance cannot stop itself.
 type RelayStop struct {
 	Target string
@@ -450,18 +458,19 @@
 	Runs        []OccupyingRun
 }
 
-func (StartTask) isAction()       {}
-func (StopRun) isAction()         {}
-func (AnswerJob) isAction()       {}
-func (WithdrawClaim) isAction()   {}
-func (RelayStop) isAction()       {}
-func (SuspendRenewals) isAction() {}
-func (QueryOwner) isAction()      {}
-func (OfferCapacity) isAction()   {}
-func (RunLost) isAction()         {}
-func (RunsOverlapped) isAction()  {}
-func (TaskGivenUp) isAction()     {}
-func (LossRecorded) isAction()    {}
-func (LossWithdrawn) isAction()   {}
-func (TargetRestarted) isAction() {}
-func (TargetVerified) isAction()  {}
+func (StartTask) isAction()        {}
+func (StopRun) isAction()          {}
+func (AnswerJob) isAction()        {}
+func (WithdrawClaim) isAction()    {}
+func (RelayStop) isAction()        {}
+func (SuspendRenewals) isAction()  {}
+func (QueryOwner) isAction()       {}
+func (AnnounceLeaseEnd) isAction() {}
+func (OfferCapacity) isAction()    {}
+func (RunLost) isAction()          {}
+func (RunsOverlapped) isAction()   {}
+func (TaskGivenUp) isAction()      {}
+func (LossRecorded) isAction()     {}
+func (LossWithdrawn) isAction()    {}
+func (TargetRestarted) isAction()  {}
+func (TargetVerified) isAction()   {}
--- a/scheduler/orphan.go
+++ b/scheduler/orphan.go
@@ -18,6 +18,8 @@
 type Peers struct {
 	// Answering holds the incarnations that answer queries for the owner of a run.
 	Answering []string
+	// Starting holds the incarnations of the instances that start runs.
+	Starting []string
 	// Complete means that there are no other live instances, as far as the platform knows.
 	Complete bool
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -92,8 +92,9 @@
 	// cancellations holds the cancelled jobs, the earliest first, and cancelledAt when each was cancelled.
 	cancellations []Cancellation
 	cancelledAt   map[string]time.Time
-	// peers are the other live instances.
-	peers Peers
+	// peers are the other live instances, and contacts holds when each was last heard from.
+	peers    Peers
+	contacts map[string]*contact
 	// pendingStops holds the runs that must end and may still go on.
 	pendingStops map[targetRun]*pendingStop
 	// suspensions holds the leases whose renewals are suspended.
@@ -152,6 +153,7 @@
 		jobs:           make(map[string]*job),
 		tasks:          make(map[string]*task),
 		cancelledAt:    make(map[string]time.Time),
+		contacts:       make(map[string]*contact),
 		pendingStops:   make(map[targetRun]*pendingStop),
 		suspensions:    make(map[suspensionKey]Suspension),
 		foreignEnds:    make(map[targetRun]recordedEnd),
--- a/scheduler/stop.go
+++ b/scheduler/stop.go
@@ -132,7 +132,7 @@
 		return false
 	}
 	if pending.lapsesAt.IsZero() {
-		return !now.Before(pending.since.Add(LeaseDuration+leaseMargin)) && !now.Before(target.leaseEnd)
+		return !now.Before(pending.since.Add(LeaseDuration+leaseMargin)) && scheduler.leaseIsOver(target, now)
 	}
 	if now.Before(pending.lapsesAt) {
 		return false
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -118,6 +118,8 @@
 	failureStreak int
 	lastFailedJob string
 	unreachable   bool
+	// unreachableSince is when the target was last found not to respond.
+	unreachableSince time.Time
 	// unanswered counts the start and stop requests that were not answered since the target last responded.
 	unanswered int
 	// unreachableByReader means that the target does not answer its reader.
@@ -130,6 +132,10 @@
 	// leaseEvidence is what it was derived from.
 	leaseEnd      time.Time
 	leaseEvidence LeaseEvidence
+	// ownRenewal is when this instance last sent a request that renews the lease.
+	ownRenewal time.Time
+	// leaseAnnounced means that the end of the lease was announced since the target was found not to respond.
+	leaseAnnounced bool
 	// lastHeard is the time of the target's last known response, to this instance or to its reader.
 	lastHeard time.Time
 	// lastPolled is when the target last listed its runs, directly or through its reader.
@@ -142,6 +148,8 @@
 	readBySelf bool
 	// readSince is when this instance became the reader.
 	readSince time.Time
+	// readerContact is the contact with the other instance that reads the target, or nil.
+	readerContact *contact
 	// reportedFree is the free capacity that the target's reader reported at reportedAt.
 	reportedFree Resources
 	reportedAt   time.Time
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -62,6 +62,7 @@
 	scheduler.expireLateStarts(now)
 	for _, target := range scheduler.ordered {
 		if len(target.allocations) > 0 {
+			scheduler.announceLeaseEnd(target, now)
 			scheduler.dropStaleAllocations(target, now)
 		}
 	}
@@ -94,7 +95,7 @@
 				scheduler.abort(job, dispatcher.ReasonDeadline, "too little time is left for a task", now)
 				return
 			}
-			if task.state == uncertain && !now.Before(task.notBefore) && !now.Before(task.runTarget.leaseEnd) && !now.Before(scheduler.lossDetectionFrom) {
+			if task.state == uncertain && !now.Before(task.notBefore) && scheduler.leaseIsOver(task.runTarget, now) {
 				scheduler.requeueLost(task, LossUnanswered, now)
 			}
 		case running:
@@ -112,7 +113,7 @@
 func (scheduler *Scheduler) checkRun(task *task, now time.Time) {
 	missing := !task.missingSince.IsZero() && now.Sub(task.missingSince) >= missingTimeout
 	// No renewal of the lease is known, so the target has ended the run.
-	lapsed := !now.Before(task.runTarget.leaseEnd) && !now.Before(scheduler.lossDetectionFrom)
+	lapsed := scheduler.leaseIsOver(task.runTarget, now)
 	if missing || lapsed {
 		scheduler.releaseRun(task.runTarget, task.run())
 		task.notBefore = time.Time{}
@@ -193,12 +194,17 @@
 	// its reader.
 	Unreachable         bool
 	UnreachableByReader bool
+	// ContactUntil is until when what the target's reader has broadcast is recent; zero if no other instance reads the target.
+	ContactUntil time.Time
 	// LastHeard is the time of the target's last known response.
 	LastHeard time.Time
 }
 
 // MayRenew reports whether a poll may renew the target's lease.
 func (state *TargetState) MayRenew(now time.Time) bool {
+	if !state.ContactUntil.IsZero() && now.After(state.ContactUntil) {
+		return false
+	}
 	return now.Before(state.WantedUntil) && !now.Before(state.UnrenewedUntil) && !state.Unreachable && !state.UnreachableByReader
 }
 
@@ -214,6 +220,9 @@
 		WantedUntil: scheduler.wantedUntil(target), UnrenewedUntil: target.unrenewedUntil,
 		Contradicted: target.pending != nil,
 	}
+	if target.readerContact != nil {
+		state.ContactUntil = target.readerContact.sentAt.Add(ContactTimeout)
+	}
 	for _, allocation := range target.allocations {
 		if allocation.owner == scheduler.self {
 			state.HasOwnRuns = true
