Leave the renewal of leases by polls to the reader

The owner of a run that has heard nothing of a target for 650 ms polls the target itself, and renewed its lease by that.

Polls by others than the reader still list the runs, but renew nothing. A reader that is lost is replaced within 600 ms; an instance that is cut off from all others reads its targets itself by then.

--- a/scheduler/contact_test.go
+++ b/scheduler/contact_test.go
@@ -28,15 +28,11 @@
 	starts := drain(scheduler).starts
 	is.Equal(len(starts), 1)
 	acceptStarts(scheduler, starts, at(2+contactMS))
-	scheduler.RecordLeaseRenewal("t0", at(2+contactMS))
-	is.True(!renewable(scheduler, 2+contactMS)) // nor does a poll renew the lease
-	scheduler.RecordBroadcast("reader", at(3))
-	is.True(renewable(scheduler, 3+contactMS))
-}
-
-func renewable(scheduler *Scheduler, now int) bool {
 	state := scheduler.TargetState("t0")
-	return state.MayRenew(at(now))
+	is.True(!state.MayRenew(at(3))) // the reader would not know of a renewal by a poll
+	scheduler.AttachReader("t0", "")
+	state = scheduler.TargetState("t0")
+	is.True(state.MayRenew(at(5)))
 }
 
 // Another instance may have become the reader while this one was paused. What it starts right afterwards renews leases that
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -194,18 +194,15 @@
 	// its reader.
 	Unreachable         bool
 	UnreachableByReader bool
-	// ContactUntil is until when what the target's reader has broadcast is recent; zero if no other instance reads the target.
-	ContactUntil time.Time
+	// ReadByOther means that another instance reads the target. The reader does not learn of renewals by polls of others.
+	ReadByOther bool
 	// LastHeard is the time of the target's last known response.
 	LastHeard time.Time
 }
 
 // MayRenew reports whether a poll may renew the target's lease.
 func (state *TargetState) MayRenew(now time.Time) bool {
-	if !state.ContactUntil.IsZero() && now.After(state.ContactUntil) {
-		return false
-	}
-	return now.Before(state.WantedUntil) && !now.Before(state.UnrenewedUntil) && !state.Unreachable && !state.UnreachableByReader
+	return now.Before(state.WantedUntil) && !now.Before(state.UnrenewedUntil) && !state.Unreachable && !state.UnreachableByReader && !state.ReadByOther
 }
 
 // TargetState returns the state of the target for its poller.
@@ -218,10 +215,7 @@
 		IncarnationSince: target.incarnationSince, Occupied: len(target.allocations) > 0,
 		Unreachable: target.unreachable, UnreachableByReader: target.unreachableByReader, LastHeard: target.lastHeard,
 		WantedUntil: scheduler.wantedUntil(target), UnrenewedUntil: target.unrenewedUntil,
-		Contradicted: target.pending != nil,
-	}
-	if target.readerContact != nil {
-		state.ContactUntil = target.readerContact.sentAt.Add(ContactTimeout)
+		Contradicted: target.pending != nil, ReadByOther: target.readerContact != nil,
 	}
 	for _, allocation := range target.allocations {
 		if allocation.owner == scheduler.self {
