Admit no work beside runs that no live instance owns

That the run is over now also follows from its lease: a reader reports no free capacity, and starts nothing, while the target lists a run that no live instance owns, or as a new reader before the first list. After a change of the reader, other instances start nothing on the target until the next one has reported, 600 ms at most. With the 250 ms after the last broadcast of the former reader, the lease ends 1,270 ms after it.

TestNoWorkIsAdmittedBesideUnownedRuns and TestNothingStartsBeforeTheNextReaderReports guard the two rules.

--- a/executor/peers.go
+++ b/executor/peers.go
@@ -258,9 +258,9 @@
 	executor.readsTargets = executor.readsTargets || isReader
 	executor.scheduler.SetReader(poller.id, isReader, now)
 	if isReader {
-		executor.scheduler.AttachReader(poller.id, "")
+		executor.scheduler.AttachReader(poller.id, "", now)
 	} else {
-		executor.scheduler.AttachReader(poller.id, best.Incarnation)
+		executor.scheduler.AttachReader(poller.id, best.Incarnation, now)
 	}
 	if poller.isReader.Swap(isReader) != isReader {
 		executor.logger.Debug("reader of target changed", "target", poller.id, "own", isReader, "reader", best.Name)
--- a/scheduler/contact.go
+++ b/scheduler/contact.go
@@ -32,15 +32,45 @@
 }
 
 // AttachReader sets which other instance reads a target; empty if none does.
-func (scheduler *Scheduler) AttachReader(targetID, reader string) {
+func (scheduler *Scheduler) AttachReader(targetID, reader string, now time.Time) {
 	target, ok := scheduler.targets[targetID]
-	switch {
-	case !ok:
-	case reader == "":
-		target.readerContact = nil
-	default:
-		target.readerContact = scheduler.contactWith(reader)
+	if !ok {
+		return
+	}
+	if reader == "" {
+		target.readerContact, target.reportAwaitedUntil = nil, time.Time{}
+		return
+	}
+	contact := scheduler.contactWith(reader)
+	changed := target.readerContact != nil && target.readerContact != contact
+	target.readerContact = contact
+	if changed && (target.reporter != reader || now.Sub(target.reportedAt) >= orphanGrace) {
+		target.reportAwaitedUntil = now.Add(orphanGrace)
+	}
+}
+
+// mayStartOn reports whether starts on a target, which renew the leases of all runs there, are in keeping with what the target's
+// reader knows.
+func (scheduler *Scheduler) mayStartOn(target *target, now time.Time) bool {
+	return scheduler.hearsReader(target, now) && !now.Before(target.reportAwaitedUntil) && !(target.readBySelf && target.withholdsCapacity(now))
+}
+
+// withholdsCapacity reports whether the reader of a target keeps new work away, because the target may run something that no
+// live instance owns: the caller sends its job again, and the run must be over by then. If nothing renews its lease, it is,
+// even if it cannot be stopped in time.
+func (target *target) withholdsCapacity(now time.Time) bool {
+	isNewReader := now.Sub(target.readSince) < orphanGrace
+	if isNewReader && target.lastPolled.Before(target.readSince) {
+		return true
+	}
+	for _, allocation := range target.allocations {
+		isOwned := allocation.owner != "" && !allocation.ownerLost
+		// The claim of a run that was listed just now may be under way.
+		if !isOwned && !allocation.confirmedAt.IsZero() && (isNewReader || now.Sub(allocation.claimedAt) >= ownerQueryDelay) {
+			return true
+		}
 	}
+	return false
 }
 
 // hearsReader reports whether this instance has heard recently enough from the reader of a target to start runs there. An
--- a/scheduler/contact_test.go
+++ b/scheduler/contact_test.go
@@ -15,7 +15,7 @@
 	is := is.New(t)
 	scheduler := New("self", "a")
 	scheduler.SetTargets(testTargets(1), at(0))
-	scheduler.AttachReader("t0", "reader")
+	scheduler.AttachReader("t0", "reader", at(0))
 	scheduler.Submit(testJob("j", 1, 900, 0), at(0))
 	is.Equal(len(drain(scheduler).starts), 0) // nothing is known of the reader yet
 	scheduler.RecordBroadcast("other", at(1))
@@ -30,7 +30,7 @@
 	acceptStarts(scheduler, starts, at(2+contactMS))
 	state := scheduler.TargetState("t0")
 	is.True(!state.MayRenew(at(3))) // the reader would not know of a renewal by a poll
-	scheduler.AttachReader("t0", "")
+	scheduler.AttachReader("t0", "", at(4))
 	state = scheduler.TargetState("t0")
 	is.True(state.MayRenew(at(5)))
 }
@@ -102,3 +102,74 @@
 	scheduler.Tick(at(end + 1))
 	is.Equal(len(drain(scheduler).starts), 1)
 }
+
+// A run that no live instance owns must lapse even if it cannot be stopped before its caller sends the job again. New work beside
+// it would renew its lease.
+func TestNoWorkIsAdmittedBesideUnownedRuns(t *testing.T) {
+	is := is.New(t)
+	reader := New("self", "a")
+	reader.SetTargets(testTargets(1), at(0))
+	reader.SetReader("t0", true, at(0))
+	free := func(now int) int64 {
+		reader.changedTargets["t0"] = true
+		reports := reader.DueReports(at(now))
+		if len(reports) == 0 {
+			return reader.targets["t0"].lastReport.FreeCapacity.MilliCores
+		}
+		return reports[0].FreeCapacity.MilliCores
+	}
+	run := Run{"j.0.0.0", 1}
+	poll := func(now int) {
+		reader.HandlePoll("t0", PollResult{Incarnation: 1, Running: []ActiveRun{{Run: run, MilliCores: 1000}}, Sent: at(now), Answered: at(now)})
+	}
+	is.Equal(free(1), int64(0)) // not listed yet
+	poll(2)
+	is.Equal(free(3), int64(0)) // the owner may be lost
+	reader.Submit(testJob("k", 1, 100, 3), at(3))
+	is.Equal(len(drain(reader).starts), 0)
+	reader.HandlePeerClaim("owner", Claim{Target: "t0", Run: run, Resources: Resources{MilliCores: 1000}}, at(20))
+	is.True(free(21) > 0)
+	reader.Tick(at(22))
+	is.Equal(len(drain(reader).starts), 1)
+	reader.RemovePeer("owner")
+	is.Equal(free(700), int64(0))
+	reader.HandleEnd("t0", End{Seq: 1, Run: run, Cause: Stopped}, at(710))
+	is.True(free(711) > 0)
+}
+
+// The reader of a target that has just been claimed must not withhold its capacity for the time in which the claim is under way.
+func TestClaimUnderWayWithholdsNoCapacity(t *testing.T) {
+	is := is.New(t)
+	reader := newTestScheduler(1)
+	reader.HandlePoll("t0", PollResult{Incarnation: 1, Running: []ActiveRun{{Run: Run{"j.0.0.0", 1}, MilliCores: 1000}}, Sent: at(0), Answered: at(0)})
+	is.True(!reader.targets["t0"].withholdsCapacity(at(40)))
+	is.True(reader.targets["t0"].withholdsCapacity(at(60)))
+}
+
+// When a reader is lost, nothing must renew the leases on its targets before the next one knows which runs have lost their owner.
+func TestNothingStartsBeforeTheNextReaderReports(t *testing.T) {
+	is := is.New(t)
+	scheduler := New("self", "a")
+	scheduler.SetTargets(testTargets(1), at(0))
+	report := func(from string, now int) {
+		scheduler.RecordBroadcast(from, at(now))
+		scheduler.HandlePeerReport(CapacityReport{Target: "t0", Reporter: from, FreeCapacity: testTarget(0).Capacity}, at(now))
+	}
+	starts := func(job string, now int) int {
+		scheduler.Submit(testJob(job, 1, 900, now), at(now))
+		return len(drain(scheduler).starts)
+	}
+	scheduler.AttachReader("t0", "first", at(0))
+	scheduler.RecordBroadcast("first", at(0))
+	is.Equal(starts("a", 1), 1) // no report is needed of the first reader that is known
+	scheduler.AttachReader("t0", "second", at(100))
+	scheduler.RecordBroadcast("second", at(100))
+	is.Equal(starts("b", 101), 0)
+	report("second", 110)
+	scheduler.Tick(at(111))
+	is.Equal(len(drain(scheduler).starts), 1)
+	report("third", 200)
+	scheduler.AttachReader("t0", "third", at(210)) // has reported before this instance noticed the change
+	scheduler.Tick(at(211))
+	is.Equal(starts("c", 212), 1)
+}
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -56,6 +56,9 @@
 		return
 	}
 	target.reportedFree, target.reportedAt, target.unreachableByReader = report.FreeCapacity, now, report.Unreachable
+	if target.readerContact == scheduler.contactWith(report.Reporter) {
+		target.reportAwaitedUntil = time.Time{}
+	}
 	if !report.Unreachable {
 		target.recordResponse(now)
 		target.lastPolled = now
--- a/scheduler/orphan.go
+++ b/scheduler/orphan.go
@@ -77,6 +77,7 @@
 // checkUnowned looks for the owner of a run, and stops the run if it has none. The target lists the run, and no instance
 // has claimed it since this one is the reader: the former reader may have known the owner, or have been the owner.
 func (scheduler *Scheduler) checkUnowned(target *target, run Run, allocation *allocation, now time.Time) {
+	scheduler.changedTargets[target.ID] = true // the free capacity is withheld from now on
 	listedFor := now.Sub(allocation.claimedAt)
 	var unasked []string
 	for _, peer := range scheduler.peers.Answering {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -98,7 +98,7 @@
 	scheduler.rotation++
 	for index := range scheduler.ordered {
 		target := scheduler.ordered[(index+scheduler.rotation)%len(scheduler.ordered)]
-		if !target.usable(now) || !scheduler.hearsReader(target, now) {
+		if !target.usable(now) || !scheduler.mayStartOn(target, now) {
 			continue
 		}
 		if free := target.freeCapacity(now); least.Fits(free) {
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -150,6 +150,8 @@
 	readSince time.Time
 	// readerContact is the contact with the other instance that reads the target, or nil.
 	readerContact *contact
+	// reportAwaitedUntil is until when nothing is started before the next reader has reported that it reads the target.
+	reportAwaitedUntil time.Time
 	// reportedFree is the free capacity that the target's reader reported at reportedAt.
 	reportedFree Resources
 	reportedAt   time.Time
@@ -214,7 +216,7 @@
 	switch {
 	case target.unreachable:
 		return CapacityReport{Target: target.ID, Unreachable: true}
-	case target.probation:
+	case target.probation || target.withholdsCapacity(now):
 		return CapacityReport{Target: target.ID}
 	}
 	return CapacityReport{Target: target.ID, FreeCapacity: target.freeCapacity(now)}
