Start no task while a known run of an earlier submission goes on

Callers could see a task run twice: a job that is sent again was started at once by an instance that knew of a run of the former submission: one that it listed as a reader, with its owner lost or unknown, or one whose stop it had requested and which had not been answered yet. That somebody else ends the run in time was taken for granted.

An instance that gets a job looks for such runs among the runs on its targets and the stops that are under way, and starts a task only once its runs are gone: listed as ended, stopped, missing, or lapsed. The job counts as one that may have run.

TestJobSentAgainWaitsForKnownRunOfItsTask failed in its three cases (a start at once) and passes.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -48,6 +48,8 @@
 	predicted time.Duration
 	// missingSince is when the target first omitted the run from its list, or zero.
 	missingSince time.Time
+	// earlier holds the runs of earlier submissions of the task that may still go on.
+	earlier []targetRun
 	// avoided holds the IDs of the targets that failed or rejected the task.
 	avoided map[string]bool
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -265,6 +265,7 @@
 		// The task has run, so the job must not be refused as not run.
 		job.mayHaveStarted = job.mayHaveStarted || scheduler.mayStillRun(task.name, now)
 	}
+	scheduler.findEarlierRuns(job)
 	if scheduler.submitSuspected(job, now) {
 		return
 	}
