Take a run back that had counted as lost and is listed again

Callers could see a task run twice: a run whose lease was taken for over was listed again while its task still waited for a target, and the task started all the same.

A waiting task takes its latest run back when the target lists it, unless that run was stopped. TestTaskDoesNotStartWhileItsLostRunIsListedAgain failed (a start at the first free capacity) and passes.

--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -150,6 +150,7 @@
 		task.avoid(task.runTarget)
 	case StartTaken, StartNoRoom, StartLate, StartUnanswered:
 	}
+	task.lossReason = ""
 	scheduler.enqueue(task)
 	scheduler.refuseOverdue(task.job, now)
 }
@@ -212,6 +213,7 @@
 // requeueLost queues a task again whose run was lost or stopped.
 func (scheduler *Scheduler) requeueLost(task *task, reason LossReason, now time.Time) {
 	task.restarts++
+	task.lossReason = reason
 	target := task.runTarget
 	scheduler.emit(RunLost{
 		Target: target.ID, Incarnation: task.incarnation, Run: task.run(), Job: task.job.ID, Reason: reason, Restarts: task.restarts,
@@ -418,11 +420,24 @@
 	known.incarnation = target.Incarnation
 	if task := scheduler.tasks[active.Run.Task]; task != nil && task.latest(target.ID, active.Run) {
 		task.incarnation, task.accepted, task.missingSince = target.Incarnation, true, time.Time{}
+		scheduler.resumeRun(task)
 	}
 	// Another instance may have renewed the lease just before the poll.
 	target.extendLease(now, LeaseListed)
 }
 
+// resumeRun takes the latest run of a waiting task back that had counted as lost and is listed by its target.
+func (scheduler *Scheduler) resumeRun(task *task) {
+	if task.state != waiting || task.lossReason == LossStopped {
+		return
+	}
+	scheduler.dequeue(task)
+	task.state = running
+	if _, ending := scheduler.pendingStops[targetRun{task.runTarget.ID, task.run()}]; ending {
+		task.state = stopping
+	}
+}
+
 // handleMissingRun handles a run that its target listed before but lists no longer: either another instance
 // acknowledged its end, or its lease expired.
 func (scheduler *Scheduler) handleMissingRun(target *target, run Run, allocation *allocation, now time.Time) {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -34,6 +34,8 @@
 	failures int
 	// restarts counts the starts after a run that was lost or stopped.
 	restarts int
+	// lossReason is why the latest run counts as lost, if the task waits because of that.
+	lossReason LossReason
 	// runTarget is the target of the latest run.
 	runTarget *target
 	// incarnation is the target's incarnation when the latest run was started or last listed; 0 if unknown.
