Start no task of an earlier job right after a pause

Callers could see a task run twice for some milliseconds: while an instance was paused, others stopped its runs and the caller sent the job to another instance.

For 300 ms after a pause no task of a job starts that had arrived before, as no run counts as lost in this time already. The pause is noticed with the first event that is handled, not only with the next tick.

TestResumedInstanceStartsNothingOfEarlierJobs and TestPauseIsNoticedBeforeWhatHasWaited guard this.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -111,6 +111,9 @@
 	bytesSent  int64
 	// tickDelay is the longest time by which a tick was late since the load was last reported.
 	tickDelay time.Duration
+	// lastTick is when time-based events were last handled, and pauseNoticedAt when a pause was last noticed.
+	lastTick       time.Time
+	pauseNoticedAt time.Time
 	// readsTargets means that this instance is the reader of some target.
 	readsTargets bool
 	// leaving means that a planned stop has begun, and reassign that the readers must be assigned again.
@@ -132,6 +135,7 @@
 		ctx:           ctx,
 		cancel:        cancel,
 		peersKnownAt:  now().Add(startupGrace),
+		lastTick:      now(),
 		scheduler:     scheduler.New(self.Incarnation, self.Domain),
 		waiters:       make(map[string][]chan dispatcher.Outcome),
 		pollers:       make(map[string]*poller),
@@ -220,6 +224,7 @@
 	executor.mu.Lock()
 	// If a panic ends the request, the lock must not stay locked for all others.
 	defer executor.mu.Unlock()
+	executor.noticePause(executor.now())
 	if to, ok := executor.delegateFor(&job); ok {
 		answer := executor.addWaiter(job.ID)
 		executor.delegate(job, to)
@@ -395,6 +400,7 @@
 	executor.logStart(start, result, now.Sub(sent))
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
+	executor.noticePause(now)
 	executor.scheduler.HandleStartResult(start.Target, start.Run, result, now)
 	executor.runActions()
 }
@@ -414,6 +420,7 @@
 	executor.logStop(stop, err)
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
+	executor.noticePause(executor.now())
 	stopped := err == nil || errors.Is(err, ErrReplaced) && executor.scheduler.HasEndedWith(stop.RunTarget, stop.Run)
 	executor.scheduler.HandleStopResult(stop.RunTarget.ID, stop.Run, stopped, executor.now())
 	executor.runActions()
@@ -426,7 +433,6 @@
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	var lastSweep, lastRepeat, lastDomainCheck time.Time
-	lastTick := executor.now()
 	for {
 		select {
 		case <-executor.ctx.Done():
@@ -435,14 +441,12 @@
 		}
 		now := executor.now()
 		executor.mu.Lock()
-		if now.Sub(lastTick) > pauseThreshold {
-			executor.logger.Warn("instance was paused", "for-ms", now.Sub(lastTick).Milliseconds())
-			executor.scheduler.RecordPause(now)
+		if executor.noticePause(now) {
 			lastDomainCheck = now.Add(pauseThreshold)
 		}
 		executor.recordMessages(now)
-		executor.tickDelay = max(executor.tickDelay, now.Sub(lastTick)-interval)
-		lastTick = now
+		executor.tickDelay = max(executor.tickDelay, now.Sub(executor.lastTick)-interval)
+		executor.lastTick = now
 		if interval == tickInterval && now.Sub(lastDomainCheck) >= domainCheckInterval {
 			lastDomainCheck = now
 			executor.updateSuspendedDomains()
@@ -476,6 +480,18 @@
 	}
 }
 
+// noticePause records a pause of this process unless that has been done, and reports whether there was one. What has arrived
+// meanwhile may be handled before the next tick. The caller holds the lock.
+func (executor *Executor) noticePause(now time.Time) bool {
+	paused := now.Sub(executor.lastTick)
+	if paused > pauseThreshold && executor.pauseNoticedAt.Before(executor.lastTick) {
+		executor.logger.Warn("instance was paused", "for-ms", paused.Milliseconds())
+		executor.scheduler.RecordPause(now)
+		executor.pauseNoticedAt = now
+	}
+	return paused > pauseThreshold
+}
+
 // recordMessages counts what was sent to other instances since the last call as queued on the link; the caller holds the lock.
 func (executor *Executor) recordMessages(now time.Time) {
 	frames, bytes := executor.peers.Sent()
--- a/executor/pause_test.go
+++ b/executor/pause_test.go
@@ -48,6 +48,33 @@
 	is.Equal(len(client.started), 0)
 }
 
+// What has waited during a pause may be handled before the next tick, and must not make a paused instance start tasks whose callers may
+// have left.
+func TestPauseIsNoticedBeforeWhatHasWaited(t *testing.T) {
+	is := is.New(t)
+	var pause atomic.Int64
+	client := &lateClient{started: make(chan string, 1000)}
+	clock := func() time.Time { return time.Now().Add(time.Duration(pause.Load())) }
+	executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, client, clock, hclog.NewNullLogger())
+	t.Cleanup(executor.Close)
+	executor.mu.Lock()
+	now := clock()
+	executor.scheduler.SetTargets(infosOf(1), now)
+	executor.scheduler.SetReader("t", true, now.Add(-time.Second))
+	step := scheduler.Step{Tasks: []string{"j.0.0.0"}, Resources: scheduler.Resources{MilliCores: 14000}, Estimate: 20 * time.Millisecond}
+	job := scheduler.Job{ID: "j", Service: "work", Steps: []scheduler.Step{step}, MaxFailures: 2, Arrived: now, Deadline: now.Add(time.Minute), Objective: now.Add(40 * time.Second)}
+	executor.scheduler.Submit(job, now)
+	executor.scheduler.TakeActions()
+	executor.scheduler.HandleStartResult("t", scheduler.Run{Task: "j.0.0.0", Attempt: 1}, scheduler.StartTaken, now)
+	pause.Store(int64(time.Second)) // no tick can be handled while the lock is held
+	executor.noticePause(clock())
+	executor.scheduler.HandleEnd("t", scheduler.End{Seq: 1, Run: scheduler.Run{Task: "j.0.0.0", Attempt: 1}, Cause: scheduler.Stopped}, clock())
+	executor.runActions()
+	executor.mu.Unlock()
+	is.Equal(len(client.started), 0)
+	is.Equal(<-client.started, "j") // the caller has not left
+}
+
 // A start that was decided before a pause must not be sent after the job's deadline, nor after its own.
 func TestStartDecidedBeforeAPauseIsNotSentLate(t *testing.T) {
 	is := is.New(t)
--- a/executor/peers.go
+++ b/executor/peers.go
@@ -14,6 +14,7 @@
 	now := executor.now()
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
+	executor.noticePause(now)
 	// A claim in the same update is newer.
 	for _, run := range update.Disowned {
 		executor.scheduler.HandlePeerDisowned(from, decodeOwnedRun(run), now)
--- a/scheduler/contact_test.go
+++ b/scheduler/contact_test.go
@@ -173,3 +173,21 @@
 	scheduler.Tick(at(211))
 	is.Equal(starts("c", 212), 1)
 }
+
+// The caller of a job may have left while its instance was paused, and others may have stopped its runs. Their ends must not
+// make an instance that resumes start the tasks again before it learns that.
+func TestResumedInstanceStartsNothingOfEarlierJobs(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	start := startOne(scheduler, testJob("j", 1, 900, 0))
+	scheduler.RecordPause(at(1500))
+	scheduler.HandleEnd(start.Target, End{Seq: 1, Run: start.Run, Cause: Stopped}, at(1501))
+	scheduler.Submit(testJob("k", 1, 100, 1502), at(1502))
+	starts := drain(scheduler).starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Job, "k") // its caller is there
+	scheduler.Tick(at(1499 + int(pauseGrace/time.Millisecond)))
+	is.Equal(len(drain(scheduler).starts), 0)
+	scheduler.Tick(at(1500 + int(pauseGrace/time.Millisecond)))
+	is.Equal(len(drain(scheduler).starts), 1)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -116,6 +116,8 @@
 	suspended map[string]bool
 	// lossDetectionFrom is the time before which no run is considered lost.
 	lossDetectionFrom time.Time
+	// resumedAt is when the last pause of this instance ended.
+	resumedAt time.Time
 	// offered holds the targets whose capacity was offered to another instance that has not claimed it yet.
 	offered map[string]bool
 	// typicalMilliCores is a moving average of the processor capacity that a run claims, in thousandths of a core.
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -19,14 +19,20 @@
 	scheduler.place(now)
 }
 
-// RecordPause records that this instance was paused until now; messages about renewed leases may still be unread.
+// RecordPause records that this instance was paused until now; messages about renewed leases, and that a caller has left, may
+// still be unread.
 func (scheduler *Scheduler) RecordPause(now time.Time) {
-	scheduler.lossDetectionFrom = now.Add(pauseGrace)
+	scheduler.resumedAt, scheduler.lossDetectionFrom = now, now.Add(pauseGrace)
 }
 
-// pauseGrace is how long after a pause no run is considered lost.
+// pauseGrace is how long after a pause no run is considered lost, and no task of an earlier job is started.
 const pauseGrace = 300 * time.Millisecond
 
+// mayBeAbandoned reports whether the caller of a job may have left during a pause of this instance that has just ended.
+func (scheduler *Scheduler) mayBeAbandoned(job *job, now time.Time) bool {
+	return now.Before(scheduler.lossDetectionFrom) && job.Arrived.Before(scheduler.resumedAt)
+}
+
 // SetDomainSuspended blocks or allows new work on the targets of a failure domain; a domain is suspended while all of
 // its instances are unresponsive.
 func (scheduler *Scheduler) SetDomainSuspended(domain string, suspended bool) {
