Notice a loss during a pause soon after it

What live instances have sent is read within a heartbeat or two, so that 250 ms of silence after the pause suffice.

TestLossDuringAPauseIsNoticedSoonAfterIt failed with 500 ms and passes.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -29,6 +29,8 @@
 	// PeerTimeout is how long an instance may send nothing before it is considered lost: four heartbeats. Its runs are
 	// then stopped, well before its callers send their jobs again.
 	PeerTimeout = 500 * time.Millisecond
+	// resumeTimeout is how long an instance may send nothing after a pause of this process: two heartbeats.
+	resumeTimeout = 250 * time.Millisecond
 	// pauseThreshold is the delay of a heartbeat that indicates that this process was paused.
 	pauseThreshold = 300 * time.Millisecond
 	// forgetTimeout is how long after its last message an instance is removed.
@@ -543,9 +545,11 @@
 	links := gossiper.currentLinks()
 	gossiper.mu.Lock()
 	if now.Sub(gossiper.checkedAt) > heartbeatInterval+pauseThreshold {
-		// This process was paused, so missing messages do not indicate lost peers.
+		// This process was paused, so missing messages do not indicate lost peers until what has waited has been read.
 		for _, peer := range gossiper.peers {
-			peer.lastHeard = now
+			if heard := now.Add(resumeTimeout - PeerTimeout); peer.lastHeard.Before(heard) {
+				peer.lastHeard = heard
+			}
 		}
 	}
 	gossiper.checkedAt = now
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -290,6 +290,25 @@
 	is.True(gossiper.Alive("peer"))
 }
 
+// An instance that was lost during a pause of this process must be noticed soon after it: the callers of the lost one send
+// their jobs again meanwhile.
+func TestLossDuringAPauseIsNoticedSoonAfterIt(t *testing.T) {
+	is := is.New(t)
+	gossiper, receiver, now := newTestGossiper(1)
+	gossiper.contact("lost", 1)
+	gossiper.contact("live", 1)
+	*now = now.Add(2 * PeerTimeout)
+	gossiper.detectLostPeers()
+	is.Equal(len(receiver.lost), 0)
+	gossiper.contact("live", 1)
+	*now = now.Add(resumeTimeout)
+	gossiper.detectLostPeers()
+	is.Equal(len(receiver.lost), 0)
+	*now = now.Add(time.Millisecond)
+	gossiper.detectLostPeers()
+	is.Equal(receiver.lost, []string{"lost"})
+}
+
 // A delegated job that waited in a buffer while this process was paused must be recognized, whatever the clocks show and
 // however long the pause was: its origin has given it up meanwhile, and its caller has sent it again.
 func TestDelayOfDelegations(t *testing.T) {
