Count the answer to a start as knowledge of a renewed lease

A list of the target already counted as a renewal, an accepted start did not.

TestStartThatIsAnsweredLateKeepsItsLease failed (started again at 1,060 ms, the lease may last until 1,760 ms) and passes.

--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -66,6 +66,8 @@
 		target.unreachable = false
 		if allocation, ok := target.allocations[run]; ok {
 			allocation.confirmedAt = now
+			// The run lasts for as long as the lease that the target had by then.
+			target.extendLease(now, LeaseListed)
 			target.addressVerified = target.addressVerified || allocation.address == target.Address && allocation.incarnation == target.Incarnation
 		} else {
 			lost = true
