Wait after a rejection also if the last report is too old

A full target whose reader had not reported for a second got start after start from the same instance, 30 in 30 ms in a trial: the rejection was recorded in a report that no longer counted.

TestRejectedStartIsNotRepeatedAtOnce failed and passes.

--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -118,10 +118,10 @@
 }
 
 // handleNoRoom handles a rejection for lack of capacity. If another instance reads the target, the free capacity in its
-// last report counts as zero until the next report. Otherwise the target gets no work for rejectionBackoff, because the
-// claim of the run that took the capacity is still on its way.
+// last report counts as zero until the next report. Otherwise, or if that report is too old to count, the target gets no work for
+// rejectionBackoff: the claim of the run that took the capacity is still on its way.
 func (scheduler *Scheduler) handleNoRoom(target *target, now time.Time) {
-	if target.readBySelf || target.reportedAt.IsZero() {
+	if target.readBySelf || target.reportedAt.IsZero() || now.Sub(target.reportedAt) > reportTTL {
 		target.heldUntil = now.Add(rejectionBackoff)
 		return
 	}
