Send unreachable targets to instances that may have missed them

TestUnreachableTargetsAreKnownToTheReader covers what is sent; the sending itself has no test of its own.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -353,8 +353,20 @@
 func (gossiper *Gossiper) Offer(to, target string, free scheduler.Resources) {
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
+	gossiper.sendReport(to, scheduler.CapacityReport{Target: target, FreeCapacity: free})
+}
+
+// SendReport sends a report about a target to one instance without delay.
+func (gossiper *Gossiper) SendReport(to string, report scheduler.CapacityReport) {
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	gossiper.sendReport(to, report)
+}
+
+// sendReport is SendReport for callers that hold the lock.
+func (gossiper *Gossiper) sendReport(to string, report scheduler.CapacityReport) {
 	update := gossiper.updateFor(to, true)
-	update.FreeCapacity = append(update.FreeCapacity, encodeReport(scheduler.CapacityReport{Target: target, FreeCapacity: free}))
+	update.FreeCapacity = append(update.FreeCapacity, encodeReport(report))
 }
 
 // Report broadcasts the free capacity of a target.
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -115,6 +115,18 @@
 	target.leaseEnd, target.leaseEvidence = end, LeaseAnnounced
 }
 
+// UnreachableTargets returns reports of the targets that this instance reads and cannot reach, for an instance that may have
+// missed them.
+func (scheduler *Scheduler) UnreachableTargets() []CapacityReport {
+	var reports []CapacityReport
+	for _, target := range scheduler.ordered {
+		if target.readBySelf && target.unreachable {
+			reports = append(reports, CapacityReport{Target: target.ID, Unreachable: true})
+		}
+	}
+	return reports
+}
+
 // leaseIsOver reports whether the lease of a target has ended by all requests of any instance. The reader of the target knows
 // of the starts of others by their claims, which arrive before later broadcasts.
 func (scheduler *Scheduler) leaseIsOver(target *target, now time.Time) bool {
--- a/scheduler/rejection_test.go
+++ b/scheduler/rejection_test.go
@@ -24,3 +24,13 @@
 	scheduler.Tick(at(now))
 	is.Equal(len(drain(scheduler).starts), 1)
 }
+
+// An instance that has just started must learn which targets their readers cannot reach: its starts would renew their leases.
+func TestUnreachableTargetsAreKnownToTheReader(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(3)
+	scheduler.SetReader("t1", false, at(0))
+	scheduler.MarkUnreachable("t0", false, at(10))
+	scheduler.MarkUnreachable("t1", false, at(10))
+	is.Equal(scheduler.UnreachableTargets(), []CapacityReport{{Target: "t0", Unreachable: true}})
+}
