--- a/executor/acknowledge_test.go
+++ b/executor/acknowledge_test.go
@@ -20,6 +20,8 @@
 	requests    []PollRequest
 	unanswered  int
 	incarnation int64
+	// fencedBelow is the incarnation for which the target has seen a request.
+	fencedBelow int64
 	ended       []scheduler.End
 }
 
@@ -27,12 +29,15 @@
 	return scheduler.StartTaken
 }
 
-func (client *restartedClient) Poll(_ context.Context, _ scheduler.Target, request PollRequest) (scheduler.PollResult, error) {
+func (client *restartedClient) Poll(_ context.Context, on scheduler.Target, request PollRequest) (scheduler.PollResult, error) {
 	sent := time.Now()
 	client.requests = append(client.requests, request)
 	if len(client.requests) <= client.unanswered {
 		return scheduler.PollResult{}, eris.New("no answer")
 	}
+	if on.Incarnation < client.fencedBelow {
+		return scheduler.PollResult{}, ErrFenced
+	}
 	for len(client.ended) > 0 && client.ended[0].Seq <= request.Acknowledged {
 		client.ended = client.ended[1:]
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -46,14 +46,18 @@
 // ErrReplaced reports that another target, or another incarnation, has the target's address.
 var ErrReplaced = eris.New("the address belongs to another target")
 
+// ErrFenced reports that a target did nothing, because it has seen a request for a later incarnation.
+var ErrFenced = eris.New("the target has seen a request for a later incarnation")
+
 // TargetClient sends requests to targets. Times are those of this instance's clock.
 type TargetClient interface {
 	// Start starts a run; the request and the lease that it asks for expire at lease.
 	Start(ctx context.Context, on scheduler.Target, start scheduler.StartTask, lease time.Time) scheduler.StartResult
-	// Stop stops a run. It returns nil once the target has accepted the request, and ErrReplaced if another target has its
-	// address.
+	// Stop stops a run. It returns nil once the target has accepted the request, ErrReplaced if another target has its
+	// address, and ErrFenced if the target did nothing.
 	Stop(ctx context.Context, on scheduler.Target, run scheduler.Run) error
-	// Poll asks for the running and ended runs of a target. It returns ErrReplaced if the target is gone for certain.
+	// Poll asks for the running and ended runs of a target. It returns ErrReplaced if the target is gone for certain, and
+	// ErrFenced if it did nothing.
 	Poll(ctx context.Context, on scheduler.Target, request PollRequest) (scheduler.PollResult, error)
 	// CloseIdle closes unused connections; few requests will follow.
 	CloseIdle()
@@ -390,6 +394,9 @@
 	defer executor.mu.Unlock()
 	executor.scheduler.HandleStartResult(start.Target, start.Run, result, now)
 	executor.runActions()
+	if result == scheduler.StartFenced {
+		executor.wake(start.Target)
+	}
 }
 
 // stop sends a stop request and reports to the scheduler whether the target accepted it.
@@ -399,7 +406,7 @@
 		ctx, cancel := context.WithTimeout(executor.ctx, stopTimeout+executor.uplink.Send(0, executor.now()))
 		err = executor.client.Stop(ctx, stop.RunTarget, stop.Run)
 		cancel()
-		if err == nil || errors.Is(err, ErrReplaced) {
+		if err == nil || errors.Is(err, ErrReplaced) || errors.Is(err, ErrFenced) {
 			break
 		}
 	}
@@ -407,6 +414,9 @@
 	executor.logStop(stop, err)
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
+	if errors.Is(err, ErrFenced) {
+		executor.scheduler.HandleFenced(stop.RunTarget, executor.now())
+	}
 	stopped := err == nil || errors.Is(err, ErrReplaced) && executor.scheduler.HasEndedWith(stop.RunTarget, stop.Run)
 	executor.scheduler.HandleStopResult(stop.RunTarget.ID, stop.Run, stopped, executor.now())
 	executor.runActions()
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -51,6 +51,8 @@
 	// unverifiedPollInterval is the time between two polls of a restarted target that another instance reads, after the
 	// first one: if that does not list a run, its end may be under way from the reader.
 	unverifiedPollInterval = 75 * time.Millisecond
+	// fencedPollInterval is the time between two polls of a target that refuses them until its restart is known here.
+	fencedPollInterval = 100 * time.Millisecond
 	// idleInterval is how often a poller without work checks for some, although it is woken when there is. With many
 	// targets, most pollers of an instance are idle.
 	idleInterval = time.Minute
@@ -141,6 +143,8 @@
 	switch {
 	case now.Before(poller.peersKnownAt) && !state.Occupied && poller.failures == 0:
 		return PollRequest{}, poller.peersKnownAt.Sub(now)
+	case state.Fenced && poller.failures == 0:
+		return PollRequest{}, fencedPollInterval - sincePoll
 	case poller.isReader.Load() && !poller.polled && !state.Unreachable && poller.failures == 0:
 		return PollRequest{}, 0
 	case state.Unreachable || poller.failures >= unreachableThreshold:
@@ -183,7 +187,7 @@
 // name the incarnation that it is meant for, so only one that has answered very recently is sent an acknowledgement; any
 // other poll first shows which incarnation answers.
 func (poller *poller) mayAcknowledge(state scheduler.TargetState, now time.Time) int64 {
-	if poller.failures > 0 || state.IncarnationSince.After(poller.lastAnswer) || now.Sub(poller.lastAnswer) > acknowledgePeriod {
+	if poller.failures > 0 || state.Fenced || state.IncarnationSince.After(poller.lastAnswer) || now.Sub(poller.lastAnswer) > acknowledgePeriod {
 		return 0
 	}
 	return poller.acknowledgeable
@@ -214,6 +218,10 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if errors.Is(err, ErrFenced) {
+		executor.handleFencedPoll(poller, target)
+		return
+	}
 	if err != nil {
 		executor.handlePollFailure(poller, target, err)
 		return
@@ -289,6 +297,19 @@
 	return now.UnixNano()-executor.lastSilence.Load() < int64(degradedPeriod)
 }
 
+// handleFencedPoll handles a poll that a target refused since it has seen a request for a later incarnation. The target is there,
+// so that the poll is no failure.
+func (executor *Executor) handleFencedPoll(poller *poller, target scheduler.Target) {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	if !executor.scheduler.TargetState(poller.id).Fenced {
+		executor.logger.Warn("target has seen a request for a later incarnation", "target", poller.id, "incarnation", target.Incarnation)
+	}
+	poller.failures = 0
+	executor.scheduler.HandleFenced(target, executor.now())
+	executor.runActions()
+}
+
 // handlePollFailure handles a poll of the given target that failed or was refused.
 func (executor *Executor) handlePollFailure(poller *poller, target scheduler.Target, err error) {
 	poller.failures++
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -145,6 +145,17 @@
 	}
 }
 
+// HandleFenced handles a request that a target refused since it has seen one for a later incarnation. The target responds, but
+// not as the incarnation that it was sent to.
+func (scheduler *Scheduler) HandleFenced(on Target, now time.Time) {
+	if target, ok := scheduler.targets[on.ID]; ok && target.Incarnation == on.Incarnation && target.Address == on.Address {
+		target.recordFenced(now)
+		if target.pending != nil && target.pending.Incarnation > target.Incarnation {
+			scheduler.adoptPending(target, now)
+		}
+	}
+}
+
 // HandlePeerVerification handles the reader's news of the incarnation that has answered it.
 func (scheduler *Scheduler) HandlePeerVerification(targetID string, incarnation int64, now time.Time) {
 	target, ok := scheduler.targets[targetID]
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -42,7 +42,7 @@
 			task.state = stopping
 			task.avoid(task.runTarget)
 		}
-	case StartNoRoom, StartStale, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected:
+	case StartNoRoom, StartStale, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced:
 		scheduler.handleStartRejected(target, run, result, now)
 		if current {
 			scheduler.requeueRejected(task, result, now)
@@ -111,6 +111,8 @@
 		scheduler.setUnreachable(target, false, now)
 	case StartUnconnected:
 		target.heldUntil = now.Add(unconnectedBackoff)
+	case StartFenced:
+		target.recordFenced(now)
 	case StartTaken, StartStale, StartLate, StartImpossible, StartUnanswered:
 	}
 }
@@ -148,7 +150,7 @@
 		}
 	case StartStale, StartRefused, StartUnsent, StartUnconnected:
 		task.avoid(task.runTarget)
-	case StartTaken, StartNoRoom, StartLate, StartUnanswered:
+	case StartTaken, StartNoRoom, StartLate, StartUnanswered, StartFenced:
 	}
 	scheduler.enqueue(task)
 	scheduler.refuseOverdue(task.job, now)
@@ -362,6 +364,9 @@
 		target.unreachable = false
 		scheduler.changedTargets[targetID] = target.readBySelf
 	}
+	if !poll.Sent.Before(target.fencedAt) {
+		target.fencedAt = time.Time{}
+	}
 	scheduler.recordAnswer(target, &poll)
 	scheduler.withdrawLoss(target, poll.Sent)
 	listed := make(map[Run]bool, len(poll.Running)+len(poll.Ended))
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -178,6 +178,8 @@
 	// StartUnconnected means that no connection to the target was ready in time, so that nothing left the instance. Its own link
 	// or processor may be the cause.
 	StartUnconnected
+	// StartFenced means that the target did nothing, because it has seen a request for a later incarnation.
+	StartFenced
 )
 
 // mayHaveRun reports whether the task runs, has run or may have run.
@@ -185,14 +187,14 @@
 	switch result {
 	case StartTaken, StartUnanswered, StartStale:
 		return true
-	case StartNoRoom, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected:
+	case StartNoRoom, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced:
 	}
 	return false
 }
 
 // String returns the name used in logs and metrics.
 func (result StartResult) String() string {
-	names := []string{"unknown", "taken", "no-room", "stale", "late", "refused", "impossible", "unanswered", "unsent", "unconnected"}
+	names := []string{"unknown", "taken", "no-room", "stale", "late", "refused", "impossible", "unanswered", "unsent", "unconnected", "fenced"}
 	if int(result) < len(names) && result > 0 {
 		return names[result]
 	}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -117,7 +117,10 @@
 	probation     bool
 	failureStreak int
 	lastFailedJob string
-	unreachable   bool
+	// fencedAt is when the target last refused a request since it has seen one for a later incarnation; zero once it has
+	// answered a poll or its restart is known. Until then it gets no new work.
+	fencedAt    time.Time
+	unreachable bool
 	// unanswered counts the start and stop requests that were not answered since the target last responded.
 	unanswered int
 	// unreachableByReader means that the target does not answer its reader.
@@ -221,7 +224,7 @@
 
 // usable reports whether the target may get new work now.
 func (target *target) usable(now time.Time) bool {
-	if target.Draining || target.replaced || target.unreachable || target.unreachableByReader || target.suspended || target.expired(now) || now.Before(target.heldUntil) || now.Before(target.excludedUntil) || now.Before(target.unrenewedUntil) {
+	if target.Draining || target.replaced || target.unreachable || target.unreachableByReader || target.suspended || !target.fencedAt.IsZero() || target.expired(now) || now.Before(target.heldUntil) || now.Before(target.excludedUntil) || now.Before(target.unrenewedUntil) {
 		return false
 	}
 	return !target.probation || len(target.allocations) == 0
@@ -292,7 +295,13 @@
 func (target *target) resetExclusions() {
 	target.replaced, target.probation = false, false
 	target.failureStreak, target.exclusions = 0, 0
-	target.excludedUntil, target.heldUntil = time.Time{}, time.Time{}
+	target.excludedUntil, target.heldUntil, target.fencedAt = time.Time{}, time.Time{}, time.Time{}
+}
+
+// recordFenced records that the target refused a request since it has seen one for a later incarnation.
+func (target *target) recordFenced(now time.Time) {
+	target.fencedAt = now
+	target.recordResponse(now)
 }
 
 // recordResponse records that the target has responded to this instance or its reader.
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -196,6 +196,9 @@
 	Unverified bool
 	// Contradicted means that an entry contradicts what the target has answered, so that it has to answer again.
 	Contradicted bool
+	// Fenced means that the target has refused a request since it has seen one for a later incarnation, and has not answered
+	// a poll since.
+	Fenced bool
 	// Unreachable means that the target did not answer this instance, and UnreachableByReader that it did not answer
 	// its reader.
 	Unreachable         bool
@@ -219,7 +222,7 @@
 		IncarnationSince: target.incarnationSince, Occupied: len(target.allocations) > 0,
 		Unreachable: target.unreachable, UnreachableByReader: target.unreachableByReader, LastHeard: target.lastHeard,
 		WantedUntil: scheduler.wantedUntil(target), UnrenewedUntil: target.unrenewedUntil,
-		Contradicted: target.pending != nil,
+		Contradicted: target.pending != nil, Fenced: !target.fencedAt.IsZero(),
 	}
 	for _, allocation := range target.allocations {
 		if allocation.owner == scheduler.self {
