Poll a restarted target as soon as its reader has the news

Cause: a target refuses what was sent to its former incarnation only from the first command on that names the new one. News of a restart woke the reader's poller only where it came from a peer, and an unreachable target was still probed every 400 ms; an idle one was not polled again at all.

Change: news of a restart from any side wakes the poller, and a reader polls at once if it has not polled the present incarnation yet.

Result: TestReaderPollsARestartedTargetAtOnce fails without either part (no poll within a second for an idle target, 0.4 s for an unreachable one) and passes with both.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -356,6 +356,7 @@
 	case scheduler.TargetRestarted:
 		executor.meter.targetRestarts.Inc()
 		executor.logTargetRestart(action)
+		executor.wake(action.Target)
 		if executor.reader(action.Target) == executor.self.Incarnation {
 			executor.peers.BroadcastRestart(action.Target, action.Incarnation)
 		}
--- a/executor/fenced_test.go
+++ b/executor/fenced_test.go
@@ -1,10 +1,14 @@
 package executor
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/hyssoplift/hyssoplift/isolator"
+	"github.com/hyssoplift/hyssoplift/scheduler"
 )
 
 // A target that refuses polls for a former incarnation must not be taken for silent or lost, nor be polled without a pause.
@@ -32,3 +36,65 @@
 		executor.mu.Unlock()
 	}
 }
+
+// The reader must name the new incarnation of a target at once, so that it refuses what was sent to the former one.
+func TestReaderPollsARestartedTargetAtOnce(t *testing.T) {
+	news := map[string]func(*Executor){
+		"discovery": func(executor *Executor) { executor.SetTargets(infosOf(2)) },
+		"loss": func(executor *Executor) {
+			executor.mu.Lock()
+			defer executor.mu.Unlock()
+			executor.scheduler.HandlePeerLoss(isolator.Loss{Target: "t", Incarnation: 1}, time.Now())
+			executor.scheduler.HandlePeerRestart("t", 2, time.Now())
+			executor.runActions()
+		},
+	}
+	for name, learn := range news {
+		for _, failures := range []int{0, unreachableThreshold} {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				polled := make(chan int64, 100)
+				client := &pollRecorder{polled: polled}
+				executor, poller := newAcknowledgingPoller(t, &restartedClient{}, true)
+				executor.client = client
+				poller.cancel = func() {}
+				now := time.Now()
+				poller.failures, poller.lastPoll, poller.acknowledged = failures, now, poller.acknowledgeable
+				executor.mu.Lock()
+				executor.pollers["t"] = poller
+				poller.incarnationSince = executor.scheduler.TargetState("t").IncarnationSince
+				if failures > 0 {
+					executor.scheduler.MarkUnreachable("t", true, now)
+				}
+				executor.mu.Unlock()
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					for len(polled) == 0 && ctx.Err() == nil {
+						executor.pollNext(ctx, poller)
+					}
+				}()
+				time.Sleep(20 * time.Millisecond)
+				is.Equal(len(polled), 0)
+				learn(executor)
+				<-done
+				is.Equal(len(polled), 1)
+				is.Equal(<-polled, int64(2))
+				is.True(time.Since(now) < probeInterval/2)
+			})
+		}
+	}
+}
+
+// pollRecorder records for which incarnations a target is polled.
+type pollRecorder struct {
+	silentClient
+	polled chan int64
+}
+
+func (client *pollRecorder) Poll(_ context.Context, on scheduler.Target, _ PollRequest) (scheduler.PollResult, error) {
+	client.polled <- on.Incarnation
+	return scheduler.PollResult{Incarnation: 2, Sent: time.Now(), Answered: time.Now()}, nil
+}
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -80,6 +80,8 @@
 	failures        int
 	polled          bool
 	lastPoll        time.Time
+	// incarnationSince is when the incarnation that the last poll was meant for became known.
+	incarnationSince time.Time
 	// lastAnswer is when the last answer of the target's latest incarnation arrived.
 	lastAnswer time.Time
 	// forwarded is the sequence number of the last end that was processed, and withheld holds until when each withheld
@@ -123,7 +125,7 @@
 		poller.sleep(ctx, max(pause, minPollInterval))
 		return
 	}
-	poller.lastPoll = now
+	poller.lastPoll, poller.incarnationSince = now, state.IncarnationSince
 	if state.MayRenew(now) && poller.failures == 0 {
 		request.Lease = now.Add(scheduler.LeaseDuration)
 		executor.mu.Lock()
@@ -147,6 +149,9 @@
 		return PollRequest{}, fencedPollInterval - sincePoll
 	case poller.isReader.Load() && !poller.polled && !state.Unreachable && poller.failures == 0:
 		return PollRequest{}, 0
+	case poller.isReader.Load() && state.IncarnationSince.After(poller.incarnationSince):
+		// The target has restarted. The poll makes it refuse what was sent to its former incarnation.
+		return PollRequest{}, 0
 	case state.Unreachable || poller.failures >= unreachableThreshold:
 		return PollRequest{}, poller.probePause(state) - sincePoll
 	case poller.failures > 0:
