--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -17,8 +17,10 @@
 	stopTime = 10 * time.Millisecond
 	// heartbeatInterval is how often a runner writes its entry.
 	heartbeatInterval = 1500 * time.Millisecond
-	// lateBy is after how long an order that got no answer is carried out; the pages say 2 to 12 s.
+	// lateBy is after how long an order that got no answer is carried out, unless the play sets another; the pages say 2 to 12 s.
 	lateBy = 11 * time.Second
+	// tick is how often a runner looks for runs that are over.
+	tick = 2 * time.Millisecond
 )
 
 // runKey names a run on a runner.
@@ -73,8 +75,12 @@
 	server    *http.Server
 	labels    []string
 	down      bool
+	// fence is the highest fencing token since the runner's start.
+	fence int64
 	// mute, if set, decides whether an order gets no answer and is carried out late. It is called without the lock.
 	mute func(operation string, run runKey) bool
+	// lateBy is after how long such an order is carried out.
+	lateBy time.Duration
 	// onStart, if set, is called after a run has begun.
 	onStart func(run runKey)
 }
@@ -85,7 +91,7 @@
 		id: id, zone: zone, service: service, address: address, capacity: capacity, record: world.record, world: world,
 		started: now.Add(-time.Minute), born: now.Add(-time.Minute).UnixMilli(),
 		running: make(map[runKey]*activeRun), closed: make(map[string]int64), changed: make(chan struct{}),
-		labels: []string{kind, "r1-1"},
+		labels: []string{kind, "r1-1"}, lateBy: lateBy,
 	}
 }
 
@@ -101,11 +107,14 @@
 		}
 	}()
 	go func() {
-		for {
-			time.Sleep(2 * time.Millisecond)
+		for last := time.Now(); ; {
+			time.Sleep(tick)
 			runner.mu.Lock()
-			runner.advance(time.Now())
+			now := time.Now()
+			runner.advance(now)
 			runner.mu.Unlock()
+			runner.world.observe(now.Sub(last) - tick)
+			last = now
 		}
 	}()
 	return nil
@@ -143,7 +152,7 @@
 	runner.mu.Lock()
 	now := time.Now()
 	runner.down, runner.started, runner.born = false, now, now.UnixMilli()
-	runner.seq, runner.number, runner.leaseEnd = 0, 0, time.Time{}
+	runner.seq, runner.number, runner.fence, runner.leaseEnd = 0, 0, 0, time.Time{}
 	runner.finished, runner.closed = nil, make(map[string]int64)
 	runner.mu.Unlock()
 	if err := runner.listen(); err != nil {
@@ -208,12 +217,13 @@
 
 // order is the body of a call of an instance.
 type order struct {
-	Task       string `json:"task"`
-	Attempt    int64  `json:"attempt"`
-	Spec       string `json:"spec"`
-	DeadlineMS int64  `json:"deadlineMs"`
-	AckCursor  int64  `json:"ackCursor"`
-	WaitMS     int64  `json:"waitMs"`
+	Task         string `json:"task"`
+	Attempt      int64  `json:"attempt"`
+	Spec         string `json:"spec"`
+	DeadlineMS   int64  `json:"deadlineMs"`
+	FencingToken int64  `json:"fencingToken"`
+	AckCursor    int64  `json:"ackCursor"`
+	WaitMS       int64  `json:"waitMs"`
 }
 
 // ServeHTTP serves the calls of instances.
@@ -232,8 +242,11 @@
 	}
 	key := runKey{body.Task, body.Attempt}
 	if operation != "hold" && runner.mute != nil && runner.mute(operation, key) {
-		runner.record.note("runner %s: %s %s/%d gets no answer and is carried out %s later", runner.id, operation, body.Task, body.Attempt, lateBy)
-		time.AfterFunc(lateBy, func() { runner.carryOut(operation, &body) })
+		runner.record.note("runner %s: %s %s/%d gets no answer and is carried out %s later", runner.id, operation, body.Task, body.Attempt, runner.lateBy)
+		time.AfterFunc(runner.lateBy, func() {
+			status, answer := runner.carryOut(operation, &body)
+			runner.record.note("runner %s: late %s %s/%d was carried out: %d %v", runner.id, operation, body.Task, body.Attempt, status, answer["reason"])
+		})
 		<-request.Context().Done()
 		return
 	}
@@ -259,6 +272,10 @@
 	runner.advance(now)
 	answer := map[string]any{"clockMs": now.Sub(runner.started).Milliseconds(), "born": runner.born}
 	key := runKey{body.Task, body.Attempt}
+	if runner.fenced(body) {
+		answer["reason"] = "fence"
+		return http.StatusConflict, answer
+	}
 	if operation == "run-stop" {
 		runner.stop(key)
 		return http.StatusOK, answer
@@ -270,6 +287,16 @@
 	return http.StatusOK, answer
 }
 
+// fenced reports whether an order carries a lower fencing token than an earlier one; the caller holds the lock.
+func (runner *runner) fenced(body *order) bool {
+	if body.FencingToken < runner.fence {
+		runner.record.note("runner %s: order for %s/%d rejected: fence %d, %d was seen", runner.id, body.Task, body.Attempt, body.FencingToken, runner.fence)
+		return true
+	}
+	runner.fence = body.FencingToken
+	return false
+}
+
 // stop ends a run after stopTime, or keeps one from starting that is not there; the caller holds the lock.
 func (runner *runner) stop(key runKey) {
 	runner.record.note("runner %s: stop of %s/%d", runner.id, key.task, key.attempt)
@@ -280,10 +307,13 @@
 	}
 	if !run.stopping {
 		run.stopping = true
+		due := time.Now().Add(stopTime)
 		time.AfterFunc(stopTime, func() {
 			runner.mu.Lock()
 			defer runner.mu.Unlock()
-			runner.end(key, "stopped", time.Now())
+			now := time.Now()
+			runner.world.observe(now.Sub(due))
+			runner.end(key, "stopped", now)
 		})
 	}
 }
@@ -335,10 +365,16 @@
 func (runner *runner) serveHold(writer http.ResponseWriter, request *http.Request, body *order) {
 	timer := time.NewTimer(time.Duration(min(body.WaitMS, 2000)) * time.Millisecond)
 	defer timer.Stop()
-	for waiting := body.WaitMS > 0; ; {
+	for waiting, first := body.WaitMS > 0, true; ; first = false {
 		runner.mu.Lock()
 		now := time.Now()
 		runner.advance(now)
+		if first && runner.fenced(body) {
+			answer := map[string]any{"clockMs": now.Sub(runner.started).Milliseconds(), "born": runner.born, "reason": "fence"}
+			runner.mu.Unlock()
+			writeJSON(writer, http.StatusConflict, answer)
+			return
+		}
 		if body.DeadlineMS > 0 {
 			if runner.extend(runner.started.Add(time.Duration(body.DeadlineMS)*time.Millisecond), now); len(runner.running) > 0 {
 				runner.record.note("runner %s: a hold extends the lease of %d runs to %.3f", runner.id, len(runner.running), runner.record.seconds(runner.leaseEnd))
--- a/review/standin/traffic.go
+++ b/review/standin/traffic.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -28,3 +30,44 @@
 	}
 	return &others
 }
+
+// fourDomains is a deployment of some size.
+var fourDomains = []zone{{"ahd", 4, 7}, {"srt", 4, 7}, {"vdr", 4, 7}, {"rjk", 4, 7}}
+
+// jobTraffic submits a job to each machine in each interval until stop is closed. Clients that get no answer send their job again
+// to any other machine, whether it is ready or not.
+func (world *world) jobTraffic(stop chan struct{}, every time.Duration, create func() *client) *sync.WaitGroup {
+	var group sync.WaitGroup
+	for _, machine := range world.machines {
+		group.Go(func() {
+			time.Sleep(rand.N(every))
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(every):
+				}
+				if !machine.runs() {
+					continue
+				}
+				client := create()
+				group.Go(func() {
+					if status, _ := client.call(http.MethodPost, machine, client.body, client.limit); status != 0 && status != http.StatusGatewayTimeout {
+						return
+					}
+					time.Sleep(retransmit)
+					next := world.machines[(machine.index+1+rand.IntN(len(world.machines)-1))%len(world.machines)]
+					client.call(http.MethodPost, next, client.body, client.limit)
+				})
+			}
+		})
+	}
+	return &group
+}
+
+// draw returns a number of the machines in random order.
+func (world *world) draw(number int) []*machine {
+	drawn := slices.Clone(world.machines)
+	rand.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
+	return drawn[:number]
+}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -52,6 +53,8 @@
 	mesh bool
 	// boot is true for the first start of all machines.
 	boot bool
+	// lateness is the longest delay of the stand-in itself in nanoseconds.
+	lateness atomic.Int64
 }
 
 func newWorld(record *record, trouble bool) *world {
@@ -282,6 +285,15 @@
 	world.record.note("machine %s: instance killed (SIGKILL)", machine.name)
 }
 
+// signal sends a signal to the instance of a machine, if it was not killed.
+func (machine *machine) signal(signal syscall.Signal) {
+	machine.mu.Lock()
+	defer machine.mu.Unlock()
+	if machine.process != nil {
+		_ = machine.process.Process.Signal(signal)
+	}
+}
+
 // runs reports whether the instance of a machine was started and not killed.
 func (machine *machine) runs() bool {
 	machine.mu.Lock()
