--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -24,7 +24,9 @@
 	body  []byte
 	// limit is how long the client waits for a response, from its first attempt.
 	limit time.Duration
-	first time.Time
+	// breakAfter, if set, is after how long the channel of a call breaks.
+	breakAfter time.Duration
+	first      time.Time
 }
 
 // step is a step of a job.
@@ -54,7 +56,11 @@
 // call sends a request for the client's job on a new channel to a machine, and returns the status, or 0 for none.
 func (client *client) call(method string, machine *machine, body []byte, limit time.Duration) (int, string) {
 	world := client.world
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	wait := limit
+	if client.breakAfter > 0 {
+		wait = min(limit, client.breakAfter)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d/plan/%s", machine.ip, world.ports[0], client.id), bytes.NewReader(body))
 	if err != nil {
--- a/review/standin/late_orders.go
+++ b/review/standin/late_orders.go
@@ -15,8 +15,7 @@
 	if err := world.start(fourDomains, 8000); err != nil {
 		return err
 	}
-	world.lateness.Store(0)
-	world.record.note("record began at %s", world.record.start.UTC().Format("15:04:05.000"))
+	world.beginTrouble()
 	var muting atomic.Bool
 	for _, runner := range world.runners {
 		runner.lateBy = 2300 * time.Millisecond
@@ -60,9 +59,7 @@
 	}
 	for _, machine := range world.draw(len(world.machines) / 3) {
 		group.Go(func() {
-			world.kill(machine)
-			time.Sleep(restartDelay)
-			if err := world.startInstance(machine); err != nil {
+			if err := world.restartKilled(machine); err != nil {
 				failures <- err
 			}
 		})
--- a/review/standin/lateness.go
+++ b/review/standin/lateness.go
@@ -9,9 +9,15 @@
 // allow 50 ms.
 const maxLateness = 40 * time.Millisecond
 
+// beginTrouble forgets delays of the start and notes the time of day, which the logs of the instances show.
+func (world *world) beginTrouble() {
+	world.lateness.Store(0)
+	world.record.note("record began at %s", world.record.start.UTC().Format("15:04:05.000"))
+}
+
 // observe notes a delay of the stand-in itself.
 func (world *world) observe(delay time.Duration) {
-	if delay > maxLateness/2 {
+	if now := time.Now().UnixNano(); delay > maxLateness/2 && now-world.lateAt.Swap(now) > int64(delay) {
 		world.record.note("stand-in: %d ms late", delay.Milliseconds())
 	}
 	for {
--- a/review/standin/starved.go
+++ b/review/standin/starved.go
@@ -9,25 +9,28 @@
 
 func init() { plays["starved"] = playStarved }
 
-// playStarved keeps the processor from many instances at the same time, in turn by pauses of a failure domain and some others and by
-// slices that are too short to be noticed as pauses. Store, runners and clients go on.
+// playStarved keeps the processor from many instances at the same time: by pauses of a failure domain and some others, by stops too short
+// to be noticed as pauses, and by both while some instances are killed. Store, runners and clients go on.
 func playStarved(world *world) error {
-	if err := world.start(fourDomains, 8000); err != nil {
+	if err := world.start(fourDomains, 7000); err != nil {
 		return err
 	}
-	world.lateness.Store(0)
-	world.record.note("record began at %s", world.record.start.UTC().Format("15:04:05.000"))
+	world.beginTrouble()
 	stop := make(chan struct{})
-	traffic := world.jobTraffic(stop, 350*time.Millisecond, func() *client {
-		duration := 200 + rand.Int64N(1300)
-		return world.newClient(2, work{MS: duration, CPU: 1000}, time.Duration(duration)*time.Millisecond, 4*time.Second)
+	traffic := world.jobTraffic(stop, 500*time.Millisecond, func() *client {
+		duration := 200*time.Millisecond + rand.N(3400*time.Millisecond)
+		client := world.newClient(2, work{MS: duration.Milliseconds(), CPU: 1000}, duration, 4*time.Second)
+		if rand.IntN(2) == 0 {
+			client.breakAfter = 100*time.Millisecond + rand.N(1400*time.Millisecond)
+		}
+		return client
 	})
 	time.Sleep(2 * time.Second)
-	for round := range 8 {
-		if world.trouble && round%2 == 0 {
-			world.pauseDomain(fourDomains[rand.IntN(len(fourDomains))].name)
-		} else if world.trouble {
-			world.slice(world.draw(3*len(world.machines)/4), 80*time.Millisecond, 10*time.Millisecond)
+	for round := range 7 {
+		if world.trouble {
+			if err := world.starve(starvations[round%len(starvations)]); err != nil {
+				return err
+			}
 		}
 		time.Sleep(2500 * time.Millisecond)
 	}
@@ -36,43 +39,62 @@
 	return world.checkVouched()
 }
 
-// pauseDomain pauses the instances of a failure domain and a third of all instances once each, in overlapping slices.
-func (world *world) pauseDomain(domain string) {
-	chosen := make(map[*machine]bool)
-	for _, machine := range world.draw(len(world.machines) / 3) {
-		chosen[machine] = true
-	}
-	var group sync.WaitGroup
-	for _, machine := range world.machines {
-		if !chosen[machine] && machine.zone != domain {
-			continue
-		}
-		group.Go(func() {
-			time.Sleep(rand.N(400 * time.Millisecond))
-			pause := 600*time.Millisecond + rand.N(time.Second)
-			world.record.note("machine %s: instance paused for %d ms", machine.name, pause.Milliseconds())
-			machine.signal(syscall.SIGSTOP)
-			time.Sleep(pause)
-			machine.signal(syscall.SIGCONT)
-		})
-	}
-	group.Wait()
+// starvation says how many instances are killed, how many are paused and for how long at least, and how many are sliced.
+type starvation struct {
+	domain                 bool
+	killed, paused, sliced int
+	shortest               time.Duration
+}
+
+var starvations = []starvation{
+	{paused: 9, sliced: 7, shortest: time.Second},
+	{killed: 3, paused: 6, sliced: 7, shortest: 600 * time.Millisecond},
+	{domain: true, paused: 5, shortest: 600 * time.Millisecond},
+	{sliced: 12},
 }
 
-// slice lets instances run only for a short time between pauses, each for 1.5 to 2.5 s.
-func (world *world) slice(machines []*machine, pause, between time.Duration) {
+// starve keeps the processor from instances drawn at random, and from one failure domain if the starvation says so.
+func (world *world) starve(starvation starvation) error {
 	var group sync.WaitGroup
-	for _, machine := range machines {
+	failures := make(chan error, starvation.killed)
+	drawn := world.draw(len(world.machines))
+	domain := drawn[0].zone
+	for i, machine := range drawn {
 		group.Go(func() {
-			time.Sleep(rand.N(400 * time.Millisecond))
-			length := 1500*time.Millisecond + rand.N(time.Second)
-			world.record.note("machine %s: instance stopped for %d ms, run for %d ms, for %d ms", machine.name, pause.Milliseconds(), between.Milliseconds(), length.Milliseconds())
-			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(between) {
-				machine.signal(syscall.SIGSTOP)
-				time.Sleep(pause)
-				machine.signal(syscall.SIGCONT)
+			switch i -= starvation.killed; {
+			case i < 0:
+				time.Sleep(200*time.Millisecond + rand.N(300*time.Millisecond))
+				if err := world.restartKilled(machine); err != nil {
+					failures <- err
+				}
+			case i < starvation.paused, starvation.domain && machine.zone == domain:
+				time.Sleep(400*time.Millisecond + rand.N(800*time.Millisecond))
+				world.pause(machine, starvation.shortest+rand.N(time.Second))
+			case i < starvation.paused+starvation.sliced:
+				time.Sleep(rand.N(400 * time.Millisecond))
+				world.slice(machine, 1500*time.Millisecond+rand.N(time.Second))
 			}
 		})
 	}
 	group.Wait()
+	close(failures)
+	return <-failures
+}
+
+// pause pauses the instance of a machine.
+func (world *world) pause(machine *machine, length time.Duration) {
+	world.record.note("machine %s: instance paused for %d ms", machine.name, length.Milliseconds())
+	machine.signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	machine.signal(syscall.SIGCONT)
+}
+
+// slice lets the instance of a machine run only for 10 ms after each 80 ms.
+func (world *world) slice(machine *machine, length time.Duration) {
+	world.record.note("machine %s: instance stopped for 80 ms in 90 for %d ms", machine.name, length.Milliseconds())
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		machine.signal(syscall.SIGSTOP)
+		time.Sleep(80 * time.Millisecond)
+		machine.signal(syscall.SIGCONT)
+	}
 }
--- a/review/standin/traffic.go
+++ b/review/standin/traffic.go
@@ -56,6 +56,7 @@
 						return
 					}
 					time.Sleep(retransmit)
+					client.breakAfter = 0
 					next := world.machines[(machine.index+1+rand.IntN(len(world.machines)-1))%len(world.machines)]
 					client.call(http.MethodPost, next, client.body, client.limit)
 				})
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -53,8 +53,8 @@
 	mesh bool
 	// boot is true for the first start of all machines.
 	boot bool
-	// lateness is the longest delay of the stand-in itself in nanoseconds.
-	lateness atomic.Int64
+	// lateness is the longest delay of the stand-in itself in nanoseconds, and lateAt when it was last late, since 1970.
+	lateness, lateAt atomic.Int64
 }
 
 func newWorld(record *record, trouble bool) *world {
@@ -285,6 +285,13 @@
 	world.record.note("machine %s: instance killed (SIGKILL)", machine.name)
 }
 
+// restartKilled kills the instance of a machine and starts it again after restartDelay.
+func (world *world) restartKilled(machine *machine) error {
+	world.kill(machine)
+	time.Sleep(restartDelay)
+	return world.startInstance(machine)
+}
+
 // signal sends a signal to the instance of a machine, if it was not killed.
 func (machine *machine) signal(signal syscall.Signal) {
 	machine.mu.Lock()
