Show two ways in which a task starts again while its run goes on

A run that one list omits and a later one shows starts again at the next tick: the time since when it is missing is cleared for the capacity, not for the task.

An owner holds the lease of a target for over 1,060 ms after its reader has reported it unreachable, although a start of a third instance renews it as long as that has not heard of the report.

The second one contradicts TestReportOfPresentReaderShortensTheLease, which wants the second start 1,060 ms after the report.

--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -403,3 +403,49 @@
 	scheduler.Tick(at(50 + int((LeaseDuration+leaseMargin)/time.Millisecond)))
 	is.Equal(len(drain(scheduler).starts), 1)
 }
+
+// A run that one list omits and a later one shows goes on, so that a second run must not start.
+func TestRunThatIsListedAgainIsNotMissing(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	start := startOne(scheduler, testJob("j", 1, 1000, 0))
+	scheduler.HandlePoll(start.Target, PollResult{Incarnation: 1, Sent: at(100), Answered: at(102)})
+	active := ActiveRun{Run: start.Run, MilliCores: 14000}
+	scheduler.HandlePoll(start.Target, PollResult{Incarnation: 1, Running: []ActiveRun{active}, Sent: at(110), Answered: at(112)})
+	for now := 112; now < 112+2*int(missingTimeout/time.Millisecond); now += 5 {
+		scheduler.Tick(at(now))
+		is.Equal(len(drain(scheduler).starts), 0)
+	}
+	scheduler.HandleEnd(start.Target, End{Seq: 1, Run: start.Run, Cause: Done}, at(600))
+	is.Equal(outcome(drain(scheduler).answers[0]), "complete")
+}
+
+// A reader that cannot reach a target says nothing about other instances, which may start runs there until they learn of it.
+// Each start renews the lease of all runs of the target, so that a second run must not start earlier.
+func TestLeaseIsNotOverWhileOthersMayRenewIt(t *testing.T) {
+	const (
+		reported  = 500
+		lastStart = reported + 250
+		leaseEnd  = lastStart + int((LeaseDuration+leaseMargin)/time.Millisecond)
+		latest    = leaseEnd + 300
+	)
+	is := is.New(t)
+	scheduler := New("self", "a")
+	scheduler.SetTargets(distinctTargets(2), at(0))
+	start := startOne(scheduler, testJob("j", 1, 900, 0))
+	report := CapacityReport{Target: start.Target, Reporter: "reader", FreeCapacity: Resources{MilliCores: 18000}}
+	for now := 45; now < reported; now += int(reportInterval / time.Millisecond) {
+		scheduler.HandlePeerReport(report, at(now))
+	}
+	scheduler.HandlePeerReport(CapacityReport{Target: start.Target, Reporter: "reader", Unreachable: true}, at(reported))
+	restartedAt := 0
+	for now := reported; now <= latest && restartedAt == 0; now += 5 {
+		scheduler.Tick(at(now))
+		if len(drain(scheduler).starts) > 0 {
+			restartedAt = now
+		}
+	}
+	t.Logf("started again at %d ms; a start of a third instance may hold the lease until %d ms", restartedAt, leaseEnd)
+	is.True(restartedAt > 0)
+	is.True(restartedAt >= leaseEnd)
+}
