Simulate instances that get too little processor time

Instances are paused together in slices or slow, readers lose their polls, requests are carried out late also by later incarnations, and instances end.

--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -138,6 +138,10 @@
 	if simulation.now >= crashing.giveUpAt[id] {
 		return
 	}
+	if simulation.starvation != nil {
+		simulation.starvation.submit(simulation, id, entry)
+		return
+	}
 	if !simulation.up(entry) {
 		simulation.after(resendDelayMS, func() { crashing.resend(simulation, id) })
 		return
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -98,6 +98,8 @@
 	crashing *crashingTasks
 	// spontaneous is set in simulations with targets that end for reasons of their own.
 	spontaneous *spontaneousEnds
+	// starvation is set in simulations of instances that get too little processor time.
+	starvation *starvation
 	// links is set in simulations of instances with narrow links, and acting is the instance that sends.
 	links  *narrowLinks
 	acting int
@@ -246,6 +248,10 @@
 			continue
 		}
 		simulation.acting = number
+		if simulation.starvation != nil {
+			simulation.starvation.step(simulation, number)
+			continue
+		}
 		if instance.pausedUntil != 0 {
 			instance.scheduler.RecordPause(at(simulation.now))
 			instance.pausedUntil = 0
@@ -312,6 +318,11 @@
 
 // answerPoll delivers a target's answer to a poll that was sent at the given time.
 func (simulation *simulation) answerPoll(number int, target *simulatedTarget, sent int) {
+	simulation.handlePoll(number, target, simulation.list(number, target, sent))
+}
+
+// list returns a target's answer to a poll of an instance.
+func (simulation *simulation) list(number int, target *simulatedTarget, sent int) PollResult {
 	instance := simulation.instances[number]
 	if instance.incarnations[target.id] != target.incarnation {
 		instance.incarnations[target.id], instance.acknowledged[target.id] = target.incarnation, 0
@@ -325,7 +336,15 @@
 			poll.Ended = append(poll.Ended, end)
 		}
 	}
-	instance.scheduler.HandlePoll(target.id, poll)
+	return poll
+}
+
+// handlePoll lets an instance handle a target's answer to a poll.
+func (simulation *simulation) handlePoll(number int, target *simulatedTarget, poll PollResult) {
+	instance := simulation.instances[number]
+	if !instance.scheduler.HandlePoll(target.id, poll) && simulation.starvation != nil {
+		return
+	}
 	for _, end := range poll.Ended {
 		end.Incarnation = poll.Incarnation
 		owner := instance.scheduler.Owner(target.id, end.Run)
@@ -376,6 +395,10 @@
 
 // sendSized delivers a message of a size that matters on narrow links.
 func (simulation *simulation) sendSized(name string, bytes int, do func(*Scheduler)) {
+	if simulation.starvation != nil {
+		simulation.starvation.send(simulation, name, do)
+		return
+	}
 	queued := simulation.links.transmit(simulation.acting, bytes, simulation.now)
 	for number := range simulation.instances {
 		if simulation.instances[number].name != name {
@@ -419,6 +442,10 @@
 		simulation.links.reports[from] = append(simulation.links.reports[from], report)
 		return
 	}
+	if simulation.starvation != nil {
+		simulation.starvation.report(simulation, from, report)
+		return
+	}
 	for number, instance := range simulation.instances {
 		if number != from {
 			simulation.send(instance.name, func(peer *Scheduler) { peer.HandlePeerReport(report, at(simulation.now)) })
@@ -456,6 +483,7 @@
 	scheduler := simulation.instances[number].scheduler
 	for _, action := range scheduler.TakeActions() {
 		simulation.spontaneous.traceAction(simulation, number, action)
+		simulation.starvation.recordAction(simulation, number, action)
 		switch action := action.(type) {
 		case StartTask:
 			simulation.claim(number, action.Claim)
@@ -494,6 +522,9 @@
 				peer.HandlePeerSuspension(simulation.instances[number].name, action.Suspension, at(simulation.now))
 			})
 		case AnswerJob:
+			if simulation.starvation != nil && simulation.origin[action.Job] != number {
+				continue // The caller waits for the answer of another instance.
+			}
 			simulation.outcomes[action.Job] = action.Outcome
 			if simulation.crashing != nil {
 				simulation.crashing.recordAnswer(simulation, action)
@@ -532,6 +563,10 @@
 // request delivers a request to a target and returns its answer. A request that gets no answer may still be executed
 // seconds later. transmittedAt is when a narrow link will have sent it; zero if it was not queued yet.
 func (simulation *simulation) request(from int, id string, transmittedAt time.Time, execute func(*simulatedTarget) StartResult, answer func(StartResult, bool)) {
+	if simulation.starvation != nil {
+		simulation.starvation.request(simulation, from, id, execute, answer)
+		return
+	}
 	if simulation.spontaneous != nil {
 		simulation.spontaneous.request(simulation, from, id, execute, answer)
 		return
@@ -593,11 +628,12 @@
 		return StartTaken
 	case start.Run.Attempt <= target.highestAttempt[start.Run.Task]:
 		return StartStale
-	case simulation.now > issued+1000:
+	case simulation.now > issued+1000 && !simulation.starvation.outlivesDeadline(target, &start):
 		return StartLate
 	case target.used+start.Resources.MilliCores > 32000:
 		return StartNoRoom
 	}
+	simulation.starvation.checkStart(simulation, target, owner, &start)
 	for _, other := range simulation.targets {
 		if other != target && other.runs[start.Run.Task] != nil {
 			simulation.duplicateRuns++
@@ -608,10 +644,13 @@
 	}
 	simulation.started[start.Job] = true
 	target.leaseEnd = max(target.leaseEnd, issued+1000)
+	if simulation.starvation.outlivesDeadline(target, &start) {
+		target.leaseEnd = simulation.now + 1000
+	}
 	target.highestAttempt[start.Run.Task] = start.Run.Attempt
 	target.used += start.Resources.MilliCores
 	ends := simulation.now + int(float64(start.Estimate/time.Millisecond)/target.speed*(0.8+0.4*simulation.random.Float64()))
-	accepted := &acceptedRun{run: start.Run, target: target.id, incarnation: target.incarnation, at: simulation.now}
+	accepted := &acceptedRun{owner: owner, late: simulation.starvation.executesLate(), run: start.Run, target: target.id, incarnation: target.incarnation, at: simulation.now}
 	target.runs[start.Run.Task] = &simulatedRun{run: start.Run, milliCores: start.Resources.MilliCores, ends: ends, accepted: accepted}
 	if simulation.spontaneous != nil {
 		simulation.spontaneous.recordStart(simulation, start, accepted)
--- a/scheduler/spontaneous_test.go
+++ b/scheduler/spontaneous_test.go
@@ -55,11 +55,16 @@
 	polledAt int
 	failures int
 	answered bool
+	// underWay means that a poll has no result yet; used in simulations of instances that get too little processor time.
+	underWay bool
 }
 
 // acceptedRun is a run that a target has accepted.
 type acceptedRun struct {
-	run         Run
+	run Run
+	// owner is the number of the instance that ordered the run, and late means that the order was carried out late.
+	owner       int
+	late        bool
 	target      string
 	incarnation int64
 	at          int
@@ -282,6 +287,10 @@
 
 // poll lets an instance poll a target if that is due.
 func (spontaneous *spontaneousEnds) poll(simulation *simulation, number, index int) {
+	if simulation.starvation != nil {
+		simulation.starvation.poll(simulation, number, index)
+		return
+	}
 	instance, target := simulation.instances[number], simulation.targets[index]
 	poller, ok := instance.pollers[target.id]
 	if !ok {
