--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -360,6 +360,9 @@
 
 // alive reports whether the other instances take the owner of a run for responsive.
 func (simulation *simulation) alive(owner string) bool {
+	if simulation.starvation != nil {
+		return simulation.starvation.alive(simulation, owner)
+	}
 	for number := range simulation.instances {
 		if simulation.instances[number].name == owner {
 			return simulation.responsive(number)
@@ -370,6 +373,9 @@
 
 // peersOf returns the other instances that an instance takes for responsive.
 func (simulation *simulation) peersOf(number int) Peers {
+	if simulation.starvation != nil {
+		return simulation.starvation.peersOf(simulation, number)
+	}
 	peers := Peers{Complete: true}
 	for other, instance := range simulation.instances {
 		if other != number && simulation.responsive(other) {
@@ -481,6 +487,9 @@
 // runActions carries out the actions of an instance.
 func (simulation *simulation) runActions(number int) {
 	scheduler := simulation.instances[number].scheduler
+	if simulation.starvation != nil {
+		simulation.acting = number
+	}
 	for _, action := range scheduler.TakeActions() {
 		simulation.spontaneous.traceAction(simulation, number, action)
 		simulation.starvation.recordAction(simulation, number, action)
@@ -623,6 +632,7 @@
 func (simulation *simulation) start(target *simulatedTarget, owner int, start StartTask) StartResult {
 	issued := int(start.Issued.Sub(origin) / time.Millisecond)
 	running, ok := target.runs[start.Run.Task]
+	simulation.starvation.renewByStart(simulation, target, owner, &start)
 	switch {
 	case ok && running.run == start.Run:
 		return StartTaken
@@ -644,9 +654,6 @@
 	}
 	simulation.started[start.Job] = true
 	target.leaseEnd = max(target.leaseEnd, issued+1000)
-	if simulation.starvation.outlivesDeadline(target, &start) {
-		target.leaseEnd = simulation.now + 1000
-	}
 	target.highestAttempt[start.Run.Task] = start.Run.Attempt
 	target.used += start.Resources.MilliCores
 	ends := simulation.now + int(float64(start.Estimate/time.Millisecond)/target.speed*(0.8+0.4*simulation.random.Float64()))
--- a/scheduler/spontaneous_test.go
+++ b/scheduler/spontaneous_test.go
@@ -233,6 +233,9 @@
 func (simulation *simulation) responsive(number int) bool {
 	const silenceTimeout = 500
 	instance := simulation.instances[number]
+	if simulation.starvation != nil {
+		return number == simulation.acting || simulation.starvation.alive(simulation, instance.name)
+	}
 	return simulation.up(number) || simulation.spontaneous != nil && !instance.crashed && simulation.now < instance.pausedAt+silenceTimeout
 }
 
--- a/scheduler/starvation_test.go
+++ b/scheduler/starvation_test.go
@@ -38,6 +38,8 @@
 	requestTimeoutMS      = 60
 	pollTimeoutMS         = 400
 	degradedPollTimeoutMS = 90
+	// peerTimeoutMS is how long after its last message an instance is taken for lost.
+	peerTimeoutMS = 500
 	// maxReportDelayMS is how late the report that a target is unreachable arrives at most while the instances have time.
 	maxReportDelayMS = 250
 )
@@ -50,6 +52,8 @@
 	states map[*simulatedInstance]*starvedInstance
 	// links holds when the last message between two instances arrives; messages do not overtake each other.
 	links map[[2]string]int
+	// renewals describes the last renewal of each target's lease.
+	renewals map[string]renewal
 	// extraDelay is the additional delay of the message that is being sent.
 	extraDelay int
 	// lossy holds the intervals in which requests get no answer.
@@ -75,8 +79,16 @@
 	lastSweep      int
 	lastClaims     int
 	streams        map[string]int
-	peers          map[string]bool
-	readers        []int
+	heartbeatAt    int
+	// heard holds when the instance last handled a message of each other one that it takes for responsive.
+	heard   map[string]int
+	readers []int
+}
+
+// renewal is a request that renewed a target's lease.
+type renewal struct {
+	by, kind      string
+	decided, ends int
 }
 
 // twoRuns describes the start of a task while another run of it goes on.
@@ -95,7 +107,7 @@
 	simulation.end = starvationEndMS
 	simulation.crashing = newCrashingTasks(1000)
 	starvation := &starvation{
-		causes: causes, random: random, states: make(map[*simulatedInstance]*starvedInstance), links: make(map[[2]string]int),
+		causes: causes, random: random, states: make(map[*simulatedInstance]*starvedInstance), links: make(map[[2]string]int), renewals: make(map[string]renewal),
 		submissions: make(map[string]int), lost: make(map[string]string), stopRequested: make(map[string]int), counts: make(map[string]int),
 	}
 	simulation.starvation = starvation
@@ -206,7 +218,7 @@
 func (starvation *starvation) state(instance *simulatedInstance) *starvedInstance {
 	state, ok := starvation.states[instance]
 	if !ok {
-		state = &starvedInstance{streams: make(map[string]int), peers: make(map[string]bool)}
+		state = &starvedInstance{streams: make(map[string]int), heard: make(map[string]int)}
 		starvation.states[instance] = state
 	}
 	return state
@@ -260,7 +272,10 @@
 		arrival := max(simulation.now+1+starvation.random.IntN(3)+starvation.extraDelay, starvation.links[[2]string{from, name}])
 		starvation.links[[2]string{from, name}] = arrival
 		simulation.after(arrival-simulation.now, func() {
-			starvation.handle(simulation, instance, number, from, func() { do(instance.scheduler) })
+			starvation.handle(simulation, instance, number, from, func() {
+				starvation.state(instance).heard[from] = simulation.now
+				do(instance.scheduler)
+			})
 		})
 	}
 }
@@ -316,11 +331,23 @@
 	if simulation.now < state.nextStep {
 		return
 	}
-	const tickMS, pauseThresholdMS = 10, 150
+	const tickMS, pauseThresholdMS, heartbeatMS, maxHeartbeatGapMS, missedMS = 10, 150, 120, 420, 500
 	state.nextStep = simulation.now + max(tickMS, starvation.lag(simulation, instance))
+	if state.lastTick == 0 || simulation.now-state.lastTick > maxHeartbeatGapMS {
+		// Missing messages do not indicate lost peers.
+		for other, peer := range simulation.instances {
+			if _, ok := state.heard[peer.name]; other != number && (ok || state.lastTick == 0 && !peer.crashed) {
+				state.heard[peer.name] = simulation.now
+			}
+		}
+	}
+	if simulation.now-state.heartbeatAt >= heartbeatMS {
+		state.heartbeatAt = simulation.now
+		simulation.broadcast(number, func(*Scheduler) {})
+	}
 	if state.lastTick > 0 && simulation.now-state.lastTick > pauseThresholdMS {
 		instance.scheduler.RecordPause(now)
-		if simulation.now-state.lastTick > 500 {
+		if simulation.now-state.lastTick > missedMS {
 			starvation.synchronize(simulation, instance)
 		}
 	}
@@ -364,20 +391,34 @@
 	simulation.acting = acting
 }
 
+// alive reports whether the acting instance takes another one for responsive.
+func (starvation *starvation) alive(simulation *simulation, name string) bool {
+	heard, ok := starvation.state(simulation.instances[simulation.acting]).heard[name]
+	return ok && simulation.now-heard <= peerTimeoutMS
+}
+
+func (starvation *starvation) peersOf(simulation *simulation, number int) Peers {
+	peers := Peers{Complete: true}
+	heard := starvation.state(simulation.instances[number]).heard
+	for _, name := range slices.Sorted(maps.Keys(heard)) {
+		if simulation.now-heard[name] <= peerTimeoutMS {
+			peers.Answering = append(peers.Answering, name)
+		}
+	}
+	return peers
+}
+
 // updatePeers lets an instance notice which others are lost.
 func (starvation *starvation) updatePeers(simulation *simulation, number int, state *starvedInstance) {
 	instance := simulation.instances[number]
-	peers := simulation.peersOf(number)
+	peers := starvation.peersOf(simulation, number)
 	instance.scheduler.SetPeers(peers)
-	for _, name := range slices.Sorted(maps.Keys(state.peers)) {
+	for _, name := range slices.Sorted(maps.Keys(state.heard)) {
 		if !slices.Contains(peers.Answering, name) {
 			instance.scheduler.RemovePeer(name)
-			delete(state.peers, name)
+			delete(state.heard, name)
 		}
 	}
-	for _, name := range peers.Answering {
-		state.peers[name] = true
-	}
 }
 
 // updateReaders assigns the readers of all targets, and claims runs where they have changed.
@@ -475,8 +516,11 @@
 			if clock != target.incarnation {
 				lease = simulation.now + 1000
 			}
-			target.leaseEnd = max(target.leaseEnd, lease)
-			simulation.spontaneous.trace(simulation, "n%d renews the lease of %s/%d until %d ms", number, target.id, target.incarnation, target.leaseEnd)
+			kind := "poll of another instance"
+			if reads {
+				kind = "poll of the reader"
+			}
+			starvation.renew(simulation, target, renewal{fmt.Sprintf("n%d", number), kind, decided, lease})
 		}
 		incarnation := target.incarnation
 		simulation.after(starvation.random.IntN(50), func() {
@@ -551,6 +595,31 @@
 	})
 }
 
+// renew extends the lease of a target.
+func (starvation *starvation) renew(simulation *simulation, target *simulatedTarget, renewal renewal) {
+	if renewal.ends > target.leaseEnd {
+		target.leaseEnd = renewal.ends
+		starvation.renewals[target.id] = renewal
+		simulation.spontaneous.trace(simulation, "%s of %s, decided at %d ms, renews the lease of %s/%d until %d ms", renewal.kind, renewal.by, renewal.decided, target.id, target.incarnation, target.leaseEnd)
+	}
+}
+
+// renewByStart extends the lease of a target by a start, whether that is accepted or not.
+func (starvation *starvation) renewByStart(simulation *simulation, target *simulatedTarget, owner int, start *StartTask) {
+	if starvation == nil {
+		return
+	}
+	issued := int(start.Issued.Sub(origin) / time.Millisecond)
+	lease, kind := issued+1000, "start"
+	if starvation.outlivesDeadline(target, start) {
+		lease = simulation.now + 1000
+		kind = "start for a former incarnation"
+	}
+	if lease > simulation.now {
+		starvation.renew(simulation, target, renewal{fmt.Sprintf("n%d", owner), kind, issued, lease})
+	}
+}
+
 // executesLate reports whether the request that a target executes is late.
 func (starvation *starvation) executesLate() bool { return starvation != nil && starvation.executing }
 
@@ -609,6 +678,17 @@
 		if len(strings.Fields(lost)) > 2 {
 			cause += " " + strings.Fields(lost)[1]
 		}
+		renewal := starvation.renewals[other.id]
+		if strings.Contains(cause, "lapsed") {
+			by := "the owner"
+			if renewal.by != fmt.Sprintf("n%d", owner) {
+				by = "a third instance"
+			}
+			cause += fmt.Sprintf(", lease renewed by %s (%s)", by, renewal.kind)
+			if state := starvation.state(simulation.instances[owner]); state.readers[simulation.index(other.id)] == owner {
+				cause += ", owner reads"
+			}
+		}
 		if !strings.HasPrefix(stop, "no") {
 			cause += ", stop requested"
 		}
@@ -617,9 +697,9 @@
 		}
 		job := start.Job
 		starvation.twice = append(starvation.twice, twoRuns{cause, fmt.Sprintf(
-			"%d ms: %v starts on %s/%d by n%d (decided at %v for incarnation %d, late %v) while %v runs on %s/%d by n%d since %d ms (late %v, until %d ms, lease until %d ms); submissions %d, %s, %s",
+			"%d ms: %v starts on %s/%d by n%d (decided at %v for incarnation %d, late %v) while %v runs on %s/%d by n%d since %d ms (late %v, until %d ms, lease until %d ms by %+v); submissions %d, %s, %s",
 			simulation.now, start.Run, target.id, target.incarnation, owner, start.Issued.Sub(origin), start.Incarnation, starvation.executing,
-			first.run, other.id, first.incarnation, first.owner, first.at, first.late, former.ends, other.leaseEnd, starvation.submissions[job], lost, stop,
+			first.run, other.id, first.incarnation, first.owner, first.at, first.late, former.ends, other.leaseEnd, renewal, starvation.submissions[job], lost, stop,
 		)})
 	}
 }
