Show two more ways in which a task starts while a run of it goes on

An owner that reads a target takes the lease for over 1,060 ms after its own last renewal, although an instance with a run there polls the target itself by then, and renews the lease.

A job that is sent again starts at once on an instance that knows of a run of its former submission, also while the stop of that run is under way.

Simulated instances that were slow handle what has waited in a burst afterwards; before, messages stayed late for up to 700 ms while ticks were on time. Runs are attributed to incarnations of instances.

The tests fail on the present code.

--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -449,3 +449,83 @@
 	is.True(restartedAt > 0)
 	is.True(restartedAt >= leaseEnd)
 }
+
+// An owner that is also the reader of a target knows no renewals but its own. Instances whose runs it knows poll the target
+// themselves, and renew the lease, until they learn that the reader cannot reach it.
+func TestReaderDoesNotEndLeaseThatOtherOwnersRenew(t *testing.T) {
+	const (
+		lastRenewal = 500
+		unreachable = 1170
+		lastPoll    = unreachable + 250
+		leaseEnd    = lastPoll + int((LeaseDuration+leaseMargin)/time.Millisecond)
+		latest      = leaseEnd + 300
+	)
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	job := testJob("j", 1, 900, 0)
+	job.Deadline = at(6000)
+	start := startOne(scheduler, job)
+	claim := Claim{Target: start.Target, Run: Run{"p.0.0.0", 1}, Resources: Resources{MilliCores: 14000}, Estimate: 3 * time.Second}
+	restartedAt := 0
+	for now := 5; now <= latest && restartedAt == 0; now += 5 {
+		if now%int(ClaimRepeatInterval/time.Millisecond) == 0 {
+			scheduler.HandlePeerClaim("peer", claim, at(now))
+		}
+		switch now {
+		case lastRenewal:
+			scheduler.RecordLeaseRenewal(start.Target, at(now))
+		case unreachable:
+			scheduler.MarkUnreachable(start.Target, false, at(now))
+		}
+		scheduler.Tick(at(now))
+		if len(drain(scheduler).starts) > 0 {
+			restartedAt = now
+		}
+	}
+	t.Logf("started again at %d ms; a poll of another owner may hold the lease until %d ms", restartedAt, leaseEnd)
+	is.True(restartedAt > 0)
+	is.True(restartedAt >= leaseEnd)
+}
+
+// A job that is sent again must not start while a run of its earlier submission is known to go on, whoever has to end that.
+func TestJobSentAgainWaitsForKnownRunOfItsTask(t *testing.T) {
+	run := Run{Task: "j.0.0.0", Attempt: 1}
+	list := func(scheduler *Scheduler, now int) {
+		poll := PollResult{Incarnation: 1, Running: []ActiveRun{{Run: run, MilliCores: 14000}}, Sent: at(now), Answered: at(now + 1)}
+		scheduler.HandlePoll("t0", poll)
+	}
+	claim := Claim{Target: "t0", Run: run, Resources: Resources{MilliCores: 14000}, Estimate: 2 * time.Second}
+	tests := []struct {
+		name  string
+		learn func(*Scheduler)
+	}{
+		{"run without a known owner", func(scheduler *Scheduler) { list(scheduler, 90) }},
+		{"run of a lost owner", func(scheduler *Scheduler) {
+			scheduler.HandlePeerClaim("lost", claim, at(10))
+			list(scheduler, 90)
+			scheduler.RemovePeer("lost")
+		}},
+		{"stop of the run under way", func(scheduler *Scheduler) {
+			scheduler.HandlePeerClaim("lost", claim, at(10))
+			list(scheduler, 90)
+			scheduler.RemovePeer("lost")
+			scheduler.StopOrphans("t0", func(string) bool { return false }, at(92))
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			scheduler := newTestScheduler(2)
+			test.learn(scheduler)
+			drain(scheduler)
+			scheduler.Submit(testJob("j", 1, 400, 100), at(100))
+			scheduler.Tick(at(105))
+			is.Equal(len(drain(scheduler).starts), 0)
+			scheduler.HandleEnd("t0", End{Seq: 1, Run: run, Cause: Stopped, Incarnation: 1}, at(150))
+			scheduler.Tick(at(155))
+			starts := drain(scheduler).starts
+			is.Equal(len(starts), 1)
+			is.Equal(starts[0].Run.Task, run.Task)
+		})
+	}
+}
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -632,7 +632,7 @@
 func (simulation *simulation) start(target *simulatedTarget, owner int, start StartTask) StartResult {
 	issued := int(start.Issued.Sub(origin) / time.Millisecond)
 	running, ok := target.runs[start.Run.Task]
-	simulation.starvation.renewByStart(simulation, target, owner, &start)
+	simulation.starvation.renewByStart(simulation, target, &start)
 	switch {
 	case ok && running.run == start.Run:
 		return StartTaken
@@ -657,7 +657,7 @@
 	target.highestAttempt[start.Run.Task] = start.Run.Attempt
 	target.used += start.Resources.MilliCores
 	ends := simulation.now + int(float64(start.Estimate/time.Millisecond)/target.speed*(0.8+0.4*simulation.random.Float64()))
-	accepted := &acceptedRun{owner: owner, late: simulation.starvation.executesLate(), run: start.Run, target: target.id, incarnation: target.incarnation, at: simulation.now}
+	accepted := &acceptedRun{owner: simulation.starvation.sender(), late: simulation.starvation.executesLate(), run: start.Run, target: target.id, incarnation: target.incarnation, at: simulation.now}
 	target.runs[start.Run.Task] = &simulatedRun{run: start.Run, milliCores: start.Resources.MilliCores, ends: ends, accepted: accepted}
 	if simulation.spontaneous != nil {
 		simulation.spontaneous.recordStart(simulation, start, accepted)
--- a/scheduler/spontaneous_test.go
+++ b/scheduler/spontaneous_test.go
@@ -62,8 +62,9 @@
 // acceptedRun is a run that a target has accepted.
 type acceptedRun struct {
 	run Run
-	// owner is the number of the instance that ordered the run, and late means that the order was carried out late.
-	owner       int
+	// owner is the incarnation that ordered the run, and late means that the order was carried out late; both are set only in
+	// simulations of instances that get too little processor time.
+	owner       string
 	late        bool
 	target      string
 	incarnation int64
--- a/scheduler/starvation_test.go
+++ b/scheduler/starvation_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
 )
 
 var (
@@ -58,8 +60,9 @@
 	extraDelay int
 	// lossy holds the intervals in which requests get no answer.
 	lossy [][2]int
-	// executing is whether the request that a target executes is late.
+	// executing is whether the request that a target executes is late, and sentBy the incarnation that sent it.
 	executing bool
+	sentBy    string
 	// submissions counts the submissions of each job, and lost holds the last loss of a run of each task, by owner.
 	submissions map[string]int
 	lost        map[string]string
@@ -226,8 +229,9 @@
 
 // lag returns how late an instance handles what arrives now.
 func (starvation *starvation) lag(simulation *simulation, instance *simulatedInstance) int {
-	if simulation.now < starvation.state(instance).slowUntil {
-		return 50 + starvation.random.IntN(650)
+	if rest := starvation.state(instance).slowUntil - simulation.now; rest > 0 {
+		// What has waited is handled in a burst afterwards.
+		return min(50+starvation.random.IntN(650), rest+starvation.random.IntN(10))
 	}
 	return 0
 }
@@ -520,7 +524,7 @@
 			if reads {
 				kind = "poll of the reader"
 			}
-			starvation.renew(simulation, target, renewal{fmt.Sprintf("n%d", number), kind, decided, lease})
+			starvation.renew(simulation, target, renewal{instance.name, kind, decided, lease})
 		}
 		incarnation := target.incarnation
 		simulation.after(starvation.random.IntN(50), func() {
@@ -561,7 +565,7 @@
 			starvation.counts["late"]++
 			simulation.after(2000+starvation.random.IntN(2000), func() {
 				if !target.down(simulation.now) {
-					starvation.executing = true
+					starvation.executing, starvation.sentBy = true, instance.name
 					execute(target)
 					starvation.executing = false
 				}
@@ -581,6 +585,7 @@
 				resolve(StartUnanswered, false)
 				return
 			}
+			starvation.sentBy = instance.name
 			result := execute(target)
 			if starvation.losing(simulation.now) {
 				return
@@ -605,7 +610,7 @@
 }
 
 // renewByStart extends the lease of a target by a start, whether that is accepted or not.
-func (starvation *starvation) renewByStart(simulation *simulation, target *simulatedTarget, owner int, start *StartTask) {
+func (starvation *starvation) renewByStart(simulation *simulation, target *simulatedTarget, start *StartTask) {
 	if starvation == nil {
 		return
 	}
@@ -616,10 +621,18 @@
 		kind = "start for a former incarnation"
 	}
 	if lease > simulation.now {
-		starvation.renew(simulation, target, renewal{fmt.Sprintf("n%d", owner), kind, issued, lease})
+		starvation.renew(simulation, target, renewal{starvation.sentBy, kind, issued, lease})
 	}
 }
 
+// sender returns the incarnation that has sent the request that a target executes.
+func (starvation *starvation) sender() string {
+	if starvation == nil {
+		return ""
+	}
+	return starvation.sentBy
+}
+
 // executesLate reports whether the request that a target executes is late.
 func (starvation *starvation) executesLate() bool { return starvation != nil && starvation.executing }
 
@@ -662,11 +675,11 @@
 			stop = fmt.Sprintf("first stop of the first run at %d ms", at)
 		}
 		owners, order := "one owner", "in time"
-		if first.owner != owner {
+		if first.owner != starvation.sentBy {
 			owners = "two owners"
 		}
 		lost := "no loss"
-		if starvation.lost[start.Run.Task] != "" && first.owner == owner {
+		if starvation.lost[start.Run.Task] != "" && first.owner == starvation.sentBy {
 			lost = "lost: " + starvation.lost[start.Run.Task]
 		}
 		if starvation.executing {
@@ -681,7 +694,7 @@
 		renewal := starvation.renewals[other.id]
 		if strings.Contains(cause, "lapsed") {
 			by := "the owner"
-			if renewal.by != fmt.Sprintf("n%d", owner) {
+			if renewal.by != starvation.sentBy {
 				by = "a third instance"
 			}
 			cause += fmt.Sprintf(", lease renewed by %s (%s)", by, renewal.kind)
@@ -697,8 +710,8 @@
 		}
 		job := start.Job
 		starvation.twice = append(starvation.twice, twoRuns{cause, fmt.Sprintf(
-			"%d ms: %v starts on %s/%d by n%d (decided at %v for incarnation %d, late %v) while %v runs on %s/%d by n%d since %d ms (late %v, until %d ms, lease until %d ms by %+v); submissions %d, %s, %s",
-			simulation.now, start.Run, target.id, target.incarnation, owner, start.Issued.Sub(origin), start.Incarnation, starvation.executing,
+			"%d ms: %v starts on %s/%d by %s (decided at %v for incarnation %d, late %v) while %v runs on %s/%d by %s since %d ms (late %v, until %d ms, lease until %d ms by %+v); submissions %d, %s, %s",
+			simulation.now, start.Run, target.id, target.incarnation, starvation.sentBy, start.Issued.Sub(origin), start.Incarnation, starvation.executing,
 			first.run, other.id, first.incarnation, first.owner, first.at, first.late, former.ends, other.leaseEnd, renewal, starvation.submissions[job], lost, stop,
 		)})
 	}
@@ -706,6 +719,11 @@
 
 func (simulation *simulation) runStarvation() *starvation {
 	simulation.play(simulation.end)
+	for _, outcome := range simulation.outcomes {
+		if _, ok := outcome.(dispatcher.Complete); ok {
+			simulation.starvation.counts["complete"]++
+		}
+	}
 	return simulation.starvation
 }
 
