--- a/scheduler/starvation_test.go
+++ b/scheduler/starvation_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 )
 
@@ -100,20 +102,26 @@
 	text  string
 }
 
-// newStarvationSimulation returns a simulation whose faults are drawn from the seed.
-func newStarvationSimulation(seed uint64, causes starvationCauses) *simulation {
-	random := rand.New(rand.NewPCG(seed, 5))
+// newStarvedInstances returns a simulation without jobs and faults.
+func newStarvedInstances(seed uint64, causes starvationCauses, random *rand.Rand, targets, instances int) *simulation {
 	spontaneous := &spontaneousEnds{
 		downMS: 500, cuts: make(map[int][]simulatedCut), accepted: make(map[string][]*acceptedRun), crashesUnder: make(map[string]int), counts: make(map[string]int),
 	}
-	simulation := newSizedSimulation(seed, false, 14+random.IntN(5), 4+random.IntN(4), spontaneous)
+	simulation := newSizedSimulation(seed, false, targets, instances, spontaneous)
 	simulation.end = starvationEndMS
 	simulation.crashing = newCrashingTasks(1000)
-	starvation := &starvation{
+	simulation.starvation = &starvation{
 		causes: causes, random: random, states: make(map[*simulatedInstance]*starvedInstance), links: make(map[[2]string]int), renewals: make(map[string]renewal),
 		submissions: make(map[string]int), lost: make(map[string]string), stopRequested: make(map[string]int), counts: make(map[string]int),
 	}
-	simulation.starvation = starvation
+	return simulation
+}
+
+// newStarvationSimulation returns a simulation whose faults are drawn from the seed.
+func newStarvationSimulation(seed uint64, causes starvationCauses) *simulation {
+	random := rand.New(rand.NewPCG(seed, 5))
+	simulation := newStarvedInstances(seed, causes, random, 14+random.IntN(5), 4+random.IntN(4))
+	starvation := simulation.starvation
 	for number := range starvationJobs {
 		id, tasks, estimate := fmt.Sprintf("j%d", number), 1+random.IntN(4), 50+random.IntN(800)
 		if random.IntN(4) == 0 {
@@ -763,3 +771,24 @@
 		})
 	}
 }
+
+// An order for a former incarnation of a target must neither start a run on a later one that some instance has polled, nor
+// renew the lease of other runs there: no instance but its owner knows of it, and the owner may be lost.
+func TestOrderForFormerIncarnationIsNotCarriedOut(t *testing.T) {
+	const restartMS, executedMS = 100, 2500
+	is := is.New(t)
+	simulation := newStarvedInstances(1, starvationCauses{}, rand.New(rand.NewPCG(1, 5)), 2, 2)
+	owner := simulation.instances[0].scheduler
+	owner.Submit(testJob("j", 1, 400, 0), at(0))
+	order := drain(owner).starts[0]
+	target := simulation.targets[simulation.index(order.Target)]
+	simulation.after(1, func() { simulation.instances[0].crashed = true })
+	simulation.after(restartMS, func() { simulation.spontaneous.end(simulation, target, 200, "ended") })
+	simulation.end = executedMS
+	simulation.play(simulation.end)
+	is.Equal(target.incarnation, int64(2))
+	is.Equal(simulation.instances[1].connections[target.id], int64(2)) // the reader has polled it
+	lease := target.leaseEnd
+	is.True(simulation.start(target, 0, order) != StartTaken)
+	is.Equal(target.leaseEnd, lease)
+}
