Let overlapping pauses of a simulated instance last until the latest ends

Before, a later and shorter pause let the instance go on while its messages and answers waited for the end of the earlier one, which took leases for over that its waiting answers renewed.

--- a/scheduler/starvation_test.go
+++ b/scheduler/starvation_test.go
@@ -181,7 +181,10 @@
 	if instance.crashed {
 		return
 	}
-	instance.pausedAt, instance.pausedUntil = simulation.now, simulation.now+length
+	if simulation.now >= instance.pausedUntil {
+		instance.pausedAt = simulation.now
+	}
+	instance.pausedUntil = max(instance.pausedUntil, simulation.now+length)
 	starvation.counts["pause"]++
 	simulation.spontaneous.trace(simulation, "n%d is paused until %d ms", number, instance.pausedUntil)
 }
