--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -529,3 +529,23 @@
 		})
 	}
 }
+
+// A run that counts as lost and is listed again before its task has started elsewhere goes on, so that a second run must not
+// start.
+func TestTaskDoesNotStartWhileItsLostRunIsListedAgain(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(1)
+	start := startOne(scheduler, testJob("j", 1, 1500, 0))
+	scheduler.MarkUnreachable(start.Target, false, at(700))
+	lost := int((LeaseDuration + leaseMargin) / time.Millisecond)
+	scheduler.Tick(at(lost))
+	is.Equal(len(drain(scheduler).starts), 0) // no target is left
+	active := ActiveRun{Run: start.Run, MilliCores: 14000}
+	for now := lost + 40; now < lost+240; now += 50 {
+		scheduler.HandlePoll(start.Target, PollResult{Incarnation: 1, Running: []ActiveRun{active}, Sent: at(now - 1), Answered: at(now)})
+		scheduler.Tick(at(now + 5))
+		is.Equal(len(drain(scheduler).starts), 0)
+	}
+	scheduler.HandleEnd(start.Target, End{Seq: 1, Run: start.Run, Cause: Done}, at(lost+250))
+	is.Equal(outcome(drain(scheduler).answers[0]), "complete")
+}
--- a/scheduler/starvation_test.go
+++ b/scheduler/starvation_test.go
@@ -362,9 +362,9 @@
 	}
 	if state.lastTick > 0 && simulation.now-state.lastTick > pauseThresholdMS {
 		instance.scheduler.RecordPause(now)
-		if simulation.now-state.lastTick > missedMS {
-			starvation.synchronize(simulation, instance)
-		}
+	}
+	if state.lastTick == 0 || simulation.now-state.lastTick > missedMS {
+		starvation.synchronize(simulation, instance)
 	}
 	state.lastTick = simulation.now
 	instance.scheduler.Tick(now)
