--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -429,25 +429,32 @@
 		leaseEnd  = lastStart + int((LeaseDuration+leaseMargin)/time.Millisecond)
 		latest    = leaseEnd + 300
 	)
-	is := is.New(t)
-	scheduler := New("self", "a")
-	scheduler.SetTargets(distinctTargets(2), at(0))
-	start := startOne(scheduler, testJob("j", 1, 900, 0))
-	report := CapacityReport{Target: start.Target, Reporter: "reader", FreeCapacity: Resources{MilliCores: 18000}}
-	for now := 45; now < reported; now += int(reportInterval / time.Millisecond) {
-		scheduler.HandlePeerReport(report, at(now))
-	}
-	scheduler.HandlePeerReport(CapacityReport{Target: start.Target, Reporter: "reader", Unreachable: true}, at(reported))
-	restartedAt := 0
-	for now := reported; now <= latest && restartedAt == 0; now += 5 {
-		scheduler.Tick(at(now))
-		if len(drain(scheduler).starts) > 0 {
-			restartedAt = now
-		}
+	for _, test := range []struct {
+		name    string
+		reports int
+	}{{"reported before", 4}, {"not reported before", 0}} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			scheduler := New("self", "a")
+			scheduler.SetTargets(distinctTargets(2), at(0))
+			start := startOne(scheduler, testJob("j", 1, 900, 0))
+			report := CapacityReport{Target: start.Target, Reporter: "reader", FreeCapacity: Resources{MilliCores: 18000}}
+			for number := range test.reports {
+				scheduler.HandlePeerReport(report, at(45+number*int(reportInterval/time.Millisecond)))
+			}
+			scheduler.HandlePeerReport(CapacityReport{Target: start.Target, Reporter: "reader", Unreachable: true}, at(reported))
+			restartedAt := 0
+			for now := reported; now <= latest && restartedAt == 0; now += 5 {
+				scheduler.Tick(at(now))
+				if len(drain(scheduler).starts) > 0 {
+					restartedAt = now
+				}
+			}
+			t.Logf("started again at %d ms; a start of a third instance may hold the lease until %d ms", restartedAt, leaseEnd)
+			is.True(restartedAt > 0)
+			is.True(restartedAt >= leaseEnd)
+		})
 	}
-	t.Logf("started again at %d ms; a start of a third instance may hold the lease until %d ms", restartedAt, leaseEnd)
-	is.True(restartedAt > 0)
-	is.True(restartedAt >= leaseEnd)
 }
 
 // An owner that is also the reader of a target knows no renewals but its own. Instances whose runs it knows poll the target
