Show that the answer to a start does not extend the lease that its owner expects

A starved instance sent a start 690 ms after its decision. A listed run counts from the list. The test fails on the present code.

--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -556,3 +556,21 @@
 	scheduler.HandleEnd(start.Target, End{Seq: 1, Run: start.Run, Cause: Done}, at(lost+250))
 	is.Equal(outcome(drain(scheduler).answers[0]), "complete")
 }
+
+// A start that a starved instance sends late is accepted for the rest of its lease, which another instance may have renewed just
+// before, as when a target lists the run.
+func TestStartThatIsAnsweredLateKeepsItsLease(t *testing.T) {
+	const answered = 700
+	leaseEnd := answered + int((LeaseDuration+leaseMargin)/time.Millisecond)
+	is := is.New(t)
+	scheduler := New("self", "a")
+	scheduler.SetTargets(distinctTargets(2), at(0))
+	scheduler.Submit(testJob("j", 1, 900, 0), at(0))
+	acceptStarts(scheduler, drain(scheduler).starts, at(answered))
+	for now := answered; now < leaseEnd; now += 10 {
+		scheduler.Tick(at(now))
+		is.Equal(len(drain(scheduler).starts), 0)
+	}
+	scheduler.Tick(at(leaseEnd))
+	is.Equal(len(drain(scheduler).starts), 1)
+}
