--- a/scheduler/spontaneous_test.go
+++ b/scheduler/spontaneous_test.go
@@ -55,11 +55,17 @@
 	polledAt int
 	failures int
 	answered bool
+	// underWay means that a poll has no result yet; used in simulations of instances that get too little processor time.
+	underWay bool
 }
 
 // acceptedRun is a run that a target has accepted.
 type acceptedRun struct {
-	run         Run
+	run Run
+	// owner is the incarnation that ordered the run, and late means that the order was carried out late; both are set only in
+	// simulations of instances that get too little processor time.
+	owner       string
+	late        bool
 	target      string
 	incarnation int64
 	at          int
@@ -228,6 +234,9 @@
 func (simulation *simulation) responsive(number int) bool {
 	const silenceTimeout = 500
 	instance := simulation.instances[number]
+	if simulation.starvation != nil {
+		return number == simulation.acting || simulation.starvation.alive(simulation, instance.name)
+	}
 	return simulation.up(number) || simulation.spontaneous != nil && !instance.crashed && simulation.now < instance.pausedAt+silenceTimeout
 }
 
@@ -282,6 +291,10 @@
 
 // poll lets an instance poll a target if that is due.
 func (spontaneous *spontaneousEnds) poll(simulation *simulation, number, index int) {
+	if simulation.starvation != nil {
+		simulation.starvation.poll(simulation, number, index)
+		return
+	}
 	instance, target := simulation.instances[number], simulation.targets[index]
 	poller, ok := instance.pollers[target.id]
 	if !ok {
