Poll a target each time this instance becomes its reader

A reader that had polled a target before, and became its reader again, did not poll it while it was idle. Since a new reader reports no free capacity before its first list, and the others wait for its report, the target got no new work for 600 ms.

The first poll is due after each change of the reader, and a report follows it. TestNextPoll has the case, which failed before.

--- a/executor/poller.go
+++ b/executor/poller.go
@@ -147,7 +147,7 @@
 		return PollRequest{}, poller.peersKnownAt.Sub(now)
 	case state.Fenced && poller.failures == 0:
 		return PollRequest{}, fencedPollInterval - sincePoll
-	case poller.isReader.Load() && !poller.polled && !state.Unreachable && poller.failures == 0:
+	case poller.isReader.Load() && (!poller.polled || state.ReadSince.After(poller.lastPoll)) && !state.Unreachable && poller.failures == 0:
 		return PollRequest{}, 0
 	case poller.isReader.Load() && state.IncarnationSince.After(poller.incarnationSince):
 		// The target has restarted. The poll makes it refuse what was sent to its former incarnation.
--- a/executor/poller_test.go
+++ b/executor/poller_test.go
@@ -73,6 +73,7 @@
 	}{
 		{"reader of an occupied target", true, scheduler.TargetState{Occupied: true, LastHeard: now}, 0, true},
 		{"reader of an idle target", true, scheduler.TargetState{LastHeard: now}, 0, false},
+		{"reader of an idle target again", true, scheduler.TargetState{LastHeard: now, ReadSince: now.Add(-time.Millisecond)}, 0, true},
 		{"not the reader, recent report", false, scheduler.TargetState{Occupied: true, HasOwnRuns: true, LastHeard: now}, 0, false},
 		{"not the reader, old report", false, scheduler.TargetState{Occupied: true, HasOwnRuns: true, LastHeard: now.Add(-readerTimeout)}, 0, true},
 		{"reader, peers not known yet", true, scheduler.TargetState{LastHeard: now}, 0, false},
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -632,7 +632,7 @@
 	}
 	target.readBySelf, target.unreachableByReader = reads, false
 	if reads {
-		target.readSince = now
+		target.readSince, target.lastReportAt = now, time.Time{}
 		// The first poll shows what is running there.
 		target.heldUntil = now.Add(rejectionBackoff)
 		return
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -203,6 +203,8 @@
 	// its reader.
 	Unreachable         bool
 	UnreachableByReader bool
+	// ReadSince is when this instance became the reader of the target; zero if it has never been.
+	ReadSince time.Time
 	// ReadByOther means that another instance reads the target. The reader does not learn of renewals by polls of others.
 	ReadByOther bool
 	// LastHeard is the time of the target's last known response.
@@ -224,7 +226,7 @@
 		IncarnationSince: target.incarnationSince, Occupied: len(target.allocations) > 0,
 		Unreachable: target.unreachable, UnreachableByReader: target.unreachableByReader, LastHeard: target.lastHeard,
 		WantedUntil: scheduler.wantedUntil(target), UnrenewedUntil: target.unrenewedUntil,
-		Contradicted: target.pending != nil, Fenced: !target.fencedAt.IsZero(), ReadByOther: target.readerContact != nil,
+		Contradicted: target.pending != nil, Fenced: !target.fencedAt.IsZero(), ReadByOther: target.readerContact != nil, ReadSince: target.readSince,
 	}
 	for _, allocation := range target.allocations {
 		if allocation.owner == scheduler.self {
