--- a/executor/poller.go
+++ b/executor/poller.go
@@ -234,7 +234,7 @@
 	poll.Address = target.Address
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
-	executor.noticePause(executor.now())
+	executor.noticePause(poll.Answered)
 	if !executor.scheduler.HandlePoll(poller.id, poll) {
 		return
 	}
--- a/scheduler/earlier_run.go
+++ b/scheduler/earlier_run.go
@@ -1,18 +1,22 @@
 package scheduler
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // findEarlierRuns records the runs of earlier submissions of a job's tasks that this instance knows of. A caller sends a job
 // again when it has got no answer, while its runs may still go on; whoever has to end them may be late.
 func (scheduler *Scheduler) findEarlierRuns(job *job) {
-	byName := make(map[string]*task, len(job.tasks))
-	for _, task := range job.tasks {
-		byName[task.name] = task
-	}
 	record := func(target string, run Run) {
-		if task, ok := byName[run.Task]; ok && !slices.Contains(task.earlier, targetRun{target, run}) {
-			task.earlier = append(task.earlier, targetRun{target, run})
-			job.mayHaveStarted = true
+		if !strings.HasPrefix(run.Task, job.ID) {
+			return
+		}
+		for _, task := range job.tasks {
+			if task.name == run.Task && !slices.Contains(task.earlier, targetRun{target, run}) {
+				task.earlier = append(task.earlier, targetRun{target, run})
+				job.mayHaveStarted = true
+			}
 		}
 	}
 	for _, target := range scheduler.ordered {
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -56,7 +56,7 @@
 		return
 	}
 	target.reportedFree, target.reportedAt, target.unreachableByReader = report.FreeCapacity, now, report.Unreachable
-	if target.readerContact == scheduler.contactWith(report.Reporter) {
+	if !target.reportAwaitedUntil.IsZero() && target.readerContact == scheduler.contactWith(report.Reporter) {
 		target.reportAwaitedUntil = time.Time{}
 	}
 	if !report.Unreachable {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -98,10 +98,10 @@
 	scheduler.rotation++
 	for index := range scheduler.ordered {
 		target := scheduler.ordered[(index+scheduler.rotation)%len(scheduler.ordered)]
-		if !target.usable(now) || !scheduler.mayStartOn(target, now) {
+		if !target.usable(now) {
 			continue
 		}
-		if free := target.freeCapacity(now); least.Fits(free) {
+		if free := target.freeCapacity(now); least.Fits(free) && scheduler.mayStartOn(target, now) {
 			candidates = append(candidates, candidate{target, free})
 		}
 	}
