--- a/scheduler/review_test.go
+++ b/scheduler/review_test.go
@@ -121,3 +121,25 @@
 	state = scheduler.TargetState("t0")
 	is.True(!state.MayRenew(at(2000)))
 }
+
+// A claim that was held up while this instance was paused says nothing about its owner now. Neither a poll nor a start may renew
+// the lease for it: the caller of a lost owner sends the job again. (Simulation of starved instances, pauses and kills, seed 9044.)
+func TestHeldUpClaimRenewsNoLease(t *testing.T) {
+	is := is.New(t)
+	reader := newTestScheduler(1)
+	reader.SetPeers(Peers{Starting: []string{"owner", "other"}})
+	claim := Claim{Target: "t0", Run: Run{"j.0.0.0", 1}, Resources: Resources{MilliCores: 1000}, Incarnation: 1}
+	reader.RecordBroadcast("owner", at(0))
+	reader.HandlePeerClaim("owner", claim, at(0))
+	reader.HandlePoll("t0", PollResult{Incarnation: 1, Running: []ActiveRun{{Run: claim.Run}}, Sent: at(1), Answered: at(2)})
+	// This instance is paused from 100 to 1300. The owner repeats the claim at 250 and is killed.
+	reader.RecordPause(at(1300))
+	reader.RecordBroadcast("other", at(1300))
+	reader.RecordBroadcast("owner", at(240))
+	claim.Age = 1300 * time.Millisecond
+	reader.HandlePeerClaim("owner", claim, at(1300))
+	state := reader.TargetState("t0")
+	is.True(!state.MayRenew(at(1301)))
+	reader.Submit(testJob("k", 1, 900, 1301), at(1301))
+	is.Equal(len(drain(reader).starts), 0)
+}
