Tell delegating instances which targets are unreachable

One of another failure domain gets no broadcasts while it owns no jobs, and was not sent what it had missed.

Heartbeats carry the reports of targets that have become unreachable or reachable again, and an instance of another domain that begins to own jobs is sent what one that joins is.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -101,8 +101,12 @@
 	// remoteReports go into the next broadcast to other failure domains; remoteSentAt is when the last one was sent.
 	remoteReports map[string]scheduler.CapacityReport
 	remoteSentAt  time.Time
-	demand        scheduler.Demand
-	busy          bool
+	// reachabilityReports go into the next heartbeat: reports of targets that have become unreachable, or reachable again.
+	// unreachable holds the targets that were last reported as unreachable.
+	reachabilityReports map[string]scheduler.CapacityReport
+	unreachable         map[string]bool
+	demand              scheduler.Demand
+	busy                bool
 	// busyAnnouncedUntil is until when the end of busy is announced to all peers.
 	busyAnnouncedUntil time.Time
 	leaving            bool
@@ -121,19 +125,21 @@
 func New(self linker.Hello, receiver Receiver, now func() time.Time) *Gossiper {
 	ctx, cancel := context.WithCancel(context.Background())
 	gossiper := &Gossiper{
-		self:          self,
-		receiver:      receiver,
-		now:           now,
-		traffic:       newTraffic(),
-		startedAt:     now(),
-		cancel:        cancel,
-		wake:          make(chan struct{}, 1),
-		changed:       make(chan struct{}, 1),
-		outbox:        make(map[string]*linker.StateUpdate),
-		reports:       make(map[string]scheduler.CapacityReport),
-		remoteReports: make(map[string]scheduler.CapacityReport),
-		checkedAt:     now(),
-		peers:         make(map[string]*peer),
+		self:                self,
+		receiver:            receiver,
+		now:                 now,
+		traffic:             newTraffic(),
+		startedAt:           now(),
+		cancel:              cancel,
+		wake:                make(chan struct{}, 1),
+		changed:             make(chan struct{}, 1),
+		outbox:              make(map[string]*linker.StateUpdate),
+		reports:             make(map[string]scheduler.CapacityReport),
+		remoteReports:       make(map[string]scheduler.CapacityReport),
+		reachabilityReports: make(map[string]scheduler.CapacityReport),
+		unreachable:         make(map[string]bool),
+		checkedAt:           now(),
+		peers:               make(map[string]*peer),
 	}
 	gossiper.group.Go(func() { gossiper.sendOutbox(ctx) })
 	gossiper.group.Go(func() { gossiper.sendBroadcasts(ctx) })
@@ -374,6 +380,14 @@
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
 	gossiper.reports[report.Target], gossiper.remoteReports[report.Target] = report, report
+	if report.Unreachable != gossiper.unreachable[report.Target] {
+		gossiper.reachabilityReports[report.Target] = report
+	}
+	if report.Unreachable {
+		gossiper.unreachable[report.Target] = true
+	} else {
+		delete(gossiper.unreachable, report.Target)
+	}
 	notify(gossiper.changed)
 }
 
@@ -519,9 +533,10 @@
 	plan := broadcastPlan{pause: pause}
 	update := linker.StateUpdate{Waiting: append([]int64(nil), gossiper.demand[:]...), Leaving: gossiper.leaving, Busy: gossiper.busy, SentUS: now.UnixMicro()}
 	if len(heartbeats) > 0 {
-		plan.broadcasts = append(plan.broadcasts, broadcast{heartbeats, update})
+		plan.broadcasts = append(plan.broadcasts, broadcast{heartbeats, withReports(update, gossiper.reachabilityReports)})
 	}
 	if heartbeatDue {
+		clear(gossiper.reachabilityReports)
 		gossiper.heartbeatSentAt = now
 	}
 	if remoteDue := now.Sub(gossiper.remoteSentAt) >= (remoteIntervalFactor-1)*pause; remoteDue || heartbeatDue {
@@ -632,12 +647,14 @@
 		known = &peer{hello: from, startedAt: startOf(from, now)}
 		gossiper.peers[from.Incarnation] = known
 	}
-	leaving := known.leaving
+	leaving, wasBusy := known.leaving, known.busy
 	if len(update.Waiting) > 0 {
 		leaving, known.busy = update.Leaving, update.Busy
 		known.transit.record(update.SentUS, now)
 	}
-	mayHaveMissed := !ok || known.lost || known.linkEnded
+	// A delegating instance of another failure domain gets no broadcasts while it owns no jobs.
+	becameBusy := known.busy && !wasBusy && known.delegating && from.Domain != gossiper.self.Domain
+	mayHaveMissed := !ok || known.lost || known.linkEnded || becameBusy
 	changed := !ok || known.lost || leaving != known.leaving
 	known.lastHeard, known.lost, known.leaving, known.linkEnded = now, false, leaving, false
 	if changed {
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -72,6 +72,7 @@
 		self: linker.Hello{Domain: "a", Incarnation: "self", Weight: weight}, receiver: receiver, now: func() time.Time { return now },
 		wake: make(chan struct{}, 1), changed: make(chan struct{}, 1), outbox: make(map[string]*linker.StateUpdate), peers: make(map[string]*peer), checkedAt: now,
 		reports: make(map[string]scheduler.CapacityReport), remoteReports: make(map[string]scheduler.CapacityReport),
+		reachabilityReports: make(map[string]scheduler.CapacityReport), unreachable: make(map[string]bool),
 	}, receiver, &now
 }
 
