Do not hold back polls that renew no lease

A new reader whose first poll lists a run without a claim renews nothing by it, and the claim that arrives meanwhile waited for up to 300 ms until the next poll could.

--- a/executor/acknowledge_test.go
+++ b/executor/acknowledge_test.go
@@ -57,7 +57,7 @@
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
 	executor.scheduler.SetTargets(infosOf(1), time.Now())
-	executor.scheduler.SetReader("t", reads, time.Now().Add(-time.Second))
+	executor.scheduler.SetReader("t", reads, time.Now().Add(-2*time.Second))
 	return executor, poller
 }
 
@@ -157,7 +157,7 @@
 	executor.mu.Lock()
 	executor.scheduler.SetTargets(infos, now)
 	for id := range pollers {
-		executor.scheduler.SetReader(id, true, now.Add(-time.Second))
+		executor.scheduler.SetReader(id, true, now.Add(-2*time.Second))
 	}
 	step := scheduler.Step{Tasks: []string{"j.0.0.0"}, Resources: scheduler.Resources{MilliCores: 14000}, Estimate: 20 * time.Millisecond}
 	executor.scheduler.Submit(scheduler.Job{ID: "j", Service: "work", Steps: []scheduler.Step{step}, MaxFailures: 2, Arrived: now, Deadline: now.Add(3 * time.Second), Objective: now.Add(time.Second)}, now)
--- a/executor/address_test.go
+++ b/executor/address_test.go
@@ -38,7 +38,7 @@
 			executor.mu.Lock()
 			defer executor.mu.Unlock()
 			executor.scheduler.SetTargets([]scheduler.Target{info}, time.Now())
-			executor.scheduler.SetReader("t", true, time.Now().Add(-time.Second))
+			executor.scheduler.SetReader("t", true, time.Now().Add(-2*time.Second))
 		}
 		set(infosOf(1)[0])
 		client.move = func() {
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -160,6 +160,10 @@
 		return PollRequest{}, minPollInterval - sincePoll
 	case poller.isReader.Load() && state.Occupied:
 		request := PollRequest{Acknowledged: acknowledged, Wait: pollWait}
+		if !state.MayRenew(now) {
+			// The claim for which the next poll renews the lease may arrive meanwhile.
+			request.Wait = degradedPollWait
+		}
 		if len(poller.withheld) > 0 {
 			return request, withheldPollInterval - sincePoll
 		}
