--- a/scheduler/contact.go
+++ b/scheduler/contact.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // ContactTimeout is how long after a broadcast of a target's reader was sent an instance that has received nothing newer may
 // start runs there: two heartbeats. Each start renews the lease of all runs on the target, and the reader's next broadcast
@@ -46,6 +49,8 @@
 	target.readerContact = contact
 	if changed && (target.reporter != reader || now.Sub(target.reportedAt) >= orphanGrace) {
 		target.reportAwaitedUntil = now.Add(orphanGrace)
+		// The next reader reports it if it cannot reach the target either.
+		target.unreachableByReader = false
 	}
 }
 
@@ -59,12 +64,12 @@
 // live instance owns: the caller sends its job again, and the run must be over by then. If nothing renews its lease, it is,
 // even if it cannot be stopped in time.
 func (target *target) withholdsCapacity(now time.Time) bool {
-	isNewReader := now.Sub(target.readSince) < orphanGrace
+	isNewReader := now.Sub(target.readSince) < LeaseDuration+leaseMargin
 	if isNewReader && target.lastPolled.Before(target.readSince) {
 		return true
 	}
 	for _, allocation := range target.allocations {
-		isOwned := allocation.owner != "" && !allocation.ownerLost
+		isOwned := allocation.owner != "" && !allocation.ownerLost && !now.After(allocation.ownedUntil())
 		// The claim of a run that was listed just now may be under way.
 		if !isOwned && !allocation.confirmedAt.IsZero() && (isNewReader || now.Sub(allocation.claimedAt) >= ownerQueryDelay) {
 			return true
@@ -93,12 +98,39 @@
 	return len(scheduler.peers.Starting) == 0
 }
 
-// hearsAll reports whether all other instances that start runs have been heard from recently.
-func (scheduler *Scheduler) hearsAll(now time.Time) bool {
+// hasHeardNoneSince reports whether there are other instances that start runs, and none has sent a broadcast since the given time
+// that has arrived.
+func (scheduler *Scheduler) hasHeardNoneSince(since time.Time) bool {
+	return len(scheduler.peers.Starting) > 0 && !slices.ContainsFunc(scheduler.peers.Starting, func(peer string) bool {
+		return !scheduler.contactWith(peer).sentAt.Before(since)
+	})
+}
+
+// hasHeardAllSince reports whether all other instances that start runs have sent a broadcast since the given time that has
+// arrived, so that the claims of what they had started before have arrived too. An instance that was lost before it sent one
+// may have started runs that are not known here.
+func (scheduler *Scheduler) hasHeardAllSince(since time.Time) bool {
 	for _, peer := range scheduler.peers.Starting {
-		if !scheduler.contactWith(peer).recent(now) {
+		if scheduler.contactWith(peer).sentAt.Before(since) {
 			return false
 		}
 	}
-	return true
+	return !slices.ContainsFunc(scheduler.lostContacts, func(lost contact) bool { return lost.sentAt.Before(since) })
+}
+
+// lostContactRetention is how long after its last broadcast a lost instance counts as one that may have started runs whose
+// leases go on.
+const lostContactRetention = 2 * (ContactTimeout + LeaseDuration + leaseMargin)
+
+// loseContact ends the contact with a lost instance.
+func (scheduler *Scheduler) loseContact(peer string) {
+	if known := scheduler.contactWith(peer); !known.sentAt.IsZero() {
+		scheduler.lostContacts = append(scheduler.lostContacts, *known)
+		known.sentAt = time.Time{}
+	}
+}
+
+// expireLostContacts forgets the contacts with instances that were lost long ago.
+func (scheduler *Scheduler) expireLostContacts(now time.Time) {
+	scheduler.lostContacts = slices.DeleteFunc(scheduler.lostContacts, func(lost contact) bool { return now.Sub(lost.sentAt) > lostContactRetention })
 }
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -525,6 +525,10 @@
 	target, ok := scheduler.targets[claim.Target]
 	if recorded, found := scheduler.foreignEnds[targetRun{claim.Target, claim.Run}]; found && !(ok && target.listsAfter(claim.Run, recorded.Incarnation)) &&
 		recorded.answers(&claim, claimedAt) {
+		if ok {
+			// The start has renewed the lease of the other runs.
+			target.extendLease(claimedAt, LeaseClaimed)
+		}
 		recorded.Age = now.Sub(recorded.at)
 		return recorded.End, true
 	}
@@ -535,7 +539,7 @@
 		known.repeatedAt, known.ownerLost = now, false
 		return End{}, false
 	}
-	added := &allocation{owner: owner, resources: claim.Resources, estimate: claim.Estimate, claimedAt: claimedAt, repeatedAt: now}
+	added := &allocation{owner: owner, ownerContact: scheduler.contactWith(owner), resources: claim.Resources, estimate: claim.Estimate, claimedAt: claimedAt, repeatedAt: now}
 	incarnation := cmp.Or(claim.Incarnation, target.Incarnation)
 	if known, ok := target.allocations[claim.Run]; ok {
 		added.confirmedAt, added.restarted, incarnation = known.confirmedAt, known.restarted, known.incarnation
@@ -613,7 +617,7 @@
 // RemovePeer drops the demand of a lost instance. Its runs renew no leases.
 func (scheduler *Scheduler) RemovePeer(owner string) {
 	delete(scheduler.peerDemands, owner)
-	scheduler.contactWith(owner).sentAt = time.Time{}
+	scheduler.loseContact(owner)
 	for _, target := range scheduler.ordered {
 		for _, allocation := range target.allocations {
 			allocation.ownerLost = allocation.ownerLost || allocation.owner == owner
@@ -632,7 +636,12 @@
 	}
 	target.readBySelf, target.unreachableByReader = reads, false
 	if reads {
-		target.readSince, target.lastReportAt = now, time.Time{}
+		target.readSince, target.lastReport, target.lastReportAt = now, CapacityReport{}, time.Time{}
+		if target.unreachable {
+			// Another reader may have reported meanwhile that the target responds.
+			target.unreachableSince, target.leaseAnnounced = now, false
+			scheduler.changedTargets[targetID] = true
+		}
 		// The first poll shows what is running there.
 		target.heldUntil = now.Add(rejectionBackoff)
 		return
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -84,7 +84,7 @@
 // announceLeaseEnd announces when the lease of a target ends that this instance reads and cannot reach, as soon as no other
 // instance can start anything there any more and the claims of all starts have arrived.
 func (scheduler *Scheduler) announceLeaseEnd(target *target, now time.Time) {
-	if !target.readBySelf || !target.unreachable || target.leaseAnnounced || now.Sub(target.unreachableSince) <= ContactTimeout || !scheduler.hearsAll(now) {
+	if !target.readBySelf || !target.unreachable || target.leaseAnnounced || !scheduler.hasHeardAllSince(target.unreachableSince.Add(ContactTimeout)) {
 		return
 	}
 	target.leaseAnnounced = true
@@ -133,8 +133,6 @@
 	if now.Before(target.leaseEnd) || now.Before(scheduler.lossDetectionFrom) {
 		return false
 	}
-	if !target.readBySelf || scheduler.hearsAll(now) {
-		return true
-	}
-	return !now.Before(target.unreachableSince.Add(ContactTimeout + LeaseDuration + leaseMargin))
+	lastStart := target.unreachableSince.Add(ContactTimeout)
+	return !target.readBySelf || scheduler.hasHeardAllSince(lastStart) || !now.Before(lastStart.Add(LeaseDuration+leaseMargin))
 }
--- a/scheduler/orphan.go
+++ b/scheduler/orphan.go
@@ -108,6 +108,16 @@
 	}
 }
 
+// ownedUntil returns until when a run counts as owned by another instance: the owner repeats its claims, and broadcasts. A claim that
+// was held up says nothing about the owner now.
+func (allocation *allocation) ownedUntil() time.Time {
+	last := allocation.lastClaimed()
+	if contact := allocation.ownerContact; contact != nil && !contact.sentAt.IsZero() && contact.sentAt.Before(last) {
+		last = contact.sentAt
+	}
+	return last.Add(orphanGrace)
+}
+
 // lastClaimed returns when the owner last sent the claim of a run.
 func (allocation *allocation) lastClaimed() time.Time {
 	if allocation.repeatedAt.After(allocation.claimedAt) {
@@ -163,7 +173,7 @@
 				until = task.job.Deadline
 			}
 		case allocation.owner != "" && !allocation.ownerLost:
-			until = allocation.lastClaimed().Add(orphanGrace)
+			until = allocation.ownedUntil()
 		}
 		if until.After(latest) {
 			latest = until
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -95,6 +95,8 @@
 	// peers are the other live instances, and contacts holds when each was last heard from.
 	peers    Peers
 	contacts map[string]*contact
+	// lostContacts holds the contacts with instances that were lost a short time ago.
+	lostContacts []contact
 	// pendingStops holds the runs that must end and may still go on.
 	pendingStops map[targetRun]*pendingStop
 	// suspensions holds the leases whose renewals are suspended.
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -66,6 +66,8 @@
 	claimedAt time.Time
 	// repeatedAt is when the owner last sent the claim.
 	repeatedAt time.Time
+	// ownerContact is the contact with the owner, or nil.
+	ownerContact *contact
 	// ownerLost means that the owner is lost, and disowned holds the instances that do not own the run.
 	ownerLost bool
 	disowned  map[string]bool
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -66,6 +66,7 @@
 	scheduler.isolator.Expire(now)
 	scheduler.shareLastingLosses(now)
 	scheduler.expireLateStarts(now)
+	scheduler.expireLostContacts(now)
 	for _, target := range scheduler.ordered {
 		if len(target.allocations) > 0 {
 			scheduler.announceLeaseEnd(target, now)
@@ -205,6 +206,8 @@
 	UnreachableByReader bool
 	// ReadSince is when this instance became the reader of the target; zero if it has never been.
 	ReadSince time.Time
+	// Resumed means that this instance was paused and has not heard any other one since, which may read the target by now.
+	Resumed bool
 	// ReadByOther means that another instance reads the target. The reader does not learn of renewals by polls of others.
 	ReadByOther bool
 	// LastHeard is the time of the target's last known response.
@@ -213,7 +216,7 @@
 
 // MayRenew reports whether a poll may renew the target's lease.
 func (state *TargetState) MayRenew(now time.Time) bool {
-	return now.Before(state.WantedUntil) && !now.Before(state.UnrenewedUntil) && !state.Unreachable && !state.UnreachableByReader && !state.ReadByOther
+	return now.Before(state.WantedUntil) && !now.Before(state.UnrenewedUntil) && !state.Unreachable && !state.UnreachableByReader && !state.ReadByOther && !state.Resumed
 }
 
 // TargetState returns the state of the target for its poller.
@@ -227,6 +230,7 @@
 		Unreachable: target.unreachable, UnreachableByReader: target.unreachableByReader, LastHeard: target.lastHeard,
 		WantedUntil: scheduler.wantedUntil(target), UnrenewedUntil: target.unrenewedUntil,
 		Contradicted: target.pending != nil, Fenced: !target.fencedAt.IsZero(), ReadByOther: target.readerContact != nil, ReadSince: target.readSince,
+		Resumed: scheduler.hasHeardNoneSince(scheduler.resumedAt),
 	}
 	for _, allocation := range target.allocations {
 		if allocation.owner == scheduler.self {
