Renew no lease for an owner that is silent

Callers could see a task run twice: an instance is killed, the reader of its target renews the lease for its run until 600 ms after the last claim, so that the run lasts until 1,600 ms after the kill if it cannot be stopped in time, and the caller sends the job again after 1,300 ms.

A run of another instance renews the lease, and allows for new work beside it, only while its owner is heard from: 250 ms after its last broadcast. The lease then ends 1,270 ms after that, or up to 100 ms later if the report of the withheld capacity is late. TestSilentOwnerRenewsNoLease failed and passes.

--- a/scheduler/contact_test.go
+++ b/scheduler/contact_test.go
@@ -191,3 +191,28 @@
 	scheduler.Tick(at(1500 + int(pauseGrace/time.Millisecond)))
 	is.Equal(len(drain(scheduler).starts), 1)
 }
+
+// The lease of a run must not be renewed for an owner that is silent: it may be lost, and its caller sends the job again 1,300 ms
+// later (a play with starved processes: renewed 0.5 s after the owner had been killed).
+func TestSilentOwnerRenewsNoLease(t *testing.T) {
+	is := is.New(t)
+	reader := newTestScheduler(1)
+	claim := Claim{Target: "t0", Run: Run{"j.0.0.0", 1}, Resources: Resources{MilliCores: 1000}}
+	renewable := func(now int) bool {
+		state := reader.TargetState("t0")
+		return state.MayRenew(at(now))
+	}
+	reader.HandlePeerClaim("owner", claim, at(0))
+	reader.RecordBroadcast("owner", at(100))
+	reader.HandlePoll("t0", PollResult{Incarnation: 1, Running: []ActiveRun{{Run: claim.Run}}, Sent: at(1), Answered: at(2)})
+	is.True(renewable(99 + contactMS))
+	is.True(!renewable(101 + contactMS))
+	reader.DueReports(at(100))
+	reader.StopOrphans("t0", func(string) bool { return true }, at(101+contactMS))
+	reports := reader.DueReports(at(101 + contactMS))
+	is.Equal(len(reports), 1)
+	is.Equal(reports[0].FreeCapacity, Resources{}) // nor by starts
+	reader.HandlePeerClaim("owner", claim, at(400))
+	reader.RecordBroadcast("owner", at(400))
+	is.True(renewable(401))
+}
--- a/scheduler/orphan.go
+++ b/scheduler/orphan.go
@@ -67,6 +67,8 @@
 			scheduler.checkUnowned(target, run, allocation, now)
 		case !alive(allocation.owner):
 			scheduler.stopOrphan(target, run, "the run's instance is lost", now)
+		case now.After(allocation.ownedUntil()) && now.Sub(allocation.lastClaimed()) < orphanGrace:
+			scheduler.changedTargets[targetID] = true // the free capacity is withheld from now on
 		case now.Sub(allocation.lastClaimed()) >= orphanGrace:
 			// The owner repeats the claims of all its runs.
 			scheduler.queryOwner(target, run, allocation, []string{allocation.owner}, now)
@@ -108,14 +110,16 @@
 	}
 }
 
-// ownedUntil returns until when a run counts as owned by another instance: the owner repeats its claims, and broadcasts. A claim that
-// was held up says nothing about the owner now.
+// ownedUntil returns until when a run of another instance renews the lease: as long as the owner repeats the claim and is
+// heard from. The lease of a silent owner's run must have ended before its caller sends the job again.
 func (allocation *allocation) ownedUntil() time.Time {
-	last := allocation.lastClaimed()
-	if contact := allocation.ownerContact; contact != nil && !contact.sentAt.IsZero() && contact.sentAt.Before(last) {
-		last = contact.sentAt
+	until := allocation.lastClaimed().Add(orphanGrace)
+	if contact := allocation.ownerContact; contact != nil && !contact.sentAt.IsZero() {
+		if heard := contact.sentAt.Add(ContactTimeout); heard.Before(until) {
+			return heard
+		}
 	}
-	return last.Add(orphanGrace)
+	return until
 }
 
 // lastClaimed returns when the owner last sent the claim of a run.
