--- a/executor/poller.go
+++ b/executor/poller.go
@@ -192,9 +192,9 @@
 	return min(probeInterval<<min(poller.failures, maxProbeDoublings), maxProbeInterval)
 }
 
-// mayAcknowledge returns the sequence number up to which a poll may acknowledge ends now, or 0 for none. A request cannot
-// name the incarnation that it is meant for, so only one that has answered very recently is sent an acknowledgement; any
-// other poll first shows which incarnation answers.
+// mayAcknowledge returns the sequence number up to which a poll may acknowledge ends now, or 0 for none. An
+// incarnation that has not seen a request for itself yet accepts one for a former incarnation, so only one that has answered very
+// recently is sent an acknowledgement; any other poll first shows which incarnation answers.
 func (poller *poller) mayAcknowledge(state scheduler.TargetState, now time.Time) int64 {
 	if poller.failures > 0 || state.Fenced || state.IncarnationSince.After(poller.lastAnswer) || now.Sub(poller.lastAnswer) > acknowledgePeriod {
 		return 0
--- a/scheduler/contact.go
+++ b/scheduler/contact.go
@@ -60,24 +60,6 @@
 	return scheduler.hearsReader(target, now) && !now.Before(target.reportAwaitedUntil) && !(target.readBySelf && target.withholdsCapacity(now))
 }
 
-// withholdsCapacity reports whether the reader of a target keeps new work away, because the target may run something that no
-// live instance owns: the caller sends its job again, and the run must be over by then. If nothing renews its lease, it is,
-// even if it cannot be stopped in time.
-func (target *target) withholdsCapacity(now time.Time) bool {
-	isNewReader := now.Sub(target.readSince) < LeaseDuration+leaseMargin
-	if isNewReader && target.lastPolled.Before(target.readSince) {
-		return true
-	}
-	for _, allocation := range target.allocations {
-		isOwned := allocation.owner != "" && !allocation.ownerLost && !now.After(allocation.ownedUntil())
-		// The claim of a run that was listed just now may be under way.
-		if !isOwned && !allocation.confirmedAt.IsZero() && (isNewReader || now.Sub(allocation.claimedAt) >= ownerQueryDelay) {
-			return true
-		}
-	}
-	return false
-}
-
 // hearsReader reports whether this instance has heard recently enough from the reader of a target to start runs there. An
 // instance that reads the target itself may have been paused, so that another one reads it by now: any other instance shows
 // that it was not.
--- a/scheduler/orphan.go
+++ b/scheduler/orphan.go
@@ -110,6 +110,23 @@
 	}
 }
 
+// withholdsCapacity reports whether the reader of a target keeps new work away, because the target may run something that no
+// live instance owns: the caller sends its job again, and each start would renew the lease of the run.
+func (target *target) withholdsCapacity(now time.Time) bool {
+	isNewReader := now.Sub(target.readSince) < LeaseDuration+leaseMargin
+	if isNewReader && target.lastPolled.Before(target.readSince) {
+		return true
+	}
+	for _, allocation := range target.allocations {
+		isOwned := allocation.owner != "" && !allocation.ownerLost && !now.After(allocation.ownedUntil())
+		// The claim of a run that was listed just now may be under way.
+		if !isOwned && !allocation.confirmedAt.IsZero() && (isNewReader || now.Sub(allocation.claimedAt) >= ownerQueryDelay) {
+			return true
+		}
+	}
+	return false
+}
+
 // ownedUntil returns until when a run of another instance renews the lease: as long as the owner repeats the claim and is
 // heard from. The lease of a silent owner's run must have ended before its caller sends the job again.
 func (allocation *allocation) ownedUntil() time.Time {
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -208,7 +208,7 @@
 	ReadSince time.Time
 	// Resumed means that this instance was paused and has not heard any other one since, which may read the target by now.
 	Resumed bool
-	// ReadByOther means that another instance reads the target. The reader does not learn of renewals by polls of others.
+	// ReadByOther means that another instance reads the target, which alone renews the lease by polls.
 	ReadByOther bool
 	// LastHeard is the time of the target's last known response.
 	LastHeard time.Time
