--- a/executor/acknowledge_test.go
+++ b/executor/acknowledge_test.go
@@ -182,10 +182,13 @@
 		}
 		client.requests, client.unanswered = nil, 1
 		ctx := t.Context()
-		target, _ := executor.scheduler.Target(on)
 		for range 2 {
 			time.Sleep(minPollInterval)
-			request, _ := pollers[on].nextPoll(executor.scheduler.TargetState(on), time.Now())
+			executor.mu.Lock()
+			target, _ := executor.scheduler.Target(on)
+			state := executor.scheduler.TargetState(on)
+			executor.mu.Unlock()
+			request, _ := pollers[on].nextPoll(state, time.Now())
 			poll, err := client.Poll(ctx, target, request)
 			if err != nil {
 				pollers[on].failures++
