--- a/scheduler/contact.go
+++ b/scheduler/contact.go
@@ -67,17 +67,7 @@
 	if target.readerContact != nil {
 		return target.readerContact.recent(now)
 	}
-	return !target.readBySelf || scheduler.hearsAny(now)
-}
-
-// hearsAny reports whether any other instance has been heard from recently, or there is none that starts runs.
-func (scheduler *Scheduler) hearsAny(now time.Time) bool {
-	for _, peer := range scheduler.peers.Starting {
-		if scheduler.contactWith(peer).recent(now) {
-			return true
-		}
-	}
-	return len(scheduler.peers.Starting) == 0
+	return !target.readBySelf || !scheduler.hasHeardNoneSince(now.Add(-ContactTimeout))
 }
 
 // hasHeardNoneSince reports whether there are other instances that start runs, and none has sent a broadcast since the given time
