Log what the free capacity of a start was derived from

room-age-ms is 0 both on a target that the instance reads and on one of which it knows only the entry. The lines of starts now carry room-evidence: read, reported, outdated-report or assumed. No decision depends on it.

--- a/executor/log.go
+++ b/executor/log.go
@@ -31,11 +31,12 @@
 func (executor *Executor) logStart(start scheduler.StartTask, result scheduler.StartResult, took time.Duration) {
 	if result == scheduler.StartTaken {
 		executor.logger.Info("task started", "job", start.Job, "task", start.Run.Task, "attempt", start.Run.Attempt, "target", start.Target,
-			"room", start.FreeCapacity.MilliCores, "room-age-ms", start.FreeCapacityAge.Milliseconds(), "predicted-ms", start.Predicted.Milliseconds(), "took-ms", took.Milliseconds())
+			"room", start.FreeCapacity.MilliCores, "room-age-ms", start.FreeCapacityAge.Milliseconds(), "room-evidence", string(start.FreeCapacityEvidence), "predicted-ms", start.Predicted.Milliseconds(), "took-ms", took.Milliseconds())
 		return
 	}
 	executor.logger.Warn("task not started", "job", start.Job, "task", start.Run.Task, "attempt", start.Run.Attempt, "target", start.Target,
-		"result", result.String(), "room", start.FreeCapacity.MilliCores, "room-age-ms", start.FreeCapacityAge.Milliseconds(), "took-ms", took.Milliseconds())
+		"result", result.String(), "room", start.FreeCapacity.MilliCores, "room-age-ms", start.FreeCapacityAge.Milliseconds(), "room-evidence", string(start.FreeCapacityEvidence),
+		"took-ms", took.Milliseconds())
 }
 
 func (executor *Executor) logStop(stop scheduler.StopRun, err error) {
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -278,6 +278,8 @@
 	FreeCapacity Resources
 	// FreeCapacityAge is the age of the report that FreeCapacity comes from; 0 on targets that this instance reads.
 	FreeCapacityAge time.Duration
+	// FreeCapacityEvidence is what FreeCapacity was derived from.
+	FreeCapacityEvidence CapacityEvidence
 	// Predicted is the expected run time on this target.
 	Predicted time.Duration
 	// TransmittedAt is when this instance's link will have sent the request.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -201,17 +201,18 @@
 		scheduler.changedTargets[runTarget.ID] = true
 	}
 	scheduler.emit(StartTask{
-		Claim:           Claim{Target: runTarget.ID, Run: task.run(), Resources: claimed, Estimate: step.Estimate, Incarnation: task.incarnation},
-		RunTarget:       runTarget.Target,
-		Job:             task.job.ID,
-		Body:            task.job.Body,
-		Arrived:         task.job.Arrived,
-		Issued:          now,
-		Deadline:        task.job.Deadline,
-		FreeCapacity:    freeCapacity,
-		FreeCapacityAge: runTarget.freeCapacityAge(now),
-		Predicted:       task.predicted,
-		TransmittedAt:   now.Add(scheduler.link.Send(len(task.job.Body), now)),
+		Claim:                Claim{Target: runTarget.ID, Run: task.run(), Resources: claimed, Estimate: step.Estimate, Incarnation: task.incarnation},
+		RunTarget:            runTarget.Target,
+		Job:                  task.job.ID,
+		Body:                 task.job.Body,
+		Arrived:              task.job.Arrived,
+		Issued:               now,
+		Deadline:             task.job.Deadline,
+		FreeCapacity:         freeCapacity,
+		FreeCapacityAge:      runTarget.freeCapacityAge(now),
+		FreeCapacityEvidence: runTarget.capacityEvidence(now),
+		Predicted:            task.predicted,
+		TransmittedAt:        now.Add(scheduler.link.Send(len(task.job.Body), now)),
 	})
 }
 
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -236,6 +236,33 @@
 	return now.Sub(target.reportedAt)
 }
 
+// CapacityEvidence is what the estimate of a target's free capacity was derived from.
+type CapacityEvidence string
+
+// Evidence for free capacity. The values are used in logs.
+const (
+	// CapacityRead means that this instance reads the target and has listed its runs since.
+	CapacityRead CapacityEvidence = "read"
+	// CapacityReported means that the target's reader has reported it.
+	CapacityReported CapacityEvidence = "reported"
+	// CapacityOutdated means that the last report is too old to count, so that only the runs of this instance do.
+	CapacityOutdated CapacityEvidence = "outdated-report"
+	// CapacityAssumed means that no list of the target's runs is known; its entry names the capacity.
+	CapacityAssumed CapacityEvidence = "assumed"
+)
+
+func (target *target) capacityEvidence(now time.Time) CapacityEvidence {
+	switch {
+	case target.readBySelf && !target.lastPolled.Before(target.readSince):
+		return CapacityRead
+	case target.readBySelf || target.reportedAt.IsZero():
+		return CapacityAssumed
+	case now.Sub(target.reportedAt) > reportTTL:
+		return CapacityOutdated
+	}
+	return CapacityReported
+}
+
 // usable reports whether the target may get new work now.
 func (target *target) usable(now time.Time) bool {
 	if target.Draining || target.replaced || target.unreachable || target.unreachableByReader || target.suspended || !target.fencedAt.IsZero() || target.expired(now) || now.Before(target.heldUntil) || now.Before(target.excludedUntil) || now.Before(target.unrenewedUntil) {
