Start nothing on a target before its reader has listed its runs

After a restart of all instances, callers reached an instance 40 ms after its start. It was in contact with a target's reader, which had just started too and had listed nothing, and took the target for free by its entry. The start, also a rejected one, renewed the lease of the runs of the dead instances beyond the 1.3 s after which their callers send the jobs again: two runs of one task at once, up to 333 ms.

Cause: contact with the reader counted as knowledge of the target, but a new reader knows nothing. Only a reader that replaces another one had to report first.

An instance now awaits the first report of capacity of the reader that it attaches to, or the time by which unknown runs have lapsed, 1.31 s. A reader that has listed nothing reports no capacity, which ends no wait. Readers send their reports to instances that connect, since they repeat none of an idle target; those that arrive before the entry of their target are kept.

TestNothingStartsBeforeTheNextReaderReports stated that no report is needed of the first reader that is known, which is the fault; it now states the opposite. TestNothingStartsOutOfContactWithTheReader gives the report first, so that contact alone decides. TestUnreachableTargetsAreKnownToTheReader expects the reports of the others too.

--- a/executor/peers.go
+++ b/executor/peers.go
@@ -163,15 +163,18 @@
 	return min(max(0, time.Duration(min(count, int64(time.Hour/time.Millisecond)))*time.Millisecond), time.Hour)
 }
 
-// PeerConnected sends the known losses, unreachable targets, suspensions and cancellations to an instance that may have missed some.
+// PeerConnected sends the known losses, reports, suspensions and cancellations to an instance that may have missed some.
 func (executor *Executor) PeerConnected(from string) {
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
+	startsRuns := executor.peers.StartsRuns(from)
 	for _, loss := range executor.scheduler.Losses() {
 		executor.peers.SendLoss(from, &loss)
 	}
-	for _, report := range executor.scheduler.UnreachableTargets() {
-		executor.peers.SendReport(from, report)
+	for _, report := range executor.scheduler.Reports(executor.now()) {
+		if startsRuns || report.Unreachable {
+			executor.peers.SendReport(from, report)
+		}
 	}
 	for _, suspension := range executor.scheduler.Suspensions() {
 		executor.peers.SendSuspension(from, suspension)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -268,6 +268,15 @@
 	return answering
 }
 
+// StartsRuns reports whether an instance is in contact with this one and starts runs.
+func (gossiper *Gossiper) StartsRuns(incarnation string) bool {
+	now := gossiper.now()
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	peer, ok := gossiper.peers[incarnation]
+	return ok && gossiper.startsRuns(peer, now)
+}
+
 // startsRuns reports whether an instance that broadcasts to this one starts runs: one that delegates its jobs does not, unless
 // it still owns some. The caller holds the lock.
 func (gossiper *Gossiper) startsRuns(peer *peer, now time.Time) bool {
--- a/scheduler/contact.go
+++ b/scheduler/contact.go
@@ -45,15 +45,49 @@
 		return
 	}
 	contact := scheduler.contactWith(reader)
-	changed := target.readerContact != nil && target.readerContact != contact
+	former := target.readerContact
 	target.readerContact = contact
-	if changed && (target.reporter != reader || now.Sub(target.reportedAt) >= orphanGrace) {
+	switch {
+	case former == contact:
+	case former == nil && !target.readSince.IsZero():
+		// SetReader has decided by what this instance had learned as the reader.
+	case former == nil && target.reporter != reader:
+		target.reportAwaitedUntil = now.Add(unknownRunTimeout)
+	case former != nil && (target.reporter != reader || now.Sub(target.reportedAt) >= orphanGrace):
 		target.reportAwaitedUntil = now.Add(orphanGrace)
 		// The next reader reports it if it cannot reach the target either.
 		target.unreachableByReader = false
 	}
 }
 
+// unknownRunTimeout is how long the runs on a target may go on that no live instance owns and nobody has listed since their owners
+// were lost, unless a start renews their lease.
+const unknownRunTimeout = ContactTimeout + LeaseDuration + leaseMargin
+
+// keepReport keeps the report of a target that this instance does not know yet: the reader repeats no report of an idle target.
+func (scheduler *Scheduler) keepReport(report CapacityReport, now time.Time) {
+	if report.Reporter != "" && len(scheduler.earlyReports) < maxEarlyReports {
+		scheduler.earlyReports[report.Target] = earlyReport{report, now}
+	}
+}
+
+// applyKeptReport applies the report of a target that has just become known.
+func (scheduler *Scheduler) applyKeptReport(target string) {
+	if early, ok := scheduler.earlyReports[target]; ok {
+		delete(scheduler.earlyReports, target)
+		scheduler.HandlePeerReport(early.CapacityReport, early.at)
+	}
+}
+
+// maxEarlyReports bounds the memory for reports of unknown targets.
+const maxEarlyReports = 4096
+
+// earlyReport is a report of a target that is not known yet, and the time of its arrival.
+type earlyReport struct {
+	CapacityReport
+	at time.Time
+}
+
 // mayStartOn reports whether starts on a target, which renew the leases of all runs there, are in keeping with what the target's
 // reader knows.
 func (scheduler *Scheduler) mayStartOn(target *target, now time.Time) bool {
--- a/scheduler/contact_test.go
+++ b/scheduler/contact_test.go
@@ -16,6 +16,7 @@
 	scheduler := New("self", "a")
 	scheduler.SetTargets(testTargets(1), at(0))
 	scheduler.AttachReader("t0", "reader", at(0))
+	scheduler.HandlePeerReport(CapacityReport{Target: "t0", Reporter: "reader", FreeCapacity: testTarget(0).Capacity}, at(0))
 	scheduler.Submit(testJob("j", 1, 900, 0), at(0))
 	is.Equal(len(drain(scheduler).starts), 0) // nothing is known of the reader yet
 	scheduler.RecordBroadcast("other", at(1))
@@ -161,7 +162,10 @@
 	}
 	scheduler.AttachReader("t0", "first", at(0))
 	scheduler.RecordBroadcast("first", at(0))
-	is.Equal(starts("a", 1), 1) // no report is needed of the first reader that is known
+	is.Equal(starts("a", 1), 0) // nor before the first reader that is known has reported
+	report("first", 2)
+	scheduler.Tick(at(3))
+	is.Equal(len(drain(scheduler).starts), 1)
 	scheduler.AttachReader("t0", "second", at(100))
 	scheduler.RecordBroadcast("second", at(100))
 	is.Equal(starts("b", 101), 0)
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -52,11 +52,16 @@
 // target.
 func (scheduler *Scheduler) HandlePeerReport(report CapacityReport, now time.Time) {
 	target, ok := scheduler.targets[report.Target]
-	if !ok || target.readBySelf {
+	if !ok {
+		scheduler.keepReport(report, now)
+		return
+	}
+	if target.readBySelf {
 		return
 	}
 	target.reportedFree, target.reportedAt, target.unreachableByReader = report.FreeCapacity, now, report.Unreachable
-	if !target.reportAwaitedUntil.IsZero() && target.readerContact == scheduler.contactWith(report.Reporter) {
+	// A reader that has not listed the runs on the target yet reports no free capacity.
+	if !target.reportAwaitedUntil.IsZero() && report.FreeCapacity != (Resources{}) && target.readerContact == scheduler.contactWith(report.Reporter) {
 		target.reportAwaitedUntil = time.Time{}
 	}
 	if !report.Unreachable {
@@ -115,13 +120,13 @@
 	target.leaseEnd, target.leaseEvidence = end, LeaseAnnounced
 }
 
-// UnreachableTargets returns reports of the targets that this instance reads and cannot reach, for an instance that may have
-// missed them.
-func (scheduler *Scheduler) UnreachableTargets() []CapacityReport {
+// Reports returns reports of the targets that this instance reads, for an instance that may have missed them: a target's reader
+// repeats no report while nothing runs there. Those whose runs it has not listed yet are left out.
+func (scheduler *Scheduler) Reports(now time.Time) []CapacityReport {
 	var reports []CapacityReport
 	for _, target := range scheduler.ordered {
-		if target.readBySelf && target.unreachable {
-			reports = append(reports, CapacityReport{Target: target.ID, Unreachable: true})
+		if target.readBySelf && (target.unreachable || !target.withholdsCapacity(now)) {
+			reports = append(reports, target.report(now))
 		}
 	}
 	return reports
--- a/scheduler/rejection_test.go
+++ b/scheduler/rejection_test.go
@@ -32,5 +32,5 @@
 	scheduler.SetReader("t1", false, at(0))
 	scheduler.MarkUnreachable("t0", false, at(10))
 	scheduler.MarkUnreachable("t1", false, at(10))
-	is.Equal(scheduler.UnreachableTargets(), []CapacityReport{{Target: "t0", Unreachable: true}})
+	is.Equal(scheduler.Reports(at(20)), []CapacityReport{{Target: "t0", Unreachable: true}, {Target: "t2", FreeCapacity: testTarget(2).Capacity}})
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -97,6 +97,8 @@
 	contacts map[string]*contact
 	// lostContacts holds the contacts with instances that were lost a short time ago.
 	lostContacts []contact
+	// earlyReports holds the latest reports of unknown targets by ID.
+	earlyReports map[string]earlyReport
 	// pendingStops holds the runs that must end and may still go on.
 	pendingStops map[targetRun]*pendingStop
 	// suspensions holds the leases whose renewals are suspended.
@@ -158,6 +160,7 @@
 		tasks:          make(map[string]*task),
 		cancelledAt:    make(map[string]time.Time),
 		contacts:       make(map[string]*contact),
+		earlyReports:   make(map[string]earlyReport),
 		pendingStops:   make(map[targetRun]*pendingStop),
 		suspensions:    make(map[suspensionKey]Suspension),
 		foreignEnds:    make(map[targetRun]recordedEnd),
--- a/scheduler/starvation_test.go
+++ b/scheduler/starvation_test.go
@@ -402,7 +402,7 @@
 		for _, loss := range other.scheduler.Losses() {
 			simulation.send(instance.name, func(peer *Scheduler) { peer.HandlePeerLoss(loss, at(simulation.now)) })
 		}
-		for _, report := range other.scheduler.UnreachableTargets() {
+		for _, report := range other.scheduler.Reports(at(simulation.now)) {
 			report.Reporter = other.name
 			simulation.send(instance.name, func(peer *Scheduler) { peer.HandlePeerReport(report, at(simulation.now)) })
 		}
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -67,6 +67,7 @@
 	scheduler.shareLastingLosses(now)
 	scheduler.expireLateStarts(now)
 	scheduler.expireLostContacts(now)
+	maps.DeleteFunc(scheduler.earlyReports, func(_ string, early earlyReport) bool { return now.Sub(early.at) > unknownRunTimeout })
 	for _, target := range scheduler.ordered {
 		if len(target.allocations) > 0 {
 			scheduler.announceLeaseEnd(target, now)
