Await the end of a run that its target's reader asks the owner of

After the loss of an owner, the reader of a target lists its run and asks all instances for the owner. The caller sends the job again to any of them, which starts the task beside the run if that has not been stopped yet: it knew only the runs on targets that it reads.

The instances that are asked now remember the run. A task of a job that is sent again waits until the target no longer lists it, which its instance finds out by polls that renew nothing, or until it has lapsed. There is no further message between instances.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -337,6 +337,8 @@
 		for _, peer := range action.To {
 			executor.peers.QueryOwner(peer, action.OwnedRun)
 		}
+	case scheduler.AwaitRunEnd:
+		executor.wake(action.Target)
 	case scheduler.AnnounceLeaseEnd:
 		for _, peer := range action.To {
 			executor.peers.AnnounceLeaseEnd(peer, action.Target, action.End)
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -174,6 +174,8 @@
 		return PollRequest{}, unverifiedPollInterval - sincePoll
 	case !poller.isReader.Load() && state.Unverified:
 		return PollRequest{}, minPollInterval - sincePoll
+	case !poller.isReader.Load() && state.Awaited:
+		return PollRequest{}, unverifiedPollInterval - sincePoll
 	case !poller.isReader.Load() && state.HasOwnRuns && now.Sub(state.LastHeard) >= readerTimeout:
 		return PollRequest{}, probeInterval - sincePoll
 	case !poller.isReader.Load() && state.HasOwnRuns:
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -393,9 +393,11 @@
 		listed[active.Run] = true
 		scheduler.confirmRun(target, active, now)
 	}
+	ended := make(map[Run]bool, len(poll.Ended))
 	for _, end := range poll.Ended {
-		listed[end.Run] = true
+		listed[end.Run], ended[end.Run] = true, true
 	}
+	scheduler.updateOwnerless(&poll, targetID, func(run Run) bool { return listed[run] && !ended[run] })
 	for _, run := range sortedRuns(target.allocations) {
 		allocation := target.allocations[run]
 		switch {
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -259,7 +259,7 @@
 }
 
 // Action is something that the caller of the scheduler has to do: StartTask, StopRun, RelayStop, SuspendRenewals, QueryOwner,
-// AnnounceLeaseEnd, WithdrawClaim, OfferCapacity, AnswerJob, LossRecorded, LossWithdrawn or TargetVerified, or to record: RunLost, RunsOverlapped,
+// AnnounceLeaseEnd, AwaitRunEnd, WithdrawClaim, OfferCapacity, AnswerJob, LossRecorded, LossWithdrawn or TargetVerified, or to record: RunLost, RunsOverlapped,
 // TaskGivenUp or TargetRestarted.
 type Action interface{ isAction() }
 
--- a/scheduler/orphan.go
+++ b/scheduler/orphan.go
@@ -153,6 +153,7 @@
 	task := scheduler.tasks[query.Run.Task]
 	_, ending := scheduler.pendingStops[targetRun{query.Target, query.Run}]
 	if task == nil || ending || !task.latest(query.Target, query.Run) || !task.mayBeRunning() || task.incarnation > query.Incarnation && query.Incarnation != 0 {
+		scheduler.recordOwnerless(query, now)
 		return Claim{}, false
 	}
 	return task.claim(now), true
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -99,6 +99,8 @@
 	lostContacts []contact
 	// earlyReports holds the latest reports of unknown targets by ID.
 	earlyReports map[string]earlyReport
+	// ownerless holds the runs that other instances have asked the owner of.
+	ownerless map[targetRun]ownerlessRun
 	// pendingStops holds the runs that must end and may still go on.
 	pendingStops map[targetRun]*pendingStop
 	// suspensions holds the leases whose renewals are suspended.
@@ -161,6 +163,7 @@
 		cancelledAt:    make(map[string]time.Time),
 		contacts:       make(map[string]*contact),
 		earlyReports:   make(map[string]earlyReport),
+		ownerless:      make(map[targetRun]ownerlessRun),
 		pendingStops:   make(map[targetRun]*pendingStop),
 		suspensions:    make(map[suspensionKey]Suspension),
 		foreignEnds:    make(map[targetRun]recordedEnd),
--- a/scheduler/spontaneous_test.go
+++ b/scheduler/spontaneous_test.go
@@ -276,7 +276,7 @@
 
 // pollInterval returns the time between two polls of a target, as in the executor's pollers.
 func (poller *simulatedPoller) pollInterval(state TargetState, reads bool, now int) int {
-	const interval, degradedInterval, fencedInterval, probeInterval, readerTimeout = 4, 90, 100, 400, 650
+	const interval, awaitedInterval, degradedInterval, fencedInterval, probeInterval, readerTimeout = 4, 75, 90, 100, 400, 650
 	switch {
 	case state.Fenced:
 		return fencedInterval
@@ -286,6 +286,8 @@
 		return degradedInterval
 	case reads && (!poller.answered || state.Occupied), !reads && state.Unverified:
 		return interval
+	case !reads && state.Awaited:
+		return awaitedInterval
 	case !reads && state.HasOwnRuns && at(now).Sub(state.LastHeard) >= readerTimeout*time.Millisecond:
 		return probeInterval
 	}
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -67,6 +67,7 @@
 	scheduler.shareLastingLosses(now)
 	scheduler.expireLateStarts(now)
 	scheduler.expireLostContacts(now)
+	maps.DeleteFunc(scheduler.ownerless, func(_ targetRun, run ownerlessRun) bool { return !now.Before(run.until) })
 	maps.DeleteFunc(scheduler.earlyReports, func(_ string, early earlyReport) bool { return now.Sub(early.at) > unknownRunTimeout })
 	for _, target := range scheduler.ordered {
 		if len(target.allocations) > 0 {
@@ -196,6 +197,8 @@
 	UnrenewedUntil time.Time
 	// Unverified means that the target has restarted, and that it is not known whether a run of this instance goes on.
 	Unverified bool
+	// Awaited means that a task of this instance waits for the end of a run there that no live instance owns.
+	Awaited bool
 	// Contradicted means that an entry contradicts what the target has answered, so that it has to answer again.
 	Contradicted bool
 	// Fenced means that the target has refused a request since it has seen one for a later incarnation, and has not answered
@@ -231,7 +234,7 @@
 		Unreachable: target.unreachable, UnreachableByReader: target.unreachableByReader, LastHeard: target.lastHeard,
 		WantedUntil: scheduler.wantedUntil(target), UnrenewedUntil: target.unrenewedUntil,
 		Contradicted: target.pending != nil, Fenced: !target.fencedAt.IsZero(), ReadByOther: target.readerContact != nil, ReadSince: target.readSince,
-		Resumed: scheduler.hasHeardNoneSince(scheduler.resumedAt),
+		Resumed: scheduler.hasHeardNoneSince(scheduler.resumedAt), Awaited: scheduler.awaitsEndOn(targetID),
 	}
 	for _, allocation := range target.allocations {
 		if allocation.owner == scheduler.self {
