Do not shorten the wait for a report when the reader changes

While links come up one by one, an instance takes several others for the reader of a target in turn.

--- a/scheduler/contact.go
+++ b/scheduler/contact.go
@@ -52,14 +52,21 @@
 	case former == nil && !target.readSince.IsZero():
 		// SetReader has decided by what this instance had learned as the reader.
 	case former == nil && target.reporter != reader:
-		target.reportAwaitedUntil = now.Add(unknownRunTimeout)
+		target.awaitReport(now.Add(unknownRunTimeout))
 	case former != nil && (target.reporter != reader || now.Sub(target.reportedAt) >= orphanGrace):
-		target.reportAwaitedUntil = now.Add(orphanGrace)
+		target.awaitReport(now.Add(orphanGrace))
 		// The next reader reports it if it cannot reach the target either.
 		target.unreachableByReader = false
 	}
 }
 
+// awaitReport lets nothing start on a target until its reader has reported it, or the given time.
+func (target *target) awaitReport(until time.Time) {
+	if until.After(target.reportAwaitedUntil) {
+		target.reportAwaitedUntil = until
+	}
+}
+
 // unknownRunTimeout is how long the runs on a target may go on that no live instance owns and nobody has listed since their owners
 // were lost, unless a start renews their lease.
 const unknownRunTimeout = ContactTimeout + LeaseDuration + leaseMargin
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -650,7 +650,7 @@
 	}
 	if target.withholdsCapacity(now) {
 		// The next reader may learn of runs that this instance forgets now.
-		target.reportAwaitedUntil = now.Add(unknownRunTimeout)
+		target.awaitReport(now.Add(unknownRunTimeout))
 	}
 	delete(scheduler.changedTargets, targetID)
 	for run, allocation := range target.allocations {
--- a/scheduler/unlisted_target_test.go
+++ b/scheduler/unlisted_target_test.go
@@ -46,6 +46,21 @@
 	is.Equal(started(scheduler, lapsed), 1) // by then the leases have ended
 }
 
+// While links come up one by one, the reader of a target changes several times.
+func TestChangeOfTheReaderDoesNotShortenTheWaitForAReport(t *testing.T) {
+	is := is.New(t)
+	scheduler := New("self", "a")
+	scheduler.SetTargets(testTargets(1), at(0))
+	scheduler.SetReader("t0", true, at(0))
+	scheduler.SetReader("t0", false, at(100))
+	scheduler.AttachReader("t0", "first", at(100))
+	scheduler.AttachReader("t0", "second", at(200))
+	now := 99 + int(unknownRunTimeout/time.Millisecond)
+	scheduler.RecordBroadcast("second", at(now))
+	scheduler.Submit(testJob("j", 1, 900, now), at(now))
+	is.Equal(len(drain(scheduler).starts), 0)
+}
+
 // The runs that this instance has listed as the reader and that nobody owns go on when another one becomes the reader.
 func TestFormerReaderStartsNothingBesideUnownedRuns(t *testing.T) {
 	is := is.New(t)
