Simulate the restart of all instances

The simulation of starved instances restarted a part of the instances, and new ones began with full knowledge of the others. After a restart of all, nobody knows a reader, links come up one by one, callers reach instances before that, and idle targets are not polled for a second.

--- /dev/null
+++ b/scheduler/restart_simulation_test.go
@@ -0,0 +1,130 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/hyssoplift/hyssoplift/dispatcher"
+)
+
+const (
+	minRestartRunMS = 600
+	maxRestartRunMS = 3000
+	// maxEarlyEndMS is how long before the instances a target ends at most.
+	maxEarlyEndMS = 100
+	// startupGraceMS is how long after its start an instance polls no idle target.
+	startupGraceMS = 1000
+	// refusedResendMS is how long after a refusal a caller sends its job again.
+	refusedResendMS = 300
+)
+
+// scheduleRestart lets requests get no answer, and then restarts all instances and a quarter of the targets.
+func (starvation *starvation) scheduleRestart(simulation *simulation, begin int) {
+	if starvation.linked == nil {
+		starvation.linked = make(map[[2]string]bool)
+		for _, instance := range simulation.instances {
+			for _, other := range simulation.instances {
+				starvation.link(simulation, instance, other)
+			}
+		}
+	}
+	random, killAt := starvation.random, begin+1500
+	starvation.lossy = append(starvation.lossy, [2]int{begin, killAt})
+	for _, target := range simulation.targets {
+		if random.IntN(4) == 0 {
+			early, down := random.IntN(2)*random.IntN(maxEarlyEndMS), 100+random.IntN(400)
+			simulation.after(killAt-early, func() { simulation.spontaneous.end(simulation, target, down, "ended") })
+		}
+	}
+	simulation.after(killAt, func() {
+		starvation.killedAt = simulation.now
+		for number := range simulation.instances {
+			starvation.restart(simulation, number)
+		}
+	})
+}
+
+// restart kills an instance and replaces it by one that knows nothing of the others.
+func (starvation *starvation) restart(simulation *simulation, number int) {
+	former := simulation.instances[number]
+	simulation.spontaneous.trace(simulation, "%s is killed", former.name)
+	starvation.counts["kill"]++
+	former.crashed = true
+	for job := range starvationJobs {
+		id := fmt.Sprintf("j%d", job)
+		if entry, ok := simulation.origin[id]; ok && entry == number && simulation.outcomes[id] == nil {
+			delete(simulation.origin, id)
+			simulation.after(resendDelayMS, func() { simulation.crashing.resend(simulation, id) })
+		}
+	}
+	simulation.after(300+starvation.random.IntN(400), func() {
+		instance := simulation.newInstance(number, former.name+"'")
+		simulation.instances[number] = instance
+		state := starvation.state(instance)
+		state.blindUntil = simulation.now + startupGraceMS
+		simulation.acting = number
+		starvation.updateReaders(simulation, number, state)
+		simulation.spontaneous.trace(simulation, "%s starts", instance.name)
+		for _, other := range simulation.instances {
+			if other != instance && !other.crashed {
+				simulation.after(20+starvation.random.IntN(280), func() { starvation.link(simulation, instance, other) })
+			}
+		}
+	})
+}
+
+// link links two instances, which tell each other what they know.
+func (starvation *starvation) link(simulation *simulation, instance, other *simulatedInstance) {
+	if instance == other || instance.crashed || other.crashed {
+		return
+	}
+	simulation.spontaneous.trace(simulation, "%s and %s have a link", instance.name, other.name)
+	starvation.linked[[2]string{instance.name, other.name}], starvation.linked[[2]string{other.name, instance.name}] = true, true
+	for _, pair := range [][2]*simulatedInstance{{instance, other}, {other, instance}} {
+		state := starvation.state(pair[0])
+		state.heard[pair[1].name], state.heartbeatAt = simulation.now, 0
+		simulation.acting = slices.Index(simulation.instances, pair[0])
+		starvation.sendKnown(simulation, pair[0], pair[1].name)
+	}
+}
+
+func (starvation *starvation) hasLink(from, to string) bool {
+	return starvation.linked == nil || starvation.linked[[2]string{from, to}]
+}
+
+// hasAllLinks reports whether an instance has a link to each other one that is up.
+func (starvation *starvation) hasAllLinks(simulation *simulation, number int) bool {
+	name := simulation.instances[number].name
+	return !slices.ContainsFunc(simulation.instances, func(other *simulatedInstance) bool {
+		return other.name != name && !other.crashed && !starvation.hasLink(name, other.name)
+	})
+}
+
+// recordAnswer lets the caller of a refused job send it again after a restart of all instances.
+func (starvation *starvation) recordAnswer(simulation *simulation, answer AnswerJob) {
+	if starvation == nil || !starvation.causes.restartOfAll {
+		return
+	}
+	if _, refused := answer.Outcome.(dispatcher.Refused); refused {
+		starvation.counts["refused"]++
+		simulation.after(refusedResendMS, func() { simulation.crashing.resend(simulation, answer.Job) })
+	}
+}
+
+// sinceRestart describes two runs of a task by the last restart of all instances.
+func (starvation *starvation) sinceRestart(first *acceptedRun, renewal *renewal, target *simulatedTarget, start *StartTask) string {
+	if starvation.linked == nil {
+		return ""
+	}
+	text := ", first run of a present instance"
+	if first.at < starvation.killedAt {
+		text = ", first run of a killed instance, its lease not renewed since"
+		if renewal.decided >= starvation.killedAt {
+			text = ", first run of a killed instance, its lease renewed by a " + renewal.kind
+		}
+	}
+	if start.Incarnation < target.incarnation {
+		text += ", started for a former incarnation"
+	}
+	return text
+}
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -545,6 +545,7 @@
 				continue // The caller waits for the answer of another instance.
 			}
 			simulation.outcomes[action.Job] = action.Outcome
+			simulation.starvation.recordAnswer(simulation, action)
 			if simulation.crashing != nil {
 				simulation.crashing.recordAnswer(simulation, action)
 			}
--- a/scheduler/starvation_test.go
+++ b/scheduler/starvation_test.go
@@ -31,6 +31,8 @@
 	lateOrders bool
 	// kills means that instances end and come back.
 	kills bool
+	// restartOfAll means that all instances and some targets restart at one moment, after some requests got no answer.
+	restartOfAll bool
 }
 
 const (
@@ -72,6 +74,10 @@
 	stopRequested map[string]int
 	twice         []twoRuns
 	counts        map[string]int
+	// linked holds the pairs of incarnations that have a link; nil if all have one. killedAt is when all instances were last
+	// killed.
+	linked   map[[2]string]bool
+	killedAt int
 }
 
 // starvedInstance is the state of one incarnation of an instance.
@@ -88,6 +94,8 @@
 	// heard holds when the instance last handled a message of each other one that it takes for responsive.
 	heard   map[string]int
 	readers []int
+	// blindUntil is until when the instance polls no idle target, since it may not know the other instances yet.
+	blindUntil int
 }
 
 // renewal is a request that renewed a target's lease.
@@ -127,7 +135,10 @@
 		if random.IntN(4) == 0 {
 			estimate += 1000
 		}
-		patient := random.IntN(2) == 0
+		if causes.restartOfAll {
+			tasks, estimate = 1+random.IntN(2), minRestartRunMS+random.IntN(maxRestartRunMS-minRestartRunMS)
+		}
+		patient := random.IntN(2) == 0 || causes.restartOfAll
 		simulation.after(random.IntN(starvationSubmitMS), func() { simulation.crashing.submit(simulation, id, tasks, estimate, patient) })
 	}
 	for series := range 3 {
@@ -141,6 +152,9 @@
 		if causes.lateOrders {
 			starvation.scheduleLateOrders(simulation, begin)
 		}
+		if causes.restartOfAll {
+			starvation.scheduleRestart(simulation, begin)
+		}
 		if causes.kills {
 			for range 1 + random.IntN(2) {
 				killed := random.IntN(len(simulation.instances))
@@ -280,6 +294,9 @@
 // send delivers a message after those that were sent before.
 func (starvation *starvation) send(simulation *simulation, name string, do func(*Scheduler)) {
 	from := simulation.instances[simulation.acting].name
+	if !starvation.hasLink(from, name) {
+		return
+	}
 	for number, instance := range simulation.instances {
 		if instance.name != name {
 			continue
@@ -335,6 +352,9 @@
 	delete(simulation.started, id)
 	starvation.handle(simulation, instance, entry, "", func() {
 		job := simulation.crashing.jobs[id]
+		if starvation.causes.restartOfAll {
+			job.Objective = at(simulation.now).Add(job.Objective.Sub(job.Arrived))
+		}
 		job.Arrived = at(simulation.now)
 		simulation.spontaneous.trace(simulation, "n%d gets job %s, submission %d", entry, id, starvation.submissions[id])
 		instance.scheduler.Submit(job, at(simulation.now))
@@ -350,10 +370,11 @@
 	}
 	const tickMS, pauseThresholdMS, heartbeatMS, maxHeartbeatGapMS, missedMS, resumeMS = 10, 150, 120, 420, 500, 250
 	state.nextStep = simulation.now + max(tickMS, starvation.lag(simulation, instance))
-	if state.lastTick == 0 || simulation.now-state.lastTick > maxHeartbeatGapMS {
+	knowsAll := state.lastTick == 0 && starvation.linked == nil
+	if knowsAll || simulation.now-state.lastTick > maxHeartbeatGapMS {
 		// Missing messages do not indicate lost peers.
 		for other, peer := range simulation.instances {
-			if _, ok := state.heard[peer.name]; other != number && (ok || state.lastTick == 0 && !peer.crashed) {
+			if _, ok := state.heard[peer.name]; other != number && (ok || knowsAll && !peer.crashed) {
 				state.heard[peer.name] = max(state.heard[peer.name], simulation.now-resumeMS)
 			}
 		}
@@ -366,7 +387,7 @@
 	if state.lastTick > 0 && simulation.now-state.lastTick > pauseThresholdMS {
 		instance.scheduler.RecordPause(now)
 	}
-	if state.lastTick == 0 || simulation.now-state.lastTick > missedMS {
+	if knowsAll || simulation.now-state.lastTick > missedMS {
 		starvation.synchronize(simulation, instance)
 	}
 	state.lastTick = simulation.now
@@ -395,24 +416,28 @@
 func (starvation *starvation) synchronize(simulation *simulation, instance *simulatedInstance) {
 	acting := simulation.acting
 	for number, other := range simulation.instances {
-		if other == instance || other.crashed {
-			continue
-		}
-		simulation.acting = number
-		for _, loss := range other.scheduler.Losses() {
-			simulation.send(instance.name, func(peer *Scheduler) { peer.HandlePeerLoss(loss, at(simulation.now)) })
-		}
-		for _, report := range other.scheduler.Reports(at(simulation.now)) {
-			report.Reporter = other.name
-			simulation.send(instance.name, func(peer *Scheduler) { peer.HandlePeerReport(report, at(simulation.now)) })
-		}
-		for _, suspension := range other.scheduler.Suspensions() {
-			simulation.send(instance.name, func(peer *Scheduler) { peer.HandlePeerSuspension(other.name, suspension, at(simulation.now)) })
+		if other != instance && !other.crashed {
+			simulation.acting = number
+			starvation.sendKnown(simulation, other, instance.name)
 		}
 	}
 	simulation.acting = acting
 }
 
+// sendKnown sends what an instance knows to another one that may have missed it.
+func (starvation *starvation) sendKnown(simulation *simulation, from *simulatedInstance, to string) {
+	for _, loss := range from.scheduler.Losses() {
+		simulation.send(to, func(peer *Scheduler) { peer.HandlePeerLoss(loss, at(simulation.now)) })
+	}
+	for _, report := range from.scheduler.Reports(at(simulation.now)) {
+		report.Reporter = from.name
+		simulation.send(to, func(peer *Scheduler) { peer.HandlePeerReport(report, at(simulation.now)) })
+	}
+	for _, suspension := range from.scheduler.Suspensions() {
+		simulation.send(to, func(peer *Scheduler) { peer.HandlePeerSuspension(from.name, suspension, at(simulation.now)) })
+	}
+}
+
 // alive reports whether the acting instance takes another one for responsive.
 func (starvation *starvation) alive(simulation *simulation, name string) bool {
 	heard, ok := starvation.state(simulation.instances[simulation.acting]).heard[name]
@@ -420,7 +445,7 @@
 }
 
 func (starvation *starvation) peersOf(simulation *simulation, number int) Peers {
-	peers := Peers{Complete: true}
+	peers := Peers{Complete: starvation.hasAllLinks(simulation, number)}
 	heard := starvation.state(simulation.instances[number]).heard
 	for _, name := range slices.Sorted(maps.Keys(heard)) {
 		if simulation.now-heard[name] <= peerTimeoutMS {
@@ -472,6 +497,9 @@
 func (starvation *starvation) losing(now int) bool {
 	for _, interval := range starvation.lossy {
 		if now >= interval[0] && now < interval[1] {
+			if starvation.causes.restartOfAll {
+				return starvation.random.IntN(20) == 0 // Requests are carried out at once or late with the same chance.
+			}
 			return starvation.random.IntN(10) == 0
 		}
 	}
@@ -489,6 +517,12 @@
 	state := instance.scheduler.TargetState(target.id)
 	reads := starvation.state(instance).readers != nil && starvation.state(instance).readers[index] == number
 	restarted := reads && state.IncarnationSince.After(at(poller.polledAt))
+	if starvation.causes.restartOfAll {
+		restarted = restarted || reads && state.ReadSince.After(at(poller.polledAt)) && !state.Unreachable && poller.failures == 0
+		if simulation.now < starvation.state(instance).blindUntil && !state.Occupied && poller.failures == 0 {
+			return
+		}
+	}
 	if poller.underWay || !restarted && simulation.now-poller.polledAt < poller.pollInterval(state, reads, simulation.now) {
 		return
 	}
@@ -728,6 +762,7 @@
 			cause += " " + strings.Fields(lost)[1]
 		}
 		renewal := starvation.renewals[other.id]
+		cause += starvation.sinceRestart(first, &renewal, target, start)
 		if strings.Contains(cause, "lapsed") {
 			by := "the owner"
 			if renewal.by != starvation.sentBy {
@@ -773,6 +808,7 @@
 		{"pauses and kills", starvationCauses{pauses: true, kills: true}},
 		{"starved readers", starvationCauses{readers: true}},
 		{"late orders", starvationCauses{lateOrders: true}},
+		{"restart of all", starvationCauses{restartOfAll: true}},
 		{"all", starvationCauses{pauses: true, readers: true, lateOrders: true}},
 	}
 	seeds := 10
