Send the jobs of a killed instance again in all simulations

openJobsOf counted from j0 to the number of the jobs submitted so far, but jobs arrive in random order, so that many open jobs of a killed instance were never sent again and the simulations of crashes and of starved instances were weaker than they look. It now goes through the jobs that were submitted.

--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 
@@ -178,8 +180,7 @@
 // openJobsOf returns the jobs that an instance has not answered, in a fixed order.
 func (simulation *simulation) openJobsOf(number int) []string {
 	var open []string
-	for index := range len(simulation.crashing.jobs) {
-		id := fmt.Sprintf("j%d", index)
+	for _, id := range slices.Sorted(maps.Keys(simulation.crashing.jobs)) {
 		if entry, ok := simulation.origin[id]; ok && entry == number && simulation.outcomes[id] == nil {
 			open = append(open, id)
 		}
