Look at targets as soon as the other instances are known

After a restart of all instances, a target that had restarted too saw no request for its present incarnation for a second, and carried out a late order for the former one beside the next run of the task. Runs of the lost instances were found no sooner.

Cause: an instance polled targets that it did not use only a fixed second after its start, when it could rely on knowing who reads what.

An instance now takes this first look once it knows another live instance and each listed one is linked or known to be absent, not before 200 ms after its start, and after the second in any case. It is a poll that renews no lease and acknowledges nothing. An instance that knows no other one keeps the second, since it would look at all targets. Two log lines show it: "first look at targets" once per instance, "target listed first" once per target whose first list holds runs of unknown owners.

--- a/executor/acknowledge_test.go
+++ b/executor/acknowledge_test.go
@@ -56,6 +56,7 @@
 	poller.isReader.Store(reads)
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
+	executor.peersKnown = true
 	executor.scheduler.SetTargets(infosOf(1), time.Now())
 	executor.scheduler.SetReader("t", reads, time.Now().Add(-2*time.Second))
 	return executor, poller
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -18,10 +18,12 @@
 )
 
 const (
-	// startupGrace is how long after its start an instance polls only the targets that it uses itself, since it has not
+	// startupGrace is how long after its start an instance polls at most only the targets that it uses itself, while it has not
 	// determined yet which targets the other instances read. The links between instances are up within half of this
 	// time.
 	startupGrace = time.Second
+	// minStartupGrace is how long it does so at least: other instances that were started together register meanwhile.
+	minStartupGrace = 200 * time.Millisecond
 	// tickInterval is how often time-based events are handled: a quarter of 39 ms, the shortest time after which
 	// a job that has not started is refused.
 	tickInterval = 10 * time.Millisecond
@@ -85,8 +87,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	group  sync.WaitGroup
-	// peersKnownAt is the time by which the other instances, if any, are known.
-	peersKnownAt time.Time
+	// startedAt is when this instance started.
+	startedAt time.Time
 
 	// lastSilence is when a target that had answered before last left a poll unanswered, in nanoseconds since 1970.
 	lastSilence atomic.Int64
@@ -120,6 +122,8 @@
 	pauseNoticedAt time.Time
 	// readsTargets means that this instance is the reader of some target.
 	readsTargets bool
+	// peersKnown means that the other instances, if any, are known, so that it is certain which targets this one reads.
+	peersKnown bool
 	// leaving means that a planned stop has begun, and reassign that the readers must be assigned again.
 	leaving  bool
 	reassign bool
@@ -138,7 +142,7 @@
 		uplink:        newUplink(linkMbps),
 		ctx:           ctx,
 		cancel:        cancel,
-		peersKnownAt:  now().Add(startupGrace),
+		startedAt:     now(),
 		lastTick:      now(),
 		scheduler:     scheduler.New(self.Incarnation, self.Domain),
 		waiters:       make(map[string][]chan dispatcher.Outcome),
@@ -470,7 +474,11 @@
 			lastSweep = now
 			executor.scheduler.Sweep(now)
 			executor.assignReaders(now)
-			executor.scheduler.SetPeers(executor.peers.Answering())
+			peers := executor.peers.Answering()
+			executor.scheduler.SetPeers(peers)
+			if !executor.peersKnown && knowsPeers(peers, now.Sub(executor.startedAt)) {
+				executor.lookAtTargets(peers, now)
+			}
 			executor.stopOrphans(now)
 			executor.repeatAbandonments(now)
 		}
@@ -491,6 +499,26 @@
 	}
 }
 
+// knowsPeers reports whether an instance that started the given time ago knows the other instances well enough to tell which
+// targets it reads.
+func knowsPeers(peers scheduler.Peers, sinceStart time.Duration) bool {
+	return sinceStart >= startupGrace || sinceStart >= minStartupGrace && peers.Complete && len(peers.Answering) > 0
+}
+
+// lookAtTargets lets this instance poll the targets that it reads: until a target has seen a request for its present incarnation, it
+// carries out late orders for the former one. The caller holds the lock.
+func (executor *Executor) lookAtTargets(peers scheduler.Peers, now time.Time) {
+	executor.peersKnown = true
+	reads := 0
+	for id, poller := range executor.pollers {
+		if poller.isReader.Load() {
+			reads++
+		}
+		executor.wake(id)
+	}
+	executor.logFirstLook(reads, len(peers.Answering), now)
+}
+
 // noticePause records a pause of this process unless that has been done, and reports whether there was one. What has arrived
 // meanwhile may be handled before the next tick. The caller holds the lock.
 func (executor *Executor) noticePause(now time.Time) bool {
--- a/executor/log.go
+++ b/executor/log.go
@@ -111,6 +111,24 @@
 	executor.logger.Warn("target restarted", "target", restart.Target, "incarnation", restart.Incarnation, "previous", restart.Previous, "runs", formatRuns(restart.Runs))
 }
 
+func (executor *Executor) logFirstLook(reads, peers int, now time.Time) {
+	executor.logger.Info("first look at targets", "targets", reads, "peers", peers, "since-start-ms", now.Sub(executor.startedAt).Milliseconds())
+}
+
+// logFirstList logs the first list of a target if it holds runs whose owners this instance does not know. The caller holds the lock.
+func (executor *Executor) logFirstList(poller *poller, poll scheduler.PollResult) {
+	var unknown []string
+	for _, active := range poll.Running {
+		if executor.scheduler.Owner(poller.id, active.Run) == "" {
+			unknown = append(unknown, fmt.Sprintf("%s/%d", active.Run.Task, active.Run.Attempt))
+		}
+	}
+	if len(unknown) > 0 {
+		executor.logger.Info("target listed first", "target", poller.id, "incarnation", poll.Incarnation, "own", poller.isReader.Load(),
+			"runs", strings.Join(unknown, ", "), "since-start-ms", poll.Answered.Sub(executor.startedAt).Milliseconds())
+	}
+}
+
 // formatRuns lists runs with the time since their claims.
 func formatRuns(runs []scheduler.OccupyingRun) string {
 	formatted := make([]string, len(runs))
--- a/executor/log_test.go
+++ b/executor/log_test.go
@@ -43,3 +43,21 @@
 	is.True(strings.Contains(line, `"losses":"t1 incarnation 7: attempt 1 accepted since 11 ms beside 1 others, restarted, seen by n2, by chance 1.2e-04; `+
 		`t2 incarnation 9: attempt 2 unanswered since 3 ms beside 0 others, refused, seen by self, by chance 1.0e+00"`))
 }
+
+// The runs of lost instances show only in the first list of their target; later lists must not repeat the line.
+func TestFirstListOfUnknownRunsIsLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	var output bytes.Buffer
+	client := &lookRecorder{running: []scheduler.ActiveRun{{Run: scheduler.Run{Task: "j.0.0.0", Attempt: 2}}}}
+	executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, client, time.Now, hclog.New(&hclog.LoggerOptions{Output: &output, JSONFormat: true}))
+	t.Cleanup(executor.Close)
+	executor.mu.Lock()
+	executor.scheduler.SetTargets(infosOf(1), time.Now())
+	executor.mu.Unlock()
+	poller := &poller{id: "t", withheld: make(map[int64]time.Time)}
+	for range 2 {
+		executor.poll(t.Context(), poller, infosOf(1)[0], PollRequest{})
+	}
+	is.Equal(strings.Count(output.String(), `"@message":"target listed first"`), 1)
+	is.True(strings.Contains(output.String(), `"runs":"j.0.0.0/2"`))
+}
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -70,9 +70,9 @@
 	isReader atomic.Bool
 	// reader is the incarnation of the target's reader; guarded by the executor's lock.
 	reader string
-	// peersKnownAt is the time by which the other instances are known, so that isReader is reliable.
-	peersKnownAt time.Time
 	// The following fields are used only by the poller's goroutine.
+	// awaitsPeers means that isReader is not reliable yet.
+	awaitsPeers  bool
 	incarnation  int64
 	acknowledged int64
 	// acknowledgeable is the sequence number of the last end that may be acknowledged.
@@ -93,7 +93,7 @@
 // startPoller starts the poller of a target; the caller holds the lock.
 func (executor *Executor) startPoller(id string, candidates readerCandidates) {
 	ctx, cancel := context.WithCancel(executor.ctx)
-	poller := &poller{id: id, cancel: cancel, wake: make(chan struct{}, 1), peersKnownAt: executor.peersKnownAt, withheld: make(map[int64]time.Time)}
+	poller := &poller{id: id, cancel: cancel, wake: make(chan struct{}, 1), withheld: make(map[int64]time.Time)}
 	executor.pollers[id] = poller
 	executor.assignReader(poller, candidates, executor.now())
 	executor.group.Go(func() {
@@ -119,6 +119,7 @@
 	executor.mu.Lock()
 	target, known := executor.scheduler.Target(poller.id)
 	state := executor.scheduler.TargetState(poller.id)
+	poller.awaitsPeers = !executor.peersKnown
 	executor.mu.Unlock()
 	request, pause := poller.nextPoll(state, now)
 	if !known || pause > 0 {
@@ -143,8 +144,8 @@
 	sincePoll := now.Sub(poller.lastPoll)
 	acknowledged := poller.mayAcknowledge(state, now)
 	switch {
-	case now.Before(poller.peersKnownAt) && !state.Occupied && poller.failures == 0:
-		return PollRequest{}, poller.peersKnownAt.Sub(now)
+	case poller.awaitsPeers && !state.Occupied && poller.failures == 0:
+		return PollRequest{}, idleInterval
 	case state.Fenced && poller.failures == 0:
 		return PollRequest{}, fencedPollInterval - sincePoll
 	case poller.isReader.Load() && (!poller.polled || state.ReadSince.After(poller.lastPoll)) && !state.Unreachable && poller.failures == 0:
@@ -242,6 +243,9 @@
 	if !executor.scheduler.HandlePoll(poller.id, poll) {
 		return
 	}
+	if !poller.polled {
+		executor.logFirstList(poller, poll)
+	}
 	if poller.failures > 0 {
 		executor.logger.Info("target answers again", "target", poller.id, "incarnation", poll.Incarnation)
 	}
--- a/executor/poller_test.go
+++ b/executor/poller_test.go
@@ -89,7 +89,7 @@
 				poller.lastPoll = now.Add(-probeInterval)
 			}
 			if strings.HasSuffix(test.name, "peers not known yet") {
-				poller.polled, poller.peersKnownAt = false, now.Add(startupGrace)
+				poller.polled, poller.awaitsPeers = false, true
 			}
 			poller.isReader.Store(test.isReader)
 			_, pause := poller.nextPoll(test.state, now)
