Probe a target soon after it has become unreachable

A target that was back after less than half a second was polled up to 400 ms later, and until then carried out late orders for its former incarnation beside the next run of the task.

The reader's pause between probes now begins with 12 ms and doubles up to 400 ms, so that an outage costs at most six probes more. Other instances keep their pauses.

TestTargetThatIsBackSoonIsPolledSoon failed with the fixed pause.

--- a/executor/poller.go
+++ b/executor/poller.go
@@ -37,7 +37,10 @@
 	readerTimeout = 650 * time.Millisecond
 	// probeInterval is how often an unreachable target is polled by its reader and by instances with runs there. For others it
 	// doubles with each poll that gets no answer, up to maxProbeInterval.
-	probeInterval     = 400 * time.Millisecond
+	probeInterval = 400 * time.Millisecond
+	// minProbeInterval is the pause of the reader after the target has become unreachable, which doubles up to probeInterval: a
+	// target that is back carries out orders for its former incarnation until it is polled.
+	minProbeInterval  = 12 * time.Millisecond
 	maxProbeInterval  = 3200 * time.Millisecond
 	maxProbeDoublings = 3
 	// withholdPeriod is how long the acknowledgement of an end is withheld if the run's owner is unknown or
@@ -187,7 +190,11 @@
 // target nor has runs there: if all instances probed all unreachable targets at the rate of their readers, the probes of a failure
 // domain would keep narrow links full.
 func (poller *poller) probePause(state scheduler.TargetState) time.Duration {
-	if poller.isReader.Load() || state.HasOwnRuns {
+	switch {
+	case poller.isReader.Load():
+		// A pause as long as the outage had lasted at the last poll doubles each time.
+		return min(max(minProbeInterval, poller.lastPoll.Sub(state.UnreachableSince)), probeInterval)
+	case state.HasOwnRuns:
 		return probeInterval
 	}
 	return min(probeInterval<<min(poller.failures, maxProbeDoublings), maxProbeInterval)
--- a/executor/poller_test.go
+++ b/executor/poller_test.go
@@ -181,6 +181,23 @@
 	is.Equal(pause(false, true, 10), probeInterval)
 }
 
+// A target that was back after 0.3 s carried out orders for its former incarnation until its reader polled it, up to 400 ms later. A
+// reader must not probe a target that stays away more than six times beyond that.
+func TestTargetThatIsBackSoonIsPolledSoon(t *testing.T) {
+	is := is.New(t)
+	since := time.Now()
+	poller := &poller{polled: true, failures: unreachableThreshold, lastPoll: since}
+	poller.isReader.Store(true)
+	probes := 0
+	for ; poller.lastPoll.Sub(since) < 2*probeInterval; probes++ {
+		_, pause := poller.nextPoll(scheduler.TargetState{Unreachable: true, UnreachableSince: since}, poller.lastPoll)
+		is.True(pause >= minProbeInterval && pause <= max(minProbeInterval, poller.lastPoll.Sub(since)))
+		is.True(pause <= probeInterval)
+		poller.lastPoll, poller.failures = poller.lastPoll.Add(pause), poller.failures+1
+	}
+	is.True(probes <= 2+6)
+}
+
 // Targets that are gone must not keep the polls of all others short: on grown deployments some target always is, so that each
 // instance polled twice as often as without. If polls are lost now and then, they must stay short, since a lost one delays the ends by
 // its whole wait.
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -205,6 +205,9 @@
 	// its reader.
 	Unreachable         bool
 	UnreachableByReader bool
+	// UnreachableSince is when the target was last found not to answer this instance, or when this instance became its reader
+	// meanwhile; zero if it never was.
+	UnreachableSince time.Time
 	// ReadSince is when this instance became the reader of the target; zero if it has never been.
 	ReadSince time.Time
 	// Resumed means that this instance was paused and has not heard any other one since, which may read the target by now.
@@ -228,7 +231,7 @@
 	}
 	state := TargetState{
 		IncarnationSince: target.incarnationSince, Occupied: len(target.allocations) > 0,
-		Unreachable: target.unreachable, UnreachableByReader: target.unreachableByReader, LastHeard: target.lastHeard,
+		Unreachable: target.unreachable, UnreachableByReader: target.unreachableByReader, UnreachableSince: target.unreachableSince, LastHeard: target.lastHeard,
 		WantedUntil: scheduler.wantedUntil(target), UnrenewedUntil: target.unrenewedUntil,
 		Contradicted: target.pending != nil, Fenced: !target.fencedAt.IsZero(), ReadByOther: target.readerContact != nil, ReadSince: target.readSince,
 		Resumed: scheduler.hasHeardNoneSince(scheduler.resumedAt),
