Simulate the reader's probes of unreachable targets

Simulated readers probed an unreachable target every 400 ms, as the executor's pollers did before. They now use the same growing pause.

--- a/scheduler/spontaneous_test.go
+++ b/scheduler/spontaneous_test.go
@@ -276,10 +276,13 @@
 
 // pollInterval returns the time between two polls of a target, as in the executor's pollers.
 func (poller *simulatedPoller) pollInterval(state TargetState, reads bool, now int) int {
-	const interval, degradedInterval, fencedInterval, probeInterval, readerTimeout = 4, 90, 100, 400, 650
+	const interval, degradedInterval, fencedInterval, minProbeInterval, probeInterval, readerTimeout = 4, 90, 100, 12, 400, 650
 	switch {
 	case state.Fenced:
 		return fencedInterval
+	case reads && (state.Unreachable || poller.failures >= failedPolls):
+		outage := at(poller.polledAt).Sub(state.UnreachableSince)
+		return int(min(max(minProbeInterval*time.Millisecond, outage), probeInterval*time.Millisecond) / time.Millisecond)
 	case state.Unreachable || poller.failures >= failedPolls:
 		return probeInterval
 	case poller.failures > 0:
