--- a/executor/poller.go
+++ b/executor/poller.go
@@ -37,7 +37,10 @@
 	readerTimeout = 650 * time.Millisecond
 	// probeInterval is how often an unreachable target is polled by its reader and by instances with runs there. For others it
 	// doubles with each poll that gets no answer, up to maxProbeInterval.
-	probeInterval     = 400 * time.Millisecond
+	probeInterval = 400 * time.Millisecond
+	// minProbeInterval is the pause of the reader after the target has become unreachable, which doubles up to probeInterval: a
+	// target that is back carries out orders for its former incarnation until it is polled.
+	minProbeInterval  = 12 * time.Millisecond
 	maxProbeInterval  = 3200 * time.Millisecond
 	maxProbeDoublings = 3
 	// withholdPeriod is how long the acknowledgement of an end is withheld if the run's owner is unknown or
@@ -70,9 +73,9 @@
 	isReader atomic.Bool
 	// reader is the incarnation of the target's reader; guarded by the executor's lock.
 	reader string
-	// peersKnownAt is the time by which the other instances are known, so that isReader is reliable.
-	peersKnownAt time.Time
 	// The following fields are used only by the poller's goroutine.
+	// awaitsPeers means that isReader is not reliable yet.
+	awaitsPeers  bool
 	incarnation  int64
 	acknowledged int64
 	// acknowledgeable is the sequence number of the last end that may be acknowledged.
@@ -93,7 +96,7 @@
 // startPoller starts the poller of a target; the caller holds the lock.
 func (executor *Executor) startPoller(id string, candidates readerCandidates) {
 	ctx, cancel := context.WithCancel(executor.ctx)
-	poller := &poller{id: id, cancel: cancel, wake: make(chan struct{}, 1), peersKnownAt: executor.peersKnownAt, withheld: make(map[int64]time.Time)}
+	poller := &poller{id: id, cancel: cancel, wake: make(chan struct{}, 1), withheld: make(map[int64]time.Time)}
 	executor.pollers[id] = poller
 	executor.assignReader(poller, candidates, executor.now())
 	executor.group.Go(func() {
@@ -119,6 +122,7 @@
 	executor.mu.Lock()
 	target, known := executor.scheduler.Target(poller.id)
 	state := executor.scheduler.TargetState(poller.id)
+	poller.awaitsPeers = !executor.peersKnown
 	executor.mu.Unlock()
 	request, pause := poller.nextPoll(state, now)
 	if !known || pause > 0 {
@@ -143,8 +147,8 @@
 	sincePoll := now.Sub(poller.lastPoll)
 	acknowledged := poller.mayAcknowledge(state, now)
 	switch {
-	case now.Before(poller.peersKnownAt) && !state.Occupied && poller.failures == 0:
-		return PollRequest{}, poller.peersKnownAt.Sub(now)
+	case poller.awaitsPeers && !state.Occupied && !state.Awaited && poller.failures == 0:
+		return PollRequest{}, idleInterval
 	case state.Fenced && poller.failures == 0:
 		return PollRequest{}, fencedPollInterval - sincePoll
 	case poller.isReader.Load() && (!poller.polled || state.ReadSince.After(poller.lastPoll)) && !state.Unreachable && poller.failures == 0:
@@ -188,7 +192,11 @@
 // target nor has runs there: if all instances probed all unreachable targets at the rate of their readers, the probes of a failure
 // domain would keep narrow links full.
 func (poller *poller) probePause(state scheduler.TargetState) time.Duration {
-	if poller.isReader.Load() || state.HasOwnRuns {
+	switch {
+	case poller.isReader.Load():
+		// A pause as long as the outage had lasted at the last poll doubles each time.
+		return min(max(minProbeInterval, poller.lastPoll.Sub(state.UnreachableSince)), probeInterval)
+	case state.HasOwnRuns:
 		return probeInterval
 	}
 	return min(probeInterval<<min(poller.failures, maxProbeDoublings), maxProbeInterval)
@@ -244,6 +252,9 @@
 	if !executor.scheduler.HandlePoll(poller.id, poll) {
 		return
 	}
+	if !poller.polled {
+		executor.logFirstList(poller, poll)
+	}
 	if poller.failures > 0 {
 		executor.logger.Info("target answers again", "target", poller.id, "incarnation", poll.Incarnation)
 	}
