--- a/scheduler/restart_simulation_test.go
+++ b/scheduler/restart_simulation_test.go
@@ -12,8 +12,10 @@
 	maxRestartRunMS = 3000
 	// maxEarlyEndMS is how long before the instances a target ends at most.
 	maxEarlyEndMS = 100
-	// startupGraceMS is how long after its start an instance polls no idle target.
-	startupGraceMS = 1000
+	// startupGraceMS is how long after its start an instance polls no idle target at most, and minStartupGraceMS how long at
+	// least, while it may not know the other instances yet.
+	startupGraceMS    = 1000
+	minStartupGraceMS = 200
 	// refusedResendMS is how long after a refusal a caller sends its job again.
 	refusedResendMS = 300
 )
@@ -61,7 +63,7 @@
 		instance := simulation.newInstance(number, former.name+"'")
 		simulation.instances[number] = instance
 		state := starvation.state(instance)
-		state.blindUntil = simulation.now + startupGraceMS
+		state.startedAt, state.awaitsPeers = simulation.now, true
 		simulation.acting = number
 		starvation.updateReaders(simulation, number, state)
 		simulation.spontaneous.trace(simulation, "%s starts", instance.name)
@@ -88,6 +90,14 @@
 	}
 }
 
+// updateAwaitsPeers lets an instance poll idle targets once it knows the other instances, as in the executor.
+func (starvation *starvation) updateAwaitsPeers(simulation *simulation, state *starvedInstance, peers Peers) {
+	sinceStart := simulation.now - state.startedAt
+	if sinceStart >= startupGraceMS || sinceStart >= minStartupGraceMS && peers.Complete && len(peers.Answering) > 0 {
+		state.awaitsPeers = false
+	}
+}
+
 func (starvation *starvation) hasLink(from, to string) bool {
 	return starvation.linked == nil || starvation.linked[[2]string{from, to}]
 }
--- a/scheduler/starvation_test.go
+++ b/scheduler/starvation_test.go
@@ -92,10 +92,11 @@
 	streams        map[string]int
 	heartbeatAt    int
 	// heard holds when the instance last handled a message of each other one that it takes for responsive.
-	heard   map[string]int
-	readers []int
-	// blindUntil is until when the instance polls no idle target, since it may not know the other instances yet.
-	blindUntil int
+	heard     map[string]int
+	readers   []int
+	startedAt int
+	// awaitsPeers means that the instance polls no idle target, since it may not know the other instances yet.
+	awaitsPeers bool
 }
 
 // renewal is a request that renewed a target's lease.
@@ -461,6 +462,7 @@
 	peers := starvation.peersOf(simulation, number)
 	peers.Starting = peers.Answering
 	instance.scheduler.SetPeers(peers)
+	starvation.updateAwaitsPeers(simulation, state, peers)
 	for _, name := range slices.Sorted(maps.Keys(state.heard)) {
 		if !slices.Contains(peers.Answering, name) {
 			instance.scheduler.RemovePeer(name)
@@ -519,7 +521,7 @@
 	restarted := reads && state.IncarnationSince.After(at(poller.polledAt))
 	if starvation.causes.restartOfAll {
 		restarted = restarted || reads && state.ReadSince.After(at(poller.polledAt)) && !state.Unreachable && poller.failures == 0
-		if simulation.now < starvation.state(instance).blindUntil && !state.Occupied && poller.failures == 0 {
+		if starvation.state(instance).awaitsPeers && !state.Occupied && !state.Awaited && poller.failures == 0 {
 			return
 		}
 	}
