Wait for the known end of a run whose stop was accepted

An accepted stop counted as the end of the run after 65 ms. A target that gets too little processor time takes longer, so that the task began elsewhere while its first run went on.

The task now stays stopping, and the claim of the run in use, until the end is listed, a list requested after the stop was accepted omits the run, another incarnation has answered or the target is gone, or the lease is over. A run that had been listed and is omitted on a target that another instance reads (or read until just now) waits 150 ms more for an end under way. A run that is still listed 600 ms after its stop was accepted has the renewals of its lease suspended. The instance requests a list of its own, which renews nothing: at once for a start without an answer, after 65 ms for a run known to have begun, and again after 50 ms and more. "run lost" with reason=stopped names the evidence and the time since the stop was accepted.

Targets in the starvation simulation take up to 200 ms to stop a run.

Existing tests that stated 65 ms, each as strict as before (nothing before the evidence, the start at once with it): - TestUnansweredStartIsNotDoubled, TestBoundPerTargetCountsStoppingRuns, TestLaterStopReleasesTheTask, newResubmittedScheduler: a list without the run in place of the passing of 65 ms; the wait for it is longer or checked in addition. - TestRunLostBeforeItsStartIsAnsweredStartsAgain: a list of the new incarnation; with another target at the address, the result that says so, which had been reported as an accepted stop. - TestEndOfFormerIncarnationEndsNoLaterRun, startOnNextIncarnation, TestVoidSparesALaterSubmission, TestStopOnTheNextIncarnationAcceptsNoStart: a list where time had passed. - TestTaskWithUnansweredStartOnCrashedTargetStartsAgain, TestLoadWithUnansweredStartsIsServed: the targets answer the lists that are now requested.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -97,6 +97,8 @@
 	waiters map[string][]chan dispatcher.Outcome
 	// pollers holds the poller of each known target by ID.
 	pollers map[string]*poller
+	// listers holds, by ID, a channel to each goroutine that waits for the ends of stopped runs on a target.
+	listers map[string]chan struct{}
 	// unresponsive holds the failure domains whose instances are all unresponsive.
 	unresponsive map[string]bool
 	// assignedVersion is the peers version for which the readers were last assigned.
@@ -143,6 +145,7 @@
 		scheduler:     scheduler.New(self.Incarnation, self.Domain),
 		waiters:       make(map[string][]chan dispatcher.Outcome),
 		pollers:       make(map[string]*poller),
+		listers:       make(map[string]chan struct{}),
 		unresponsive:  make(map[string]bool),
 		delegated:     make(map[string]*delegation),
 		foreignJobs:   make(map[foreignJob]context.CancelFunc),
@@ -432,10 +435,14 @@
 	if errors.Is(err, ErrFenced) {
 		executor.scheduler.HandleFenced(stop.RunTarget, executor.now())
 	}
-	stopped := err == nil || errors.Is(err, ErrReplaced) && executor.scheduler.HasEndedWith(stop.RunTarget, stop.Run)
-	executor.scheduler.HandleStopResult(stop.RunTarget.ID, stop.Run, stopped, executor.now())
+	if errors.Is(err, ErrReplaced) && executor.scheduler.HasEndedWith(stop.RunTarget, stop.Run) {
+		executor.scheduler.HandleStopGone(stop.RunTarget.ID, stop.Run, executor.now())
+	} else {
+		executor.scheduler.HandleStopResult(stop.RunTarget.ID, stop.Run, err == nil, executor.now())
+	}
 	executor.runActions()
 	executor.wake(stop.RunTarget.ID)
+	go executor.listStopped(stop.RunTarget.ID)
 }
 
 // tick handles time-based events until the executor is closed.
--- a/executor/log.go
+++ b/executor/log.go
@@ -66,9 +66,15 @@
 }
 
 func (executor *Executor) logLostRun(lost scheduler.RunLost) {
-	executor.logger.Info("run lost", "job", lost.Job, "task", lost.Run.Task, "attempt", lost.Run.Attempt, "target", lost.Target,
+	fields := []any{
+		"job", lost.Job, "task", lost.Run.Task, "attempt", lost.Run.Attempt, "target", lost.Target,
 		"incarnation", lost.Incarnation, "reason", string(lost.Reason), "losses", lost.Restarts,
-		"lease", string(lost.Lease), "renewal-age-ms", lost.RenewalAge.Milliseconds(), "list-age-ms", lost.ListAge.Milliseconds())
+		"lease", string(lost.Lease), "renewal-age-ms", lost.RenewalAge.Milliseconds(), "list-age-ms", lost.ListAge.Milliseconds(),
+	}
+	if lost.Reason == scheduler.LossStopped {
+		fields = append(fields, "ended-by", string(lost.End), "stop-age-ms", lost.StopAge.Milliseconds())
+	}
+	executor.logger.Info("run lost", fields...)
 }
 
 func (executor *Executor) logOverlap(overlapped scheduler.RunsOverlapped) {
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -99,6 +99,7 @@
 		// The wall clock that names incarnations may have been set back.
 		scheduler.handleTargetRestart(target, incarnation, now)
 		scheduler.voidLateStarts(target, now)
+		scheduler.recordRestartOfStopped(target, now)
 	default:
 		scheduler.correctIncarnation(target, incarnation, now)
 	}
@@ -109,6 +110,11 @@
 func (scheduler *Scheduler) correctIncarnation(target *target, incarnation int64, now time.Time) {
 	wrong := target.Incarnation
 	target.Incarnation, target.incarnationSince = incarnation, now
+	for key, pending := range scheduler.pendingStops {
+		if key.target == target.ID && pending.incarnation == wrong {
+			pending.incarnation = incarnation
+		}
+	}
 	for run, allocation := range target.allocations {
 		if allocation.incarnation == wrong {
 			allocation.incarnation = incarnation
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -171,16 +171,17 @@
 // StopAttempts is how often the first request to stop a run is sent before it counts as not answered.
 const StopAttempts = 2
 
-// HandleStopResult processes the result of a StopRun action; stopped means that the target accepted the request.
+// HandleStopResult processes the result of a StopRun action; stopped means that the target accepted the request. An accepted stop
+// is not an end: a target takes some time to carry it out, and more if it gets too little processor time.
 func (scheduler *Scheduler) HandleStopResult(targetID string, run Run, stopped bool, now time.Time) {
+	key := targetRun{targetID, run}
 	target := scheduler.targets[targetID]
-	unanswered := scheduler.recordStopResult(targetRun{targetID, run}, stopped, now)
+	unanswered := scheduler.recordStopResult(key, stopped, now)
 	switch {
 	case target == nil:
 	case stopped:
 		target.recordResponse(now)
 		target.heldUntil = time.Time{}
-		scheduler.stopped = append(scheduler.stopped, stoppedRun{targetRun{targetID, run}, now.Add(MaxStopDuration)})
 	case unanswered > 0 && target.recordUnanswered(unanswered, startedAt(target, run, now)):
 		scheduler.setUnreachable(target, false, now)
 	}
@@ -188,30 +189,26 @@
 	if task == nil || task.state != stopping && task.state != uncertain || !task.latest(targetID, run) {
 		return
 	}
-	if stopped {
-		task.notBefore = now.Add(MaxStopDuration)
-		scheduler.requeueLost(task, LossStopped, now)
-		return
+	pending, ok := scheduler.pendingStops[key]
+	switch {
+	case ok && pending.isAccepted():
+		task.state, task.stopAcceptedAt = stopping, pending.acceptedAt
+	case ok && stopped:
+		// The request for another incarnation is under way.
+	case stopped:
+		scheduler.requeueStopped(task, EndOmitted, now)
+		scheduler.place(now)
+	default:
+		task.state = uncertain
+		// A start request expires with the lease that it asks for, which counts from when the request was sent.
+		task.uncertainUntil = task.startedAt.Add(LeaseDuration + leaseMargin)
 	}
-	task.state = uncertain
-	// A start request expires with the lease that it asks for, which counts from when the request was sent.
-	task.notBefore = task.startedAt.Add(LeaseDuration + leaseMargin)
 }
 
-// releaseStopped releases the capacity of runs whose stop was accepted long enough ago. A run that the target never had
-// is in none of its lists, so nothing else shows that its claim no longer occupies the target.
-func (scheduler *Scheduler) releaseStopped(now time.Time) {
-	kept := scheduler.stopped[:0]
-	for _, stopped := range scheduler.stopped {
-		if now.Before(stopped.goneAt) {
-			kept = append(kept, stopped)
-			continue
-		}
-		if target, ok := scheduler.targets[stopped.target]; ok && scheduler.releaseRun(target, stopped.run) != nil {
-			scheduler.emit(WithdrawClaim{Target: stopped.target, Run: stopped.run})
-		}
-	}
-	scheduler.stopped = kept
+// HandleStopGone processes the result of a StopRun action that shows that the run's target is gone.
+func (scheduler *Scheduler) HandleStopGone(targetID string, run Run, now time.Time) {
+	scheduler.settleStop(targetRun{targetID, run}, EndRestarted, now)
+	scheduler.place(now)
 }
 
 // requeueLost queues a task again whose run was lost or stopped.
@@ -222,6 +219,7 @@
 	scheduler.emit(RunLost{
 		Target: target.ID, Incarnation: task.incarnation, Run: task.run(), Job: task.job.ID, Reason: reason, Restarts: task.restarts,
 		Lease: target.leaseEvidence, RenewalAge: now.Sub(target.lastRenewal()), ListAge: now.Sub(target.lastPolled),
+		End: task.endEvidence, StopAge: task.stopAge(now),
 	})
 	if reason == LossLapsed || reason == LossUnanswered || task.incarnation < task.runTarget.Incarnation {
 		scheduler.recordLostRun(task, now)
@@ -267,10 +265,14 @@
 		target.recordResponse(listedAt)
 	}
 	key := targetRun{target.ID, end.Run}
-	if pending, ok := scheduler.pendingStops[key]; ok && end.endsRun(pending.incarnation, time.Time{}, now) {
+	allocation, ok := target.allocations[end.Run]
+	claimedAt := time.Time{}
+	if ok {
+		claimedAt = allocation.claimedAt
+	}
+	if pending, ok := scheduler.pendingStops[key]; ok && end.endsRun(pending.incarnation, claimedAt, now) {
 		scheduler.forgetStop(key)
 	}
-	allocation, ok := target.allocations[end.Run]
 	if ok && end.endsRun(allocation.incarnation, allocation.claimedAt, now) {
 		scheduler.releaseRun(target, end.Run)
 		if end.Cause != NeverRan {
@@ -309,17 +311,12 @@
 			scheduler.requestStop(task.runTarget, task.run(), "an earlier run succeeded", false, now)
 		}
 		scheduler.completeTask(task, now)
-	case !isActive && task.state == waiting && isLatest:
-		// The run whose stop was requested has ended.
-		task.notBefore = time.Time{}
 	case !isActive:
 	case end.Cause == Failed:
 		scheduler.handleTaskFailure(task, now)
-	case end.Cause == Stopped:
-		task.notBefore = time.Time{}
-		scheduler.requeueLost(task, LossStopped, now)
+	case end.Cause == Stopped, end.Cause == NeverRan && task.state == stopping:
+		scheduler.requeueStopped(task, EndListed, now)
 	case end.Cause == Lapsed:
-		task.notBefore = time.Time{}
 		scheduler.requeueLost(task, LossLapsed, now)
 	}
 }
@@ -388,6 +385,7 @@
 	}
 	scheduler.recordAnswer(target, &poll)
 	scheduler.withdrawLoss(target, poll.Sent)
+	scheduler.settleStops(target, &poll)
 	listed := make(map[Run]bool, len(poll.Running)+len(poll.Ended))
 	for _, active := range poll.Running {
 		listed[active.Run] = true
@@ -456,8 +454,13 @@
 		}
 	}
 	if now.Sub(allocation.missingSince) >= missingTimeout || allocation.owner != scheduler.self {
+		key := targetRun{target.ID, run}
+		if pending, ok := scheduler.pendingStops[key]; ok && pending.isAccepted() {
+			scheduler.settleStop(key, EndOmitted, now)
+			return
+		}
 		scheduler.releaseRun(target, run)
-		scheduler.forgetStop(targetRun{target.ID, run})
+		scheduler.forgetStop(key)
 	}
 }
 
@@ -491,7 +494,6 @@
 	}
 	task := scheduler.tasks[run.Task]
 	if task != nil && task.latest(target.ID, run) && task.mayBeRunning() && task.state != starting {
-		task.notBefore = time.Time{}
 		scheduler.requeueLost(task, LossRestarted, now)
 	}
 }
--- a/scheduler/incarnation_test.go
+++ b/scheduler/incarnation_test.go
@@ -133,8 +133,12 @@
 			scheduler.HandleStartResult(start.Target, start.Run, StartTaken, at(50)) // answer of the former incarnation
 			stops := drain(scheduler).stops
 			is.Equal(len(stops), 1)
-			scheduler.HandleStopResult(start.Target, start.Run, true, at(52))
-			scheduler.Tick(at(52 + int(MaxStopDuration/time.Millisecond)))
+			if replaced {
+				scheduler.HandleStopGone(start.Target, start.Run, at(52))
+			} else {
+				scheduler.HandleStopResult(start.Target, start.Run, true, at(52))
+				listNothing(scheduler, start.Target, 2, 54)
+			}
 			is.Equal(len(drain(scheduler).starts), 1)
 		})
 	}
@@ -182,7 +186,8 @@
 			first := startOnFirst(t, scheduler, distinctTargets(2), testJob("j", 1, 400, 0))
 			scheduler.Abandon("j", "the caller left", at(10))
 			scheduler.HandleStopResult(first.Target, first.Run, true, at(12))
-			scheduler.Tick(at(100))
+			listNothing(scheduler, first.Target, 1, 80)
+			scheduler.Tick(at(80 + int(missingTimeout/time.Millisecond)))
 			drain(scheduler)
 			scheduler.HandlePeerRestart(first.Target, 2, at(1200))
 			busy := distinctTargets(2)[1]
@@ -236,7 +241,8 @@
 	first := startOnFirst(t, scheduler, distinctTargets(1), testJob("j", 1, 400, 0))
 	scheduler.Abandon("j", "the caller left", at(10))
 	scheduler.HandleStopResult(first.Target, first.Run, true, at(12))
-	scheduler.Tick(at(100))
+	listNothing(scheduler, first.Target, 1, 80)
+	scheduler.Tick(at(80 + int(missingTimeout/time.Millisecond)))
 	if noticed {
 		scheduler.HandlePeerRestart(first.Target, 2, at(1200))
 	}
--- a/scheduler/isolate.go
+++ b/scheduler/isolate.go
@@ -74,7 +74,7 @@
 	}
 	for _, sibling := range task.job.tasks {
 		target := sibling.runTarget
-		if target != nil && target.isolatedJob == task.job.ID && target.usable(now) && target.fitsIsolated(task) && scheduler.mayRunOn(task, target, now) {
+		if target != nil && target.isolatedJob == task.job.ID && target.usable(now) && target.fitsIsolated(task) && scheduler.mayRunOn(task, target) {
 			return target
 		}
 	}
@@ -83,7 +83,7 @@
 	for i := range candidates {
 		candidate := candidates[i].target
 		if len(candidate.allocations) > 0 || candidates[i].free != candidate.Capacity || !step.Resources.Fits(candidate.Capacity) ||
-			!scheduler.mayRunOn(task, candidate, now) {
+			!scheduler.mayRunOn(task, candidate) {
 			continue
 		}
 		cost := candidate.predict(step.Estimate)
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -16,7 +16,7 @@
 	starting
 	// A running task was accepted by a target.
 	running
-	// A stopping task has a stop request in flight, after which it is queued again.
+	// A stopping task is queued again once the run whose stop was requested is known to have ended.
 	stopping
 	// An uncertain task may be running on a target that does not answer, until the target's lease has ended.
 	uncertain
@@ -44,10 +44,13 @@
 	accepted bool
 	// notTaken lists the runs that their targets did not take.
 	notTaken []targetRun
-	// notBefore delays the next start while an earlier run may still be active.
-	notBefore time.Time
-	startedAt time.Time
-	predicted time.Duration
+	// uncertainUntil is when the lease has ended that the start of an uncertain task asked for.
+	uncertainUntil time.Time
+	// stopAcceptedAt is when the target accepted the stop of the latest run, or zero, and endEvidence what showed its end.
+	stopAcceptedAt time.Time
+	endEvidence    EndEvidence
+	startedAt      time.Time
+	predicted      time.Duration
 	// missingSince is when the target first omitted the run from its list, or zero.
 	missingSince time.Time
 	// earlier holds the runs of earlier submissions of the task that may still go on.
@@ -66,6 +69,14 @@
 
 func (task *task) spec() *Step { return &task.job.Steps[task.step] }
 
+// stopAge returns the time since the target accepted the stop of the latest run, or 0 if it has not.
+func (task *task) stopAge(now time.Time) time.Duration {
+	if task.stopAcceptedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(task.stopAcceptedAt)
+}
+
 // mayBeRunning reports whether a run of the task may be active.
 func (task *task) mayBeRunning() bool {
 	switch task.state {
--- a/scheduler/late_start_test.go
+++ b/scheduler/late_start_test.go
@@ -99,7 +99,7 @@
 	scheduler := New("self", "a")
 	startUnanswered(scheduler)
 	scheduler.Abandon("j", "the caller left", at(100))
-	scheduler.Tick(at(200))
+	listNothing(scheduler, "t0", 1, 200)
 	scheduler.Submit(testJob("j", 1, 1200, 1400), at(1400)) // taken by the next incarnation
 	starts := drain(scheduler).starts
 	is.Equal(len(starts), 1)
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -11,12 +11,13 @@
 // A task whose start got no answer may be running and must not be started elsewhere at once. The run is stopped first;
 // if the target does not answer the stop either, the task waits until the lease has ended.
 func TestUnansweredStartIsNotDoubled(t *testing.T) {
+	const listedMS = 300
 	tests := []struct {
 		name     string
 		stopped  bool
 		earliest int
 	}{
-		{"stop taken", true, 120 + int(MaxStopDuration/time.Millisecond)},
+		{"stop taken", true, listedMS},
 		{"stop not answered", false, int((LeaseDuration + leaseMargin) / time.Millisecond)},
 	}
 	for _, test := range tests {
@@ -31,6 +32,9 @@
 			restartedAt := -1
 			for now := 120; now < 3000 && restartedAt < 0; now++ {
 				scheduler.Tick(at(now))
+				if test.stopped && now == listedMS {
+					listNothing(scheduler, start.Target, 1, now)
+				}
 				for _, second := range drain(scheduler).starts {
 					restartedAt = now
 					is.True(second.Run.Attempt > start.Run.Attempt)
@@ -235,7 +239,7 @@
 	is.Equal(len(drain(scheduler).starts), 1)
 }
 
-// resubmittedMS is when newResubmittedScheduler starts the job again: once the stop of its first run has been carried out.
+// resubmittedMS is when newResubmittedScheduler starts the job again: once the target lists its first run no longer.
 const resubmittedMS = 4 + int(MaxStopDuration/time.Millisecond)
 
 // newResubmittedScheduler returns a scheduler that abandoned a job on t0 and then started it again on t1 with the same
@@ -259,7 +263,8 @@
 	scheduler.Sweep(at(resubmittedMS - 2))
 	is.Equal(len(drain(scheduler).starts), 0)
 	scheduler.Sweep(at(resubmittedMS))
-	scheduler.Tick(at(resubmittedMS))
+	is.Equal(len(drain(scheduler).starts), 0)
+	listNothing(scheduler, "t0", 1, resubmittedMS)
 	second := drain(scheduler).starts
 	is.Equal(second[0].Target, "t1")
 	is.Equal(second[0].Run, first[0].Run)
--- a/scheduler/loss_test.go
+++ b/scheduler/loss_test.go
@@ -224,7 +224,7 @@
 	}
 	scheduler.SetTargets(infos, at(70))
 	scheduler.HandleStopResult(start.Target, start.Run, true, at(80))
-	scheduler.Tick(at(80 + int(MaxStopDuration/time.Millisecond)))
+	listNothing(scheduler, start.Target, 2, 82)
 	found := false
 	for _, loss := range scheduler.Losses() {
 		for _, suspect := range loss.Suspects {
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -402,6 +402,10 @@
 	RenewalAge time.Duration
 	// ListAge is the time since the target last listed its runs to this instance or its reader.
 	ListAge time.Duration
+	// End is what showed that a stopped run has ended, and StopAge the time since the target accepted the stop; 0 if that is not
+	// known.
+	End     EndEvidence
+	StopAge time.Duration
 }
 
 // RunsOverlapped records that a run of a task of this instance went on to its own end after a later one had been started.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -44,7 +44,7 @@
 	kept := scheduler.queue[:0]
 	for _, task := range scheduler.queue {
 		// After a pause, jobs may be past their deadlines before Tick has removed them.
-		if scheduler.link.Backlog(now) > maxStartBacklog || now.Before(task.notBefore) || !now.Before(task.job.Deadline) || scheduler.held(task.job) || scheduler.mayStillRun(task.name, now) || scheduler.earlierRunGoesOn(task) || scheduler.mayBeAbandoned(task.job, now) || !scheduler.placeTask(task, candidates, now) {
+		if scheduler.link.Backlog(now) > maxStartBacklog || !now.Before(task.job.Deadline) || scheduler.held(task.job) || scheduler.mayStillRun(task.name, now) || scheduler.earlierRunGoesOn(task) || scheduler.mayBeAbandoned(task.job, now) || !scheduler.placeTask(task, candidates, now) {
 			kept = append(kept, task)
 		}
 	}
@@ -120,7 +120,7 @@
 	bestCost := time.Duration(0)
 	for i := range candidates {
 		candidate := &candidates[i]
-		if !step.Resources.Fits(candidate.free) || candidate.probation && len(candidate.allocations) > 0 || !scheduler.mayRunOn(task, candidate.target, now) {
+		if !step.Resources.Fits(candidate.free) || candidate.probation && len(candidate.allocations) > 0 || !scheduler.mayRunOn(task, candidate.target) {
 			continue
 		}
 		cost := candidate.predict(step.Estimate)
@@ -163,20 +163,19 @@
 
 // mayRunOn reports whether a task may run on a target at all: by its service and label, by what the target has answered to the
 // task before, and by the runs of its step there.
-func (scheduler *Scheduler) mayRunOn(task *task, target *target, now time.Time) bool {
+func (scheduler *Scheduler) mayRunOn(task *task, target *target) bool {
 	step := task.spec()
 	if target.Service != task.job.Service || !target.hasLabel(step.Label) || task.avoided[target.ID] {
 		return false
 	}
-	return step.MaxPerTarget <= 0 || task.siblingRuns(target, now) < step.MaxPerTarget
+	return step.MaxPerTarget <= 0 || task.siblingRuns(target) < step.MaxPerTarget
 }
 
-// siblingRuns counts the runs on the target that belong to the same step as the task. A run whose stop was accepted goes on
-// until its task may start again.
-func (task *task) siblingRuns(target *target, now time.Time) int {
+// siblingRuns counts the runs on the target that belong to the same step as the task.
+func (task *task) siblingRuns(target *target) int {
 	count := 0
 	for _, sibling := range task.job.tasks {
-		if sibling.step == task.step && sibling.runTarget == target && (sibling.mayBeRunning() || now.Before(sibling.notBefore)) {
+		if sibling.step == task.step && sibling.runTarget == target && sibling.mayBeRunning() {
 			count++
 		}
 	}
@@ -192,6 +191,7 @@
 	task.runTarget = runTarget
 	task.incarnation = runTarget.Incarnation
 	task.startedAt, task.accepted = now, false
+	task.stopAcceptedAt, task.endEvidence = time.Time{}, ""
 	task.missingSince = time.Time{}
 	task.predicted = runTarget.predict(step.Estimate)
 	runTarget.allocate(task.run(), &allocation{owner: scheduler.self, resources: claimed, estimate: step.Estimate, claimedAt: now})
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -197,7 +197,7 @@
 		scheduler.Tick(at(now))
 		is.Equal(len(drain(scheduler).starts), 0)
 	}
-	scheduler.Tick(at(62 + int(MaxStopDuration/time.Millisecond)))
+	listNothing(scheduler, starts[0].Target, 1, 62+int(MaxStopDuration/time.Millisecond))
 	next := drain(scheduler).starts
 	is.Equal(len(next), 1)
 	is.Equal(next[0].Target, starts[0].Target)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -60,12 +60,6 @@
 	run    Run
 }
 
-// stoppedRun is a run whose stop was accepted, and the time by which its target no longer has it.
-type stoppedRun struct {
-	targetRun
-	goneAt time.Time
-}
-
 // recordedEnd is the end of another instance's run and the time at which it was recorded.
 type recordedEnd struct {
 	End
@@ -103,8 +97,6 @@
 	pendingStops map[targetRun]*pendingStop
 	// suspensions holds the leases whose renewals are suspended.
 	suspensions map[suspensionKey]Suspension
-	// stopped holds the runs whose stop was accepted and whose capacity is not released yet, the earliest first.
-	stopped []stoppedRun
 	// lateStarts holds the starts that got no answer and may still be carried out, the earliest first.
 	lateStarts []lateStart
 	// foreignEnds holds recent ends of other instances' runs on the targets that this instance reads.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -99,6 +99,11 @@
 	return start
 }
 
+// listNothing delivers a list of a target, requested a millisecond before, that shows no runs.
+func listNothing(scheduler *Scheduler, targetID string, incarnation int64, now int) {
+	scheduler.HandlePoll(targetID, PollResult{Incarnation: incarnation, Sent: at(now - 1), Answered: at(now)})
+}
+
 func outcome(answer AnswerJob) string {
 	switch outcome := answer.Outcome.(type) {
 	case dispatcher.Complete:
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -275,6 +275,7 @@
 		if simulation.now%50 == 0 {
 			simulation.poll(number)
 		}
+		simulation.listStopped(number)
 		if simulation.now%int(ClaimRepeatInterval/time.Millisecond) == 0 {
 			for _, claim := range instance.scheduler.Claims(at(simulation.now)) {
 				simulation.claim(number, claim)
@@ -319,6 +320,19 @@
 	}
 }
 
+// listStopped lets an instance learn of the ends of runs whose stops were accepted.
+func (simulation *simulation) listStopped(number int) {
+	scheduler := simulation.instances[number].scheduler
+	for index, target := range simulation.targets {
+		next, needed := scheduler.NextList(target.id)
+		if !needed || at(simulation.now).Before(next) || target.unreachable(simulation.now) || target.down(simulation.now) ||
+			simulation.losingRequests && simulation.random.IntN(10) == 0 || simulation.spontaneous != nil && simulation.spontaneous.reach(simulation, number, index) != reachable {
+			continue
+		}
+		scheduler.HandleStopList(target.id, simulation.list(number, target, simulation.now))
+	}
+}
+
 // answerPoll delivers a target's answer to a poll that was sent at the given time.
 func (simulation *simulation) answerPoll(number int, target *simulatedTarget, sent int) {
 	simulation.handlePoll(number, target, simulation.list(number, target, sent))
@@ -694,7 +708,11 @@
 	}
 	target.highestAttempt[run.Task] = max(target.highestAttempt[run.Task], run.Attempt)
 	if running, ok := target.runs[run.Task]; ok && running.run.Attempt <= run.Attempt {
-		simulation.after(simulation.random.IntN(50), func() {
+		maxDelay := 50
+		if simulation.starvation != nil {
+			maxDelay = starvedStopMS
+		}
+		simulation.after(simulation.random.IntN(maxDelay), func() {
 			if target.runs[run.Task] == running {
 				simulation.endRun(target, running, Stopped)
 			}
--- a/scheduler/spontaneous_test.go
+++ b/scheduler/spontaneous_test.go
@@ -53,6 +53,8 @@
 // simulatedPoller is the state of an instance's poller of a target.
 type simulatedPoller struct {
 	polledAt int
+	// listedAt is when the list of stopped runs was requested that is under way, or 0.
+	listedAt int
 	failures int
 	answered bool
 	// underWay means that a poll has no result yet; used in simulations of instances that get too little processor time.
--- a/scheduler/starvation_test.go
+++ b/scheduler/starvation_test.go
@@ -42,6 +42,8 @@
 	requestTimeoutMS      = 60
 	pollTimeoutMS         = 400
 	degradedPollTimeoutMS = 90
+	// starvedStopMS is how long a target takes at most to stop a run, longer than the platform allows.
+	starvedStopMS = 200
 	// peerTimeoutMS is how long after its last message an instance is taken for lost.
 	peerTimeoutMS = 500
 	// maxReportDelayMS is how late the report that a target is unreachable arrives at most while the instances have time.
@@ -381,6 +383,7 @@
 	}
 	for index := range simulation.targets {
 		starvation.poll(simulation, number, index)
+		starvation.listStopped(simulation, number, index)
 	}
 	if simulation.now-state.lastClaims >= int(ClaimRepeatInterval/time.Millisecond) {
 		state.lastClaims = simulation.now
@@ -579,6 +582,38 @@
 	})
 }
 
+// listStopped lets an instance ask a target for the ends of runs whose stops were accepted if that is due.
+func (starvation *starvation) listStopped(simulation *simulation, number, index int) {
+	instance, target, sent := simulation.instances[number], simulation.targets[index], simulation.now
+	next, needed := instance.scheduler.NextList(target.id)
+	poller := instance.pollers[target.id]
+	if !needed || at(sent).Before(next) || sent-poller.listedAt < degradedPollTimeoutMS {
+		return
+	}
+	poller.listedAt = sent
+	known, _ := instance.scheduler.Target(target.id)
+	answer := func() {
+		if target.down(simulation.now) || starvation.losing(simulation.now) || simulation.spontaneous.reach(simulation, number, index) == cutOff {
+			return
+		}
+		poll, fenced := simulation.list(number, target, sent), known.Incarnation < target.fence
+		target.fence = max(target.fence, known.Incarnation)
+		simulation.after(1, func() {
+			starvation.handle(simulation, instance, number, "", func() {
+				poller.listedAt = 0
+				poll.Answered = at(simulation.now)
+				if fenced {
+					instance.scheduler.HandleFenced(known, at(simulation.now))
+					return
+				}
+				starvation.counts["list of stopped"]++
+				instance.scheduler.HandleStopList(target.id, poll)
+			})
+		})
+	}
+	starvation.handle(simulation, instance, number, "", func() { simulation.after(1, answer) })
+}
+
 // request delivers a request to a target and returns its answer. A request that gets no answer may still be executed seconds
 // later, also by a later incarnation.
 func (starvation *starvation) request(simulation *simulation, from int, id string, execute func(*simulatedTarget) StartResult, answer func(StartResult, bool)) {
--- a/scheduler/stop_test.go
+++ b/scheduler/stop_test.go
@@ -197,7 +197,9 @@
 	scheduler.Tick(at(260))
 	is.Equal(len(drain(scheduler).stops), 1)
 	scheduler.HandleStopResult(start.Target, start.Run, true, at(262))
-	scheduler.Tick(at(262 + int(MaxStopDuration/time.Millisecond)))
+	scheduler.Tick(at(264))
+	is.Equal(len(drain(scheduler).starts), 0)
+	listNothing(scheduler, start.Target, 1, 265)
 	is.Equal(len(drain(scheduler).starts), 1)
 	scheduler.Sweep(at(1000))
 	is.Equal(len(drain(scheduler).stops), 0)
@@ -234,6 +236,9 @@
 		if now == 820 {
 			scheduler.HandlePeerRestart(start.Target, 2, at(now))
 		}
+		if next, ok := scheduler.NextList(start.Target); ok && at(now).After(next) {
+			listNothing(scheduler, start.Target, 2, now)
+		}
 		scheduler.Tick(at(now))
 		actions := drain(scheduler)
 		for _, stop := range actions.stops {
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -11,7 +11,6 @@
 
 // Tick handles expired deadlines, lost runs and stragglers, and tasks that may start again.
 func (scheduler *Scheduler) Tick(now time.Time) {
-	scheduler.releaseStopped(now)
 	scheduler.repeatStops(now)
 	for _, id := range slices.Sorted(maps.Keys(scheduler.jobs)) {
 		scheduler.checkJob(scheduler.jobs[id], now)
@@ -58,7 +57,6 @@
 
 // Sweep removes stale claims, completed jobs and recorded ends; call it a few times a second.
 func (scheduler *Scheduler) Sweep(now time.Time) {
-	scheduler.releaseStopped(now)
 	scheduler.repeatStops(now)
 	scheduler.expireSuspensions(now)
 	scheduler.expirePendingEntries(now)
@@ -96,19 +94,18 @@
 	}
 	rate := scheduler.releaseRateOf(job.Service, now)
 	for _, task := range job.tasks {
-		switch task.state {
-		case waiting, uncertain:
+		switch {
+		case task.state == waiting, task.state == uncertain, task.state == stopping && !task.stopAcceptedAt.IsZero():
 			minRunTime := time.Duration(float64(task.spec().Estimate) / rate.bestSpeed)
 			if now.Add(minRunTime).After(job.Deadline) {
 				scheduler.abort(job, dispatcher.ReasonDeadline, "too little time is left for a task", now)
 				return
 			}
-			if task.state == uncertain && !now.Before(task.notBefore) && scheduler.leaseIsOver(task.runTarget, now) {
+			if task.state == uncertain && !now.Before(task.uncertainUntil) && scheduler.leaseIsOver(task.runTarget, now) {
 				scheduler.requeueLost(task, LossUnanswered, now)
 			}
-		case running:
+		case task.state == running:
 			scheduler.checkRun(task, now)
-		case blocked, starting, stopping, done:
 		}
 		if _, active := scheduler.jobs[job.ID]; !active {
 			return
@@ -124,7 +121,6 @@
 	lapsed := scheduler.leaseIsOver(task.runTarget, now)
 	if missing || lapsed {
 		scheduler.releaseRun(task.runTarget, task.run())
-		task.notBefore = time.Time{}
 		reason := LossLapsed
 		if missing {
 			reason = LossMissing
--- a/scheduler/unanswered_test.go
+++ b/scheduler/unanswered_test.go
@@ -28,6 +28,17 @@
 	is.True(!scheduler.TargetState(start.Target).Unreachable)
 }
 
+// listAccepted delivers a list of a target that shows the runs whose starts were answered.
+func listAccepted(scheduler *Scheduler, targetID string, now int) {
+	poll := PollResult{Incarnation: 1, Sent: at(now), Answered: at(now)}
+	for _, run := range sortedRuns(scheduler.targets[targetID].allocations) {
+		if !scheduler.targets[targetID].allocations[run].confirmedAt.IsZero() {
+			poll.Running = append(poll.Running, ActiveRun{Run: run})
+		}
+	}
+	scheduler.HandlePoll(targetID, poll)
+}
+
 // Replays a load with three starts and one stop in ten unanswered, as on the load test day deploy/days/lost-orders.toml.
 // Half of the capacity suffices for the load. No job may be refused, and at
 // most one start in a hundred may find fewer than half of the targets usable.
@@ -47,6 +58,11 @@
 			scheduler.Submit(testJob(fmt.Sprintf("j%d", now), 2, 100, now), at(now))
 		}
 		if now%10 == 0 {
+			for _, id := range scheduler.Targets() {
+				if next, ok := scheduler.NextList(id); ok && at(now).After(next) {
+					listAccepted(scheduler, id, now)
+				}
+			}
 			scheduler.Tick(at(now))
 		}
 		actions := drain(scheduler)
