Start work only on the word of the target's present reader

The review of the wait for reports found the same cause in more places, and one regression. There is one time-out now, for each change of the reader, also from this instance to another. - An early report of no capacity, or having read the target some time ago, counted as a word of the reader. - Idle delegating instances receive no reports; they forget the former ones when they get work of their own, and are sent all when they announce that, also within a failure domain. - A reader vouched for a target, and started work there, 1.06 s after it had become the reader whether the target had listed its runs or not. - A reader offered capacity that it withholds. Reports of targets that have runs without an owner, of no capacity, are sent to instances that connect too.

Fixtures that became readers long ago without a list now have one; the expectations of the tests are the same, but for the case of the review in which the executor's call of ForgetReports is added.

--- a/executor/acknowledge_test.go
+++ b/executor/acknowledge_test.go
@@ -66,12 +66,14 @@
 	return []scheduler.Target{{ID: "t", Service: "work", Address: "127.0.0.1:1", Domain: "a", Capacity: scheduler.Resources{MilliCores: 32000, MemoryMB: 1024}, Incarnation: incarnation}}
 }
 
-// startOn starts a job of one task and returns its run.
+// startOn starts a job of one task on a target that has listed its runs, and returns its run.
 func startOn(executor *Executor) scheduler.Run {
 	now := time.Now()
+	listed := scheduler.PollResult{Sent: now, Answered: now}
 	step := scheduler.Step{Tasks: []string{"j.0.0.0"}, Resources: scheduler.Resources{MilliCores: 14000}, Estimate: 20 * time.Millisecond}
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
+	executor.scheduler.HandlePoll("t", listed)
 	executor.scheduler.Submit(scheduler.Job{ID: "j", Service: "work", Steps: []scheduler.Step{step}, MaxFailures: 2, Arrived: now, Deadline: now.Add(3 * time.Second), Objective: now.Add(time.Second)}, now)
 	run := scheduler.Run{Task: "j.0.0.0", Attempt: 1}
 	executor.scheduler.TakeActions()
@@ -159,6 +161,7 @@
 	executor.scheduler.SetTargets(infos, now)
 	for id := range pollers {
 		executor.scheduler.SetReader(id, true, now.Add(-2*time.Second))
+		executor.scheduler.HandlePoll(id, scheduler.PollResult{Sent: now.Add(-2 * time.Second), Answered: now.Add(-2 * time.Second)})
 	}
 	step := scheduler.Step{Tasks: []string{"j.0.0.0"}, Resources: scheduler.Resources{MilliCores: 14000}, Estimate: 20 * time.Millisecond}
 	executor.scheduler.Submit(scheduler.Job{ID: "j", Service: "work", Steps: []scheduler.Step{step}, MaxFailures: 2, Arrived: now, Deadline: now.Add(3 * time.Second), Objective: now.Add(time.Second)}, now)
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -248,6 +248,10 @@
 // caller holds the lock.
 func (executor *Executor) runLocally(job scheduler.Job) chan dispatcher.Outcome {
 	answer := executor.addWaiter(job.ID)
+	if executor.delegating && executor.scheduler.ActiveJobs() == 0 {
+		// Idle delegating instances receive no reports.
+		executor.scheduler.ForgetReports(executor.now())
+	}
 	if !executor.has(job.ID) {
 		executor.scheduler.Submit(job, executor.now())
 	}
--- a/executor/pause_test.go
+++ b/executor/pause_test.go
@@ -36,6 +36,7 @@
 	executor.mu.Lock()
 	executor.scheduler.SetTargets(infosOf(1), now)
 	executor.scheduler.SetReader("t", true, now.Add(-2*time.Second))
+	executor.scheduler.HandlePoll("t", scheduler.PollResult{Sent: now.Add(-2 * time.Second), Answered: now.Add(-2 * time.Second)})
 	step := scheduler.Step{Tasks: []string{"j.0.0.0"}, Resources: scheduler.Resources{MilliCores: 14000}, Estimate: 20 * time.Millisecond}
 	executor.scheduler.Submit(scheduler.Job{ID: "j", Service: "work", Steps: []scheduler.Step{step}, MaxFailures: 2, Arrived: now, Deadline: now.Add(3 * time.Second), Objective: now.Add(time.Second)}, now)
 	executor.runActions()
@@ -61,6 +62,7 @@
 	now := clock()
 	executor.scheduler.SetTargets(infosOf(1), now)
 	executor.scheduler.SetReader("t", true, now.Add(-2*time.Second))
+	executor.scheduler.HandlePoll("t", scheduler.PollResult{Sent: now.Add(-2 * time.Second), Answered: now.Add(-2 * time.Second)})
 	step := scheduler.Step{Tasks: []string{"j.0.0.0"}, Resources: scheduler.Resources{MilliCores: 14000}, Estimate: 20 * time.Millisecond}
 	job := scheduler.Job{ID: "j", Service: "work", Steps: []scheduler.Step{step}, MaxFailures: 2, Arrived: now, Deadline: now.Add(time.Minute), Objective: now.Add(40 * time.Second)}
 	executor.scheduler.Submit(job, now)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -661,8 +661,8 @@
 		leaving, known.busy = update.Leaving, update.Busy
 		known.transit.record(update.SentUS, now)
 	}
-	// A delegating instance of another failure domain gets no broadcasts while it owns no jobs.
-	becameBusy := known.busy && !wasBusy && known.delegating && from.Domain != gossiper.self.Domain
+	// A delegating instance gets no reports while it owns no jobs.
+	becameBusy := known.busy && !wasBusy && known.delegating
 	mayHaveMissed := !ok || known.lost || known.linkEnded || becameBusy
 	changed := !ok || known.lost || leaving != known.leaving
 	known.lastHeard, known.lost, known.leaving, known.linkEnded = now, false, leaving, false
--- a/scheduler/address_test.go
+++ b/scheduler/address_test.go
@@ -25,6 +25,7 @@
 			scheduler.SetTargets([]Target{moved(1, "127.0.0.1:1"), distinctTargets(2)[1]}, at(-1000))
 			for _, id := range scheduler.Targets() {
 				scheduler.SetReader(id, reads, at(-2000))
+				scheduler.targets[id].lastPolled = at(-2000)
 			}
 			// A poll to 127.0.0.1:1 is under way.
 			startOnFirst(t, scheduler, []Target{moved(2, "127.0.0.1:2"), distinctTargets(2)[1]}, testJob("j", 1, 400, 0))
@@ -55,7 +56,7 @@
 	is := is.New(t)
 	reader := New("reader", "a")
 	reader.SetTargets([]Target{moved(1, "127.0.0.1:1")}, at(-1000))
-	reader.SetReader("t0", true, at(-2000))
+	readIdle(reader, "t0", -2000)
 	reader.HandlePeerRestart("t0", 2, at(0))
 	reader.HandlePeerClaim("owner", Claim{Target: "t0", Run: Run{"j.0.0.0", 1}, Resources: Resources{MilliCores: 14000}, Incarnation: 2}, at(10))
 	reader.HandleReplaced(moved(2, "127.0.0.1:1"), at(20))
--- a/scheduler/contact.go
+++ b/scheduler/contact.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -45,25 +46,17 @@
 		return
 	}
 	contact := scheduler.contactWith(reader)
-	former := target.readerContact
-	target.readerContact = contact
-	switch {
-	case former == contact:
-	case former == nil && !target.readSince.IsZero():
-		// SetReader has decided by what this instance had learned as the reader.
-	case former == nil && target.reporter != reader:
-		target.awaitReport(now.Add(unknownRunTimeout))
-	case former != nil && (target.reporter != reader || now.Sub(target.reportedAt) >= orphanGrace):
-		target.awaitReport(now.Add(orphanGrace))
+	if target.readerContact == contact {
+		return
+	}
+	if target.readerContact != nil {
 		// The next reader reports it if it cannot reach the target either.
-		target.unreachableByReader = false
+		target.unreachableByReader = target.unreachableByReader && target.reporter == reader
 	}
-}
-
-// awaitReport lets nothing start on a target until its reader has reported it, or the given time.
-func (target *target) awaitReport(until time.Time) {
-	if until.After(target.reportAwaitedUntil) {
-		target.reportAwaitedUntil = until
+	target.readerContact = contact
+	target.awaitReport(now)
+	if vouched, ok := target.vouches[reader]; ok && now.Sub(vouched) < orphanGrace {
+		target.reportAwaitedUntil = time.Time{}
 	}
 }
 
@@ -71,23 +64,61 @@
 // were lost, unless a start renews their lease.
 const unknownRunTimeout = ContactTimeout + LeaseDuration + leaseMargin
 
+// awaitReport lets nothing start on a target until its reader has reported it, or until unknown runs have ended.
+func (target *target) awaitReport(now time.Time) {
+	target.reportAwaitedUntil = now.Add(unknownRunTimeout)
+}
+
+// recordVouch records that an instance has listed the runs on a target as its reader. It may not be known as the reader yet.
+func (scheduler *Scheduler) recordVouch(target *target, reporter string, now time.Time) {
+	if target.readerContact != nil && target.readerContact == scheduler.contactWith(reporter) {
+		target.reportAwaitedUntil = time.Time{}
+		return
+	}
+	if target.vouches == nil {
+		target.vouches = make(map[string]time.Time)
+	}
+	maps.DeleteFunc(target.vouches, func(_ string, at time.Time) bool { return now.Sub(at) >= orphanGrace })
+	target.vouches[reporter] = now
+}
+
+// ForgetReports lets nothing start on the targets of other readers before they report again, because this instance has not received
+// all of their reports.
+func (scheduler *Scheduler) ForgetReports(now time.Time) {
+	for _, target := range scheduler.ordered {
+		if target.readerContact != nil {
+			target.awaitReport(now)
+		}
+	}
+}
+
 // keepReport keeps the report of a target that this instance does not know yet: the reader repeats no report of an idle target.
 func (scheduler *Scheduler) keepReport(report CapacityReport, now time.Time) {
-	if report.Reporter != "" && len(scheduler.earlyReports) < maxEarlyReports {
-		scheduler.earlyReports[report.Target] = earlyReport{report, now}
+	kept := slices.DeleteFunc(scheduler.earlyReports[report.Target], func(early earlyReport) bool { return early.Reporter == report.Reporter })
+	if len(kept) < maxEarlyReports && (len(kept) > 0 || len(scheduler.earlyReports) < maxEarlyTargets) {
+		scheduler.earlyReports[report.Target] = append(kept, earlyReport{report, now})
 	}
 }
 
-// applyKeptReport applies the report of a target that has just become known.
-func (scheduler *Scheduler) applyKeptReport(target string) {
-	if early, ok := scheduler.earlyReports[target]; ok {
-		delete(scheduler.earlyReports, target)
+// applyKeptReports applies the reports of a target that has just become known.
+func (scheduler *Scheduler) applyKeptReports(target string) {
+	kept := scheduler.earlyReports[target]
+	delete(scheduler.earlyReports, target)
+	for _, early := range kept {
 		scheduler.HandlePeerReport(early.CapacityReport, early.at)
 	}
 }
 
-// maxEarlyReports bounds the memory for reports of unknown targets.
-const maxEarlyReports = 4096
+// expireKeptReports forgets reports of targets that have not become known.
+func (scheduler *Scheduler) expireKeptReports(now time.Time) {
+	maps.DeleteFunc(scheduler.earlyReports, func(_ string, kept []earlyReport) bool { return now.Sub(kept[len(kept)-1].at) > unknownRunTimeout })
+}
+
+// maxEarlyTargets and maxEarlyReports bound the memory for reports of unknown targets and for those of one target.
+const (
+	maxEarlyTargets = 4096
+	maxEarlyReports = 8
+)
 
 // earlyReport is a report of a target that is not known yet, and the time of its arrival.
 type earlyReport struct {
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -18,7 +18,7 @@
 		added.suspended = scheduler.suspended[info.Domain]
 		added.nonReaderBias = nonReaderSpread * RendezvousHash(scheduler.self, info.ID)
 		scheduler.targets[info.ID] = added
-		scheduler.applyKeptReport(info.ID)
+		scheduler.applyKeptReports(info.ID)
 		scheduler.voidLateStarts(added, now)
 		return
 	}
--- a/scheduler/entry_test.go
+++ b/scheduler/entry_test.go
@@ -13,6 +13,7 @@
 	scheduler := New("self", "a")
 	scheduler.SetTargets([]Target{moved(1000, "127.0.0.1:1")}, at(-1000))
 	scheduler.SetReader("t0", reads, at(-2000))
+	scheduler.targets["t0"].lastPolled = at(-2000)
 	scheduler.HandlePoll("t0", PollResult{Incarnation: 1000, Sent: at(-900), Answered: at(-899)})
 	start := startOne(scheduler, testJob("j", 1, 900, 0))
 	return scheduler, start
@@ -110,6 +111,7 @@
 			scheduler := New("self", "a")
 			scheduler.SetTargets([]Target{moved(3_600_000, "127.0.0.1:1")}, at(-1000))
 			scheduler.SetReader("t0", reads, at(-2000))
+			scheduler.targets["t0"].lastPolled = at(-2000)
 			start := startOne(scheduler, testJob("j", 1, 900, 0))
 			if reads {
 				scheduler.HandlePoll("t0", listing(1000, start.Run, 10))
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -650,10 +650,6 @@
 		target.heldUntil = now.Add(rejectionBackoff)
 		return
 	}
-	if target.withholdsCapacity(now) {
-		// The next reader may learn of runs that this instance forgets now.
-		target.awaitReport(now.Add(unknownRunTimeout))
-	}
 	delete(scheduler.changedTargets, targetID)
 	for run, allocation := range target.allocations {
 		if allocation.owner != scheduler.self {
--- a/scheduler/incarnation_test.go
+++ b/scheduler/incarnation_test.go
@@ -19,6 +19,7 @@
 			scheduler.SetTargets(distinctTargets(2), at(-1000))
 			for _, id := range scheduler.Targets() {
 				scheduler.SetReader(id, reads, at(-2000))
+				scheduler.targets[id].lastPolled = at(-2000)
 			}
 			start := startOnFirst(t, scheduler, distinctTargets(2), testJob("j", 1, 400, 0))
 			scheduler.HandlePeerRestart(start.Target, 2, at(100))
@@ -68,7 +69,7 @@
 	owner, reader := New("owner", "a"), New("reader", "a")
 	owner.SetTargets(distinctTargets(2), at(-1000))
 	reader.SetTargets(distinctTargets(2), at(-1000))
-	reader.SetReader("t0", true, at(-2000))
+	readIdle(reader, "t0", -2000)
 	start := startOnFirst(t, owner, distinctTargets(2), testJob("j", 1, 400, 0))
 	reader.HandlePeerClaim("owner", start.Claim, at(2))
 	reader.HandlePoll("t0", PollResult{Incarnation: 1, Running: []ActiveRun{{Run: start.Run}}, Sent: at(3), Answered: at(4)})
@@ -151,7 +152,7 @@
 	owner.SetTargets(distinctTargets(2), at(-1000))
 	start := startOnFirst(t, owner, distinctTargets(2), testJob("j", 1, 100, 0)) // taken by incarnation 2, of which the owner has not learned
 	// The former reader has acknowledged the end and sent it to the owner; the message is under way.
-	owner.SetReader("t0", true, at(110))
+	readIdle(owner, "t0", 110)
 	owner.HandlePoll("t0", PollResult{Incarnation: 2, Sent: at(111), Answered: at(112)})
 	owner.Tick(at(120))
 	is.Equal(len(drain(owner).starts), 0)
@@ -169,7 +170,7 @@
 	owner := New("owner", "a")
 	owner.SetTargets(distinctTargets(2), at(-1000))
 	startOnFirst(t, owner, distinctTargets(2), testJob("j", 1, 400, 0))
-	owner.SetReader("t0", true, at(110))
+	readIdle(owner, "t0", 110)
 	owner.HandlePoll("t0", PollResult{Incarnation: 2, Sent: at(111), Answered: at(112)})
 	owner.Tick(at(112 + int(missingTimeout/time.Millisecond)))
 	is.Equal(len(drain(owner).starts), 1)
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -56,14 +56,14 @@
 		scheduler.keepReport(report, now)
 		return
 	}
+	// A reader that has not listed the runs on the target yet reports no free capacity.
+	if report.FreeCapacity != (Resources{}) {
+		scheduler.recordVouch(target, report.Reporter, now)
+	}
 	if target.readBySelf {
 		return
 	}
 	target.reportedFree, target.reportedAt, target.unreachableByReader = report.FreeCapacity, now, report.Unreachable
-	// A reader that has not listed the runs on the target yet reports no free capacity.
-	if !target.reportAwaitedUntil.IsZero() && report.FreeCapacity != (Resources{}) && target.readerContact == scheduler.contactWith(report.Reporter) {
-		target.reportAwaitedUntil = time.Time{}
-	}
 	if !report.Unreachable {
 		target.recordResponse(now)
 		target.lastPolled = now
@@ -125,7 +125,7 @@
 func (scheduler *Scheduler) Reports(now time.Time) []CapacityReport {
 	var reports []CapacityReport
 	for _, target := range scheduler.ordered {
-		if target.readBySelf && (target.unreachable || !target.withholdsCapacity(now)) {
+		if target.readBySelf && (target.unreachable || target.listedByReader()) {
 			reports = append(reports, target.report(now))
 		}
 	}
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -324,7 +324,7 @@
 func TestRunOfAnEarlierSubmissionIsAnOrphan(t *testing.T) {
 	is := is.New(t)
 	scheduler := newResubmittedScheduler(t)
-	scheduler.SetReader("t0", true, at(5))
+	readIdle(scheduler, "t0", 5)
 	active := ActiveRun{Run: Run{Task: "j.0.0.0", Attempt: 1}, MilliCores: 14000}
 	stopped := 0
 	for now := 10; now < 2000 && stopped == 0; now += 100 {
@@ -383,6 +383,7 @@
 			scheduler := newTestScheduler(2)
 			for _, id := range scheduler.Targets() {
 				scheduler.SetReader(id, reads, at(-2000))
+				scheduler.targets[id].lastPolled = at(-2000)
 			}
 			start := startOne(scheduler, testJob("j", 1, 400, 0))
 			if reads {
--- a/scheduler/loss_test.go
+++ b/scheduler/loss_test.go
@@ -39,7 +39,7 @@
 	owner, reader := newTestScheduler(3), New("reader", "a")
 	reader.SetTargets(testTargets(3), at(0))
 	for _, id := range reader.Targets() {
-		reader.SetReader(id, true, at(-2000))
+		readIdle(reader, id, -2000)
 	}
 	start := startOne(owner, testJob("j", 1, 400, 0))
 	owner.MarkUnreachable(start.Target, true, at(10))
@@ -107,7 +107,7 @@
 	owner, reader := New("owner", "a"), New("reader", "a")
 	owner.SetTargets(distinctTargets(4), at(-1000))
 	reader.SetTargets(distinctTargets(4), at(-1000))
-	reader.SetReader("t0", true, at(-2000))
+	readIdle(reader, "t0", -2000)
 	start := startOnFirst(t, owner, distinctTargets(4), testJob("j", 1, 900, 0)) // taken by incarnation 2
 	reader.HandlePeerClaim("owner", start.Claim, at(2))
 	reader.MarkUnreachable("t0", true, at(12)) // the reader's connections are refused by a cut; the target goes on
@@ -151,7 +151,7 @@
 	restarted := distinctTargets(4)
 	restarted[0].Incarnation = 2
 	reader.SetTargets(restarted, at(-1000)) // the owner has not learned of the restart
-	reader.SetReader("t0", true, at(-2000))
+	readIdle(reader, "t0", -2000)
 	start := startOnFirst(t, owner, infos, testJob("j", 1, 900, 0))
 	reader.HandlePeerClaim("owner", start.Claim, at(2))
 	reader.HandlePoll("t0", PollResult{Incarnation: 2, Running: []ActiveRun{{Run: start.Run}}, Sent: at(3), Answered: at(4)})
--- a/scheduler/orphan.go
+++ b/scheduler/orphan.go
@@ -113,10 +113,10 @@
 // withholdsCapacity reports whether the reader of a target keeps new work away, because the target may run something that no
 // live instance owns: the caller sends its job again, and each start would renew the lease of the run.
 func (target *target) withholdsCapacity(now time.Time) bool {
-	isNewReader := now.Sub(target.readSince) < LeaseDuration+leaseMargin
-	if isNewReader && target.lastPolled.Before(target.readSince) {
+	if !target.listedByReader() {
 		return true
 	}
+	isNewReader := now.Sub(target.readSince) < LeaseDuration+leaseMargin
 	for _, allocation := range target.allocations {
 		isOwned := allocation.owner != "" && !allocation.ownerLost && !now.After(allocation.ownedUntil())
 		// The claim of a run that was listed just now may be under way.
@@ -127,6 +127,9 @@
 	return false
 }
 
+// listedByReader reports whether the target has listed its runs since this instance became its reader.
+func (target *target) listedByReader() bool { return !target.lastPolled.Before(target.readSince) }
+
 // ownedUntil returns until when a run of another instance renews the lease: as long as the owner repeats the claim and is
 // heard from. The lease of a silent owner's run must have ended before its caller sends the job again.
 func (allocation *allocation) ownedUntil() time.Time {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -228,7 +228,7 @@
 func (scheduler *Scheduler) offerCapacity(target *target, now time.Time) {
 	delete(scheduler.offered, target.ID)
 	target.heldUntil = time.Time{}
-	if !target.readBySelf || target.unreachable || target.Draining || target.freeCapacity(now).MilliCores < scheduler.typicalMilliCores/2 {
+	if !target.readBySelf || target.unreachable || target.Draining || target.withholdsCapacity(now) || target.freeCapacity(now).MilliCores < scheduler.typicalMilliCores/2 {
 		return
 	}
 	own := scheduler.Demand()
--- a/scheduler/renewal_test.go
+++ b/scheduler/renewal_test.go
@@ -78,7 +78,7 @@
 	is.Equal(reader.DueReports(at(0)), []CapacityReport{{Target: "t0", Unreachable: true}})
 	reader.SetReader("t0", false, at(100))
 	reader.HandlePeerReport(CapacityReport{Target: "t0", Reporter: "other", FreeCapacity: testTarget(0).Capacity}, at(200))
-	reader.SetReader("t0", true, at(1000))
+	readIdle(reader, "t0", 1000)
 	reader.MarkUnreachable("t0", false, at(1500))
 	is.Equal(reader.DueReports(at(1500)), []CapacityReport{{Target: "t0", Unreachable: true}})
 }
--- a/scheduler/review_restart_test.go
+++ b/scheduler/review_restart_test.go
@@ -116,7 +116,10 @@
 			scheduler.SetReader("t0", false, at(5000))
 			scheduler.AttachReader("t0", "reader", at(5000))
 		}},
-		{"delegated its jobs", 5000, func(scheduler *Scheduler) { scheduler.AttachReader("t0", "reader", at(0)) }},
+		{"delegated its jobs", 5000, func(scheduler *Scheduler) {
+			scheduler.AttachReader("t0", "reader", at(0))
+			scheduler.ForgetReports(at(5000)) // has a job of its own
+		}},
 		{"got an early report of no capacity", 1 + int(reportTTL/time.Millisecond), func(scheduler *Scheduler) {
 			scheduler.HandlePeerReport(CapacityReport{Target: "t0", Reporter: "reader"}, at(0))
 			scheduler.AttachReader("t0", "reader", at(10))
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -91,8 +91,8 @@
 	contacts map[string]*contact
 	// lostContacts holds the contacts with instances that were lost a short time ago.
 	lostContacts []contact
-	// earlyReports holds the latest reports of unknown targets by ID.
-	earlyReports map[string]earlyReport
+	// earlyReports holds the latest report of each reporter about each unknown target, by ID.
+	earlyReports map[string][]earlyReport
 	// ownerless holds the runs that other instances have asked the owner of.
 	ownerless map[targetRun]ownerlessRun
 	// pendingStops holds the runs that must end and may still go on.
@@ -154,7 +154,7 @@
 		tasks:          make(map[string]*task),
 		cancelledAt:    make(map[string]time.Time),
 		contacts:       make(map[string]*contact),
-		earlyReports:   make(map[string]earlyReport),
+		earlyReports:   make(map[string][]earlyReport),
 		ownerless:      make(map[targetRun]ownerlessRun),
 		pendingStops:   make(map[targetRun]*pendingStop),
 		suspensions:    make(map[suspensionKey]Suspension),
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -50,11 +50,17 @@
 	scheduler := New("self", "a")
 	scheduler.SetTargets(testTargets(targets), at(0))
 	for _, id := range scheduler.Targets() {
-		scheduler.SetReader(id, true, at(-2000))
+		readIdle(scheduler, id, -2000)
 	}
 	return scheduler
 }
 
+// readIdle makes an instance the reader of a target that lists no runs.
+func readIdle(scheduler *Scheduler, id string, now int) {
+	scheduler.SetReader(id, true, at(now))
+	scheduler.targets[id].lastPolled = at(now)
+}
+
 // drained groups actions by type.
 type drained struct {
 	starts  []StartTask
--- a/scheduler/stop_test.go
+++ b/scheduler/stop_test.go
@@ -30,7 +30,7 @@
 	for _, scheduler := range unstoppable.all() {
 		scheduler.SetTargets(distinctTargets(1), at(-1000))
 	}
-	unstoppable.reader.SetReader("t0", true, at(-2000))
+	readIdle(unstoppable.reader, "t0", -2000)
 	job := testJob("j", 1, 400, 0)
 	job.Deadline = at(500)
 	unstoppable.owner.Submit(job, at(0))
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -157,6 +157,8 @@
 	readerContact *contact
 	// reportAwaitedUntil is until when nothing is started before the next reader has reported that it reads the target.
 	reportAwaitedUntil time.Time
+	// vouches holds when instances that are not known as the reader last reported capacity, by incarnation.
+	vouches map[string]time.Time
 	// reportedFree is the free capacity that the target's reader reported at reportedAt.
 	reportedFree Resources
 	reportedAt   time.Time
@@ -253,7 +255,7 @@
 
 func (target *target) capacityEvidence(now time.Time) CapacityEvidence {
 	switch {
-	case target.readBySelf && !target.lastPolled.Before(target.readSince):
+	case target.readBySelf && target.listedByReader():
 		return CapacityRead
 	case target.readBySelf || target.reportedAt.IsZero():
 		return CapacityAssumed
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -66,7 +66,7 @@
 	scheduler.expireLateStarts(now)
 	scheduler.expireLostContacts(now)
 	maps.DeleteFunc(scheduler.ownerless, func(_ targetRun, run ownerlessRun) bool { return !now.Before(run.until) })
-	maps.DeleteFunc(scheduler.earlyReports, func(_ string, early earlyReport) bool { return now.Sub(early.at) > unknownRunTimeout })
+	scheduler.expireKeptReports(now)
 	for _, target := range scheduler.ordered {
 		if len(target.allocations) > 0 {
 			scheduler.announceLeaseEnd(target, now)
