Keep awaiting the end of an earlier run when its target changes hands

An instance that had listed a run of an earlier submission as the reader forgot it when another one became the reader, and started the task elsewhere. And a task with a rejected start did not wait for the run that a reader asked the owner of.

--- a/scheduler/earlier_run.go
+++ b/scheduler/earlier_run.go
@@ -20,25 +20,65 @@
 // recordOwnerless remembers a run whose owner another instance asks for. If the owner is lost, its caller sends the job again to
 // any instance, perhaps before the run has ended.
 func (scheduler *Scheduler) recordOwnerless(query OwnedRun, now time.Time) {
-	key := targetRun{query.Target, query.Run}
-	if _, ok := scheduler.ownerless[key]; !ok && len(scheduler.ownerless) >= maxOwnerlessRuns {
-		return
+	scheduler.addOwnerless(query.Target, query.Run, now)
+	if task := scheduler.tasks[query.Run.Task]; task != nil && (task.state == waiting || task.state == blocked) {
+		scheduler.addEarlierRun(task, targetRun{query.Target, query.Run})
+	}
+}
+
+// addOwnerless remembers a run that a target has listed and that may go on until its lease has ended.
+func (scheduler *Scheduler) addOwnerless(target string, run Run, now time.Time) {
+	runs, ok := scheduler.ownerless[target]
+	if !ok {
+		runs = make(map[Run]ownerlessRun)
+		scheduler.ownerless[target] = runs
 	}
-	scheduler.ownerless[key] = ownerlessRun{listedBy: now, until: now.Add(unknownRunTimeout)}
-	if task := scheduler.tasks[query.Run.Task]; task != nil && (task.state == waiting || task.state == blocked) && task.runTarget == nil {
-		scheduler.addEarlierRun(task, key)
+	if _, ok := runs[run]; !ok {
+		if scheduler.ownerlessCount >= maxOwnerlessRuns {
+			return
+		}
+		scheduler.ownerlessCount++
 	}
+	runs[run] = ownerlessRun{listedBy: now, until: now.Add(unknownRunTimeout)}
+}
+
+// keepAwaited remembers a run that this instance forgets as the former reader of its target, if a task waits for its end.
+func (scheduler *Scheduler) keepAwaited(target *target, run Run, allocation *allocation, now time.Time) {
+	task := scheduler.tasks[run.Task]
+	if task == nil || allocation.confirmedAt.IsZero() || !slices.Contains(task.earlier, targetRun{target.ID, run}) {
+		return
+	}
+	scheduler.addOwnerless(target.ID, run, now)
+	scheduler.emit(AwaitRunEnd{target.ID})
 }
 
 // updateOwnerless updates what is known of the ownerless runs on a target by its list.
 func (scheduler *Scheduler) updateOwnerless(poll *PollResult, target string, listed func(Run) bool) {
-	for key, run := range scheduler.ownerless {
+	runs := scheduler.ownerless[target]
+	for run, known := range runs {
 		switch {
-		case key.target != target:
-		case listed(key.run):
-			scheduler.ownerless[key] = ownerlessRun{listedBy: poll.Answered, until: poll.Answered.Add(LeaseDuration + leaseMargin)}
-		case poll.Sent.After(run.listedBy):
-			delete(scheduler.ownerless, key)
+		case listed(run):
+			runs[run] = ownerlessRun{listedBy: poll.Answered, until: poll.Answered.Add(LeaseDuration + leaseMargin)}
+		case poll.Sent.After(known.listedBy):
+			scheduler.removeOwnerless(target, run)
+		}
+	}
+}
+
+func (scheduler *Scheduler) removeOwnerless(target string, run Run) {
+	scheduler.ownerlessCount--
+	if delete(scheduler.ownerless[target], run); len(scheduler.ownerless[target]) == 0 {
+		delete(scheduler.ownerless, target)
+	}
+}
+
+// expireOwnerless forgets the ownerless runs that have lapsed.
+func (scheduler *Scheduler) expireOwnerless(now time.Time) {
+	for target, runs := range scheduler.ownerless {
+		for run, known := range runs {
+			if !now.Before(known.until) {
+				scheduler.removeOwnerless(target, run)
+			}
 		}
 	}
 }
@@ -64,8 +104,10 @@
 	for key := range scheduler.pendingStops {
 		record(key.target, key.run)
 	}
-	for key := range scheduler.ownerless {
-		record(key.target, key.run)
+	for target, runs := range scheduler.ownerless {
+		for run := range runs {
+			record(target, run)
+		}
 	}
 }
 
@@ -76,18 +118,15 @@
 	}
 	task.earlier = append(task.earlier, earlier)
 	task.job.mayHaveStarted = true
-	if _, ok := scheduler.ownerless[earlier]; ok {
+	if _, ok := scheduler.ownerless[earlier.target][earlier.run]; ok {
 		scheduler.emit(AwaitRunEnd{earlier.target})
 	}
 }
 
 // awaitsEndOn reports whether a task waits for the end of an ownerless run on a target.
 func (scheduler *Scheduler) awaitsEndOn(target string) bool {
-	for key := range scheduler.ownerless {
-		if key.target != target {
-			continue
-		}
-		if task := scheduler.tasks[key.run.Task]; task != nil && slices.Contains(task.earlier, key) {
+	for run := range scheduler.ownerless[target] {
+		if task := scheduler.tasks[run.Task]; task != nil && slices.Contains(task.earlier, targetRun{target, run}) {
 			return true
 		}
 	}
@@ -99,7 +138,7 @@
 	task.earlier = slices.DeleteFunc(task.earlier, func(earlier targetRun) bool {
 		_, ending := scheduler.pendingStops[earlier]
 		target, ok := scheduler.targets[earlier.target]
-		return !ending && !(ok && target.allocations[earlier.run] != nil) && !now.Before(scheduler.ownerless[earlier].until)
+		return !ending && !(ok && target.allocations[earlier.run] != nil) && !now.Before(scheduler.ownerless[earlier.target][earlier.run].until)
 	})
 	return len(task.earlier) > 0
 }
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -653,6 +653,7 @@
 	delete(scheduler.changedTargets, targetID)
 	for run, allocation := range target.allocations {
 		if allocation.owner != scheduler.self {
+			scheduler.keepAwaited(target, run, allocation, now)
 			target.releaseRun(run)
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -93,8 +93,9 @@
 	lostContacts []contact
 	// earlyReports holds the latest report of each reporter about each unknown target, by ID.
 	earlyReports map[string][]earlyReport
-	// ownerless holds the runs that other instances have asked the owner of.
-	ownerless map[targetRun]ownerlessRun
+	// ownerless holds, by target, the runs that other instances have asked the owner of.
+	ownerless      map[string]map[Run]ownerlessRun
+	ownerlessCount int
 	// pendingStops holds the runs that must end and may still go on.
 	pendingStops map[targetRun]*pendingStop
 	// suspensions holds the leases whose renewals are suspended.
@@ -155,7 +156,7 @@
 		cancelledAt:    make(map[string]time.Time),
 		contacts:       make(map[string]*contact),
 		earlyReports:   make(map[string][]earlyReport),
-		ownerless:      make(map[targetRun]ownerlessRun),
+		ownerless:      make(map[string]map[Run]ownerlessRun),
 		pendingStops:   make(map[targetRun]*pendingStop),
 		suspensions:    make(map[suspensionKey]Suspension),
 		foreignEnds:    make(map[targetRun]recordedEnd),
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -65,7 +65,7 @@
 	scheduler.shareLastingLosses(now)
 	scheduler.expireLateStarts(now)
 	scheduler.expireLostContacts(now)
-	maps.DeleteFunc(scheduler.ownerless, func(_ targetRun, run ownerlessRun) bool { return !now.Before(run.until) })
+	scheduler.expireOwnerless(now)
 	scheduler.expireKeptReports(now)
 	for _, target := range scheduler.ordered {
 		if len(target.allocations) > 0 {
