--- a/review/standin/late_orders.go
+++ b/review/standin/late_orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -33,7 +32,7 @@
 		time.Sleep(1500 * time.Millisecond)
 		muting.Store(false)
 		if world.trouble {
-			if err := world.restartThird(); err != nil {
+			if err := world.restart(len(world.runners)/3, len(world.machines)/3); err != nil {
 				return err
 			}
 		}
@@ -43,28 +42,3 @@
 	traffic.Wait()
 	return world.checkVouched()
 }
-
-// restartThird ends a third of the runners and kills a third of the instances at once, and starts them again.
-func (world *world) restartThird() error {
-	var group sync.WaitGroup
-	failures := make(chan error, len(world.runners)+len(world.machines))
-	for _, index := range rand.Perm(len(world.runners))[:len(world.runners)/3] {
-		group.Go(func() {
-			world.runners[index].crash()
-			time.Sleep(300 * time.Millisecond)
-			if err := world.runners[index].restart(); err != nil {
-				failures <- err
-			}
-		})
-	}
-	for _, machine := range world.draw(len(world.machines) / 3) {
-		group.Go(func() {
-			if err := world.restartKilled(machine); err != nil {
-				failures <- err
-			}
-		})
-	}
-	group.Wait()
-	close(failures)
-	return <-failures
-}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -23,6 +23,9 @@
 	instanceArgument = "platform"
 	host             = "jobs.example"
 	service          = "booking"
+	// largeShare and smallShare are the parts of a core that instances may take; small ones delegate their jobs to large ones.
+	largeShare = 0.4
+	smallShare = 0.07
 )
 
 // machine is a machine that runs one instance.
@@ -32,6 +35,8 @@
 	// cut means that the machine is cut off from the other machines and the store, and storePort is the port of its store.
 	cut       atomic.Bool
 	storePort int
+	// cpuShare is the part of a core that the instance may take.
+	cpuShare float64
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -53,6 +58,8 @@
 	mesh bool
 	// boot is true for the first start of all machines.
 	boot bool
+	// large is how many machines of each zone are large, if not all are alike.
+	large int
 	// lateness is the longest delay of the stand-in itself in nanoseconds, and lateAt when it was last late, since 1970.
 	lateness, lateAt atomic.Int64
 }
@@ -97,8 +104,13 @@
 		}
 		for index := range zone.machines {
 			number := len(world.machines) + 1
+			cpuShare := largeShare
+			if world.large > 0 && index >= world.large {
+				cpuShare = smallShare
+			}
 			world.machines = append(world.machines, &machine{
-				name: fmt.Sprintf("frontend-%s-%d", zone.name, index+1), zone: zone.name, ip: fmt.Sprintf("127.0.2.%d", number), index: number - 1, storePort: world.ports[4],
+				name: fmt.Sprintf("frontend-%s-%d", zone.name, index+1), zone: zone.name, ip: fmt.Sprintf("127.0.2.%d", number), index: number - 1,
+				storePort: world.ports[4], cpuShare: cpuShare,
 			})
 		}
 	}
@@ -179,7 +191,7 @@
 frontend = "%s:%d"
 readiness = "%s:%d"
 [limits]
-cpuShare = 0.4
+cpuShare = %.2f
 cores = 1
 memoryMb = 284
 maxFds = 4100
@@ -237,7 +249,7 @@
 partMb = 200
 ttlMinMs = 1000
 `, machine.name, machine.ip, machine.zone, world.ports[2], max(world.ports[2], world.ports[3]), world.boot, strings.Join(zones, "\n"),
-		machine.ip, world.ports[0], machine.ip, world.ports[1], machine.storePort)
+		machine.ip, world.ports[0], machine.ip, world.ports[1], machine.cpuShare, machine.storePort)
 }
 
 // startInstance starts the instance of a machine with the command of the deploy file.
