--- a/scheduler/spontaneous_test.go
+++ b/scheduler/spontaneous_test.go
@@ -276,16 +276,21 @@
 
 // pollInterval returns the time between two polls of a target, as in the executor's pollers.
 func (poller *simulatedPoller) pollInterval(state TargetState, reads bool, now int) int {
-	const interval, degradedInterval, fencedInterval, probeInterval, readerTimeout = 4, 90, 100, 400, 650
+	const interval, awaitedInterval, degradedInterval, fencedInterval, minProbeInterval, probeInterval, readerTimeout = 4, 75, 90, 100, 12, 400, 650
 	switch {
 	case state.Fenced:
 		return fencedInterval
+	case reads && (state.Unreachable || poller.failures >= failedPolls):
+		outage := at(poller.polledAt).Sub(state.UnreachableSince)
+		return int(min(max(minProbeInterval*time.Millisecond, outage), probeInterval*time.Millisecond) / time.Millisecond)
 	case state.Unreachable || poller.failures >= failedPolls:
 		return probeInterval
 	case poller.failures > 0:
 		return degradedInterval
 	case reads && (!poller.answered || state.Occupied), !reads && state.Unverified:
 		return interval
+	case !reads && state.Awaited:
+		return awaitedInterval
 	case !reads && state.HasOwnRuns && at(now).Sub(state.LastHeard) >= readerTimeout*time.Millisecond:
 		return probeInterval
 	}
