--- a/scheduler/earlier_run.go
+++ b/scheduler/earlier_run.go
@@ -28,18 +28,16 @@
 
 // addOwnerless remembers a run that a target has listed and that may go on until its lease has ended.
 func (scheduler *Scheduler) addOwnerless(target string, run Run, now time.Time) {
-	runs, ok := scheduler.ownerless[target]
-	if !ok {
-		runs = make(map[Run]ownerlessRun)
-		scheduler.ownerless[target] = runs
-	}
-	if _, ok := runs[run]; !ok {
+	if _, ok := scheduler.ownerless[target][run]; !ok {
 		if scheduler.ownerlessCount >= maxOwnerlessRuns {
 			return
 		}
 		scheduler.ownerlessCount++
 	}
-	runs[run] = ownerlessRun{listedBy: now, until: now.Add(unknownRunTimeout)}
+	if scheduler.ownerless[target] == nil {
+		scheduler.ownerless[target] = make(map[Run]ownerlessRun)
+	}
+	scheduler.ownerless[target][run] = ownerlessRun{listedBy: now, until: now.Add(unknownRunTimeout)}
 }
 
 // keepAwaited remembers a run that this instance forgets as the former reader of its target, if a task waits for its end.
