--- a/executor/executor.go
+++ b/executor/executor.go
@@ -18,11 +18,11 @@
 )
 
 const (
-	// startupGrace is how long after its start an instance polls at most only the targets that it uses itself, while it has not
-	// determined yet which targets the other instances read. The links between instances are up within half of this
+	// startupGrace bounds the time after its start in which an instance polls only the targets that it uses itself, since it
+	// does not know yet which targets the other instances read. The links between instances are up within half of this
 	// time.
 	startupGrace = time.Second
-	// minStartupGrace is how long it does so at least: other instances that were started together register meanwhile.
+	// minStartupGrace is the shortest such time: other instances that were started together register meanwhile.
 	minStartupGrace = 200 * time.Millisecond
 	// tickInterval is how often time-based events are handled: a quarter of 39 ms, the shortest time after which
 	// a job that has not started is refused.
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -32,7 +32,7 @@
 	maxUnanswered = 3
 	// leaseMargin allows for a target's clock that is 2% slow and for a request in transit.
 	leaseMargin = 60 * time.Millisecond
-	// MaxStopDuration limits how long a target takes to stop a run, including the transit of the request.
+	// MaxStopDuration is how long a target takes to stop a run, including the transit of the request, unless it is late.
 	MaxStopDuration = 65 * time.Millisecond
 	// defaultMilliCores is assumed for a run with neither a known claim nor known usage.
 	defaultMilliCores = 14000
