--- a/review/8/run.sh
+++ b/review/earlier-8/run.sh
@@ -5,4 +5,4 @@
   echo "run the build of deploy/system.toml and review/build.sh first" >&2
   exit 2
 fi
-exec target/review-standin restart-of-all review/8
+exec target/review-standin restart-of-all review/earlier-8
