Case 6: a third machine that knows both

With a third machine that is not restarted and stays linked with both others, the cancelling is answered 410 and the job runs on all the same: cancellations are passed on by the machine that was asked only.

--- a/review/standin-2/case_cancel.go
+++ b/review/standin-2/case_cancel.go
@@ -9,14 +9,14 @@
 // writes and carries them out late. In calm, a client cancels a job at one machine that runs at the other one.
 func cancelSplit(world *world, trouble bool) error {
 	world.configure(1, "desk")
-	for _, id := range []string{"a-1", "a-2", "b-1", "b-2"} {
+	for _, id := range []string{"a-1", "a-2", "b-1", "b-2", "c-1", "c-2"} {
 		if _, err := world.addRunner(id, "desk", id[:1], 8000, "kind-a", "r-"+id[:1]); err != nil {
 			return err
 		}
 	}
 	var nodes []*node
-	for number, name := range []string{"frontend-a-1", "frontend-b-1"} {
-		added, err := world.addNode(name, name[9:10], []string{"127.0.0.21", "127.0.0.22"}[number])
+	for number, name := range []string{"frontend-a-1", "frontend-b-1", "frontend-c-1"} {
+		added, err := world.addNode(name, name[9:10], []string{"127.0.0.21", "127.0.0.22", "127.0.0.23"}[number])
 		if err != nil {
 			return err
 		}
@@ -33,8 +33,8 @@
 		}
 		world.store.mu.Unlock()
 	}
-	// The planned restart of each machine.
-	for _, node := range nodes {
+	// The planned restart of two machines of three.
+	for _, node := range nodes[:2] {
 		node.signal(syscall.SIGTERM)
 		select {
 		case <-node.exited:
