Case 6: a machine that wakes runs jobs that were passed on to it before it froze

Tried: three machines of unequal size, the larger one stands still for 2.4 s, and the first jobs since the start are sent to a small one.

--- a/review/standin-2/case_cancel.go
+++ b/review/standin-2/case_cancel.go
@@ -16,7 +16,7 @@
 	}
 	var nodes []*node
 	for number, name := range []string{"frontend-a-1", "frontend-b-1", "frontend-c-1"} {
-		added, err := world.addNode(name, name[9:10], []string{"127.0.0.21", "127.0.0.22", "127.0.0.23"}[number])
+		added, err := world.addNode(name, name[9:10], []string{"127.0.0.21", "127.0.0.22", "127.0.0.23"}[number], 0.4)
 		if err != nil {
 			return err
 		}
--- a/review/standin-2/case_kind.go
+++ b/review/standin-2/case_kind.go
@@ -19,7 +19,7 @@
 	}
 	var nodes []*node
 	for _, name := range []string{"frontend-a-1", "frontend-a-2"} {
-		added, err := world.addNode(name, "a", "127.0.0.2"+name[len(name)-1:])
+		added, err := world.addNode(name, "a", "127.0.0.2"+name[len(name)-1:], 0.4)
 		if err != nil {
 			return err
 		}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(world *world, trouble bool) error{
 	"cancel-split": cancelSplit,
 	"reborn-kind":  rebornKind,
+	"freeze-pass":  freezePass,
 }
 
 func main() {
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -57,7 +57,9 @@
 
 const (
 	cancelTime = 3 * time.Second
-	host       = "desk.example"
+	// resend is after how long a client sends a job again that need not be kept.
+	resend = 1300 * time.Millisecond
+	host   = "desk.example"
 )
 
 func newWorld(folder string) (*world, error) {
@@ -128,7 +130,8 @@
 	return listener.Addr().(*net.TCPAddr).Port
 }
 
-func (world *world) addNode(name, zone, ip string) (*node, error) {
+// addNode starts an instance on a machine with the given share of a core.
+func (world *world) addNode(name, zone, ip string, share float64) (*node, error) {
 	base := freePort(ip)
 	added := &node{
 		name: name, zone: zone, ip: ip, world: world,
@@ -153,7 +156,7 @@
 frontend = %q
 readiness = %q
 [limits]
-cpuShare = 0.4
+cpuShare = %v
 cores = 1
 memoryMb = 284
 maxFds = 4100
@@ -188,7 +191,7 @@
 keep_s = 300
 partMb = 200
 ttlMinMs = 1000
-`, name, ip, zone, base, base, added.frontend, added.ready, world.storeURL)
+`, name, ip, zone, base, base, added.frontend, added.ready, share, world.storeURL)
 	if err := os.WriteFile(added.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
