--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -339,6 +339,9 @@
 	world.mu.Lock()
 	defer world.mu.Unlock()
 	world.active[ending.task] = slices.DeleteFunc(world.active[ending.task], func(active activeRun) bool { return active.run == ending })
+	if len(world.active[ending.task]) == 0 {
+		delete(world.active, ending.task)
+	}
 	if how == "done" {
 		world.done[ending.task] = true
 	}
