Case 8: a cancelling that was acknowledged is forgotten

Tried: the machine that runs a job freezes for 3 s, the client cancels the job at the other machine of two, and that one is killed after its answer. Seen: the first machine wakes, starts the tasks again, and they run on.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -13,6 +13,7 @@
 	"cancel-split": cancelSplit,
 	"reborn-kind":  rebornKind,
 	"freeze-pass":  freezePass,
+	"cancel-ack":   cancelAck,
 }
 
 func main() {
