--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -14,6 +14,7 @@
 	"reborn-kind":  rebornKind,
 	"freeze-pass":  freezePass,
 	"cancel-ack":   cancelAck,
+	"late-order":   lateOrder,
 }
 
 func main() {
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -42,6 +42,9 @@
 	last     int64
 	finished []ended
 	changed  chan struct{}
+	// holdNext makes the next order to start a task go unanswered; it is passed on to held and can be carried out later.
+	holdNext bool
+	held     chan command
 }
 
 type run struct {
@@ -151,6 +154,14 @@
 		runner.mu.Unlock()
 		return
 	}
+	if runner.holdNext && strings.HasSuffix(request.URL.Path, "run-start") {
+		runner.holdNext = false
+		runner.mu.Unlock()
+		runner.world.record.line("runner %s: the order to start %s attempt %d, generation number %d, gets no answer", runner.id, command.Task, command.Attempt, command.Fence)
+		runner.held <- command
+		<-request.Context().Done()
+		return
+	}
 	if command.Fence < runner.fence {
 		clock := runner.clock()
 		runner.mu.Unlock()
@@ -181,6 +192,19 @@
 	writeJSON(writer, status, body)
 }
 
+// carryOut carries out an order to start a task that got no answer.
+func (runner *runner) carryOut(late command) {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	if !runner.up || late.Fence < runner.fence {
+		runner.world.record.line("runner %s: the late order to start %s is refused", runner.id, late.Task)
+		return
+	}
+	runner.fence = late.Fence
+	_, reason := runner.startRun(&late)
+	runner.world.record.line("runner %s: the late order to start %s attempt %d is carried out %s", runner.id, late.Task, late.Attempt, reason)
+}
+
 // extend lengthens the lease to a time on the runner's clock; the caller holds the lock.
 func (runner *runner) extend(deadlineMS int64) {
 	if deadlineMS <= runner.clock() {
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -103,7 +103,7 @@
 
 // addRunner starts a runner.
 func (world *world) addRunner(id, service, zone string, capacity int64, labels ...string) (*runner, error) {
-	added := &runner{id: id, service: service, zone: zone, address: "127.0.0.1:0", world: world, capacity: capacity}
+	added := &runner{id: id, service: service, zone: zone, address: "127.0.0.1:0", world: world, capacity: capacity, held: make(chan command, 1)}
 	world.runners = append(world.runners, added)
 	return added, added.start(labels)
 }
