--- a/executor/executor.go
+++ b/executor/executor.go
@@ -126,6 +126,8 @@
 	readsTargets bool
 	// peersKnown means that the other instances, if any, are known, so that it is certain which targets this one reads.
 	peersKnown bool
+	// services is what the configuration in force says of the services.
+	services []Service
 	// leaving means that a planned stop has begun, and reassign that the readers must be assigned again.
 	leaving  bool
 	reassign bool
--- /dev/null
+++ b/executor/services.go
@@ -0,0 +1,21 @@
+package executor
+
+import "time"
+
+// Service is what the configuration says of the targets of a service.
+type Service struct {
+	Name string
+	// MaxConnections is how many connections each target accepts from all instances together; 0 if unknown.
+	MaxConnections int
+	// ColdPeriod is how long a target is slow after its start or after a time without work; 0 if it is not.
+	ColdPeriod time.Duration
+	// ColdStartsPerSecond is the rate of starts that suits a cold target; 0 if unknown.
+	ColdStartsPerSecond float64
+}
+
+// SetServices replaces what is known of the services.
+func (executor *Executor) SetServices(services []Service) {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	executor.services = services
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -249,6 +249,7 @@
 	}
 	if newest != current {
 		supervisor.api.Configure(newest)
+		supervisor.executor.SetServices(newest.Services())
 		supervisor.logger.Info("configuration in force", "version", newest.Version, "routes", newest.RouteCount())
 	}
 }
