Let the apportioner decide which instances start work

gossiper called rules by weight of its own; it now passes the live instances and the connection limit of targets to package apportioner, also when the configuration changes the limit. A lost or leaving instance keeps its role until it is back, since it is no part of the plan. Where more instances start than a target accepts connections from, instances neither start runs on targets that they do not use nor count them as capacity.

The table of TestDelegationThreshold moved to apportioner.

--- a/apportioner/plan_test.go
+++ b/apportioner/plan_test.go
@@ -97,6 +97,33 @@
 	}
 }
 
+// Small instances get as many callers as large ones and would be overloaded, so they must delegate. Equal instances
+// must not, and a few large instances must not get the jobs of many small ones: they must share them with as many others as
+// hold half of all weight. The limit of targets is unknown here, as before the first configuration.
+func TestDelegatingInstances(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		members    []Member
+		delegating int
+	}{
+		{"alone", mix(class{1, 0.4, nil}), 0},
+		{"all equal", mix(class{9, 0.4, nil}), 0},
+		{"slightly different", mix(class{5, 0.4, nil}, class{5, 0.5, nil}), 0},
+		{"six large, nine medium, many small", mix(class{6, 0.8, nil}, class{9, 0.48, nil}, class{22, 0.144, nil}), 22},
+		{"one large, many small", mix(class{1, 0.8, nil}, class{22, 0.144, nil}), 11},
+		{"hundreds, fifteen large", mix(class{15, 0.8, nil}, class{35, 0.48, nil}, class{97, 0.144, nil}), 132},
+		{"hundreds, few large", mix(class{6, 0.8, nil}, class{44, 0.48, nil}, class{97, 0.144, nil}), 97},
+		{"hundreds, all equal", mix(class{300, 0.4, nil}), 0},
+		{"none", nil, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			plan := New(test.members, Limits{})
+			is.Equal(len(test.members)-len(starting(plan, test.members)), test.delegating)
+		})
+	}
+}
+
 // mixes are deployments of all shapes. Where the connection limit of targets is known, the rule and the number of starting
 // instances are those of a limit of 64.
 var mixes = []struct {
--- a/executor/meter.go
+++ b/executor/meter.go
@@ -18,6 +18,7 @@
 	targetRestarts  *metrics.Counter
 	overlappingRuns *metrics.Counter
 	tasksGivenUp    *metrics.Counter
+	roleChanges     *metrics.Counter
 	polls           *metrics.Counter
 	unansweredPolls *metrics.Counter
 	wait            *metrics.Histogram
@@ -36,6 +37,7 @@
 		targetRestarts:  set.NewCounter("hyssoplift_target_restarts_total"),
 		overlappingRuns: set.NewCounter("hyssoplift_overlapping_runs_total"),
 		tasksGivenUp:    set.NewCounter("hyssoplift_tasks_given_up_total"),
+		roleChanges:     set.NewCounter("hyssoplift_role_changes_total"),
 		polls:           set.NewCounter("hyssoplift_looks_total"),
 		unansweredPolls: set.NewCounter("hyssoplift_looks_unanswered_total"),
 		wait:            set.NewHistogram("hyssoplift_start_wait_seconds"),
@@ -92,6 +94,11 @@
 		}
 		return count
 	}))
+	meter.set.NewGauge("hyssoplift_starting_instances", read(func() int {
+		plan := executor.peers.Apportionment()
+		return plan.Starting()
+	}))
+	meter.set.NewGauge("hyssoplift_target_connection_limit", read(func() int { return executor.peers.ConnectionLimit(false) }))
 	meter.set.NewGauge("hyssoplift_targets_known", read(func() int { return len(executor.pollers) }))
 }
 
--- a/executor/peers.go
+++ b/executor/peers.go
@@ -216,7 +216,7 @@
 	executor.assignedVersion, executor.reassign = version, false
 	if delegating := executor.peers.Delegating(); delegating != executor.delegating {
 		executor.delegating = delegating
-		executor.logger.Info("delegation changed", "passes-on", delegating, "weight", executor.self.Weight)
+		executor.recordRole()
 		if delegating {
 			executor.client.CloseIdle()
 		}
@@ -264,6 +264,7 @@
 	isReader := best.Incarnation == executor.self.Incarnation
 	executor.readsTargets = executor.readsTargets || isReader
 	executor.scheduler.SetReader(poller.id, isReader, now)
+	executor.scheduler.SetUsed(poller.id, isReader || executor.peers.Uses(target.ID, target.Domain))
 	if isReader {
 		executor.scheduler.AttachReader(poller.id, "", now)
 	} else {
--- a/executor/services.go
+++ b/executor/services.go
@@ -18,4 +18,17 @@
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
 	executor.services = services
+	executor.peers.SetTargetConnections(smallestConnectionLimit(services))
+}
+
+// smallestConnectionLimit returns the smallest known number of connections that targets accept; 0 if none is known. All
+// services are assumed to have equal limits.
+func smallestConnectionLimit(services []Service) int {
+	smallest := 0
+	for i := range services {
+		if limit := services[i].MaxConnections; limit > 0 && (smallest == 0 || limit < smallest) {
+			smallest = limit
+		}
+	}
+	return smallest
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/hyssoplift/hyssoplift/apportioner"
 	"github.com/hyssoplift/hyssoplift/linker"
 	"github.com/hyssoplift/hyssoplift/scheduler"
 )
@@ -112,8 +113,11 @@
 	leaving            bool
 	checkedAt          time.Time
 	peers              map[string]*peer
-	// delegating means that this instance delegates its jobs.
-	delegating bool
+	// delegating means that this instance delegates its jobs, by apportionment.
+	delegating    bool
+	apportionment apportioner.Plan
+	// targetConnections is how many connections each target accepts from all instances together; 0 if unknown.
+	targetConnections int
 	// heartbeatSentAt is when heartbeats were last sent to all peers; zero makes them due at once.
 	heartbeatSentAt time.Time
 	// peersVersion counts the changes of assigned.
@@ -141,6 +145,7 @@
 		checkedAt:           now(),
 		peers:               make(map[string]*peer),
 	}
+	gossiper.updateRoles()
 	gossiper.group.Go(func() { gossiper.sendOutbox(ctx) })
 	gossiper.group.Go(func() { gossiper.sendBroadcasts(ctx) })
 	return gossiper
--- a/gossiper/roles.go
+++ b/gossiper/roles.go
@@ -4,24 +4,10 @@
 	"maps"
 	"time"
 
+	"github.com/hyssoplift/hyssoplift/apportioner"
 	"github.com/hyssoplift/hyssoplift/linker"
 )
 
-// delegationRules lists conditions under which instances delegate their jobs, since callers choose instances regardless
-// of size; the first rule that holds applies. Instances whose weight is below ratio times the largest weight delegate, if
-// at least minCount others remain and hold at least minShare of the total weight. The first rule bounds the instances
-// that exchange reports and share the connections of each target in deployments of hundreds of instances, where these
-// exchanges took most of the processor time. The ratio of the second one lies between the relative instance sizes of the
-// medium deployments, 0.18 and 0.6; instances of 0.18 were overloaded when they ran their own jobs.
-var delegationRules = []struct {
-	ratio    float64
-	minCount int
-	minShare float64
-}{
-	{ratio: 0.7, minCount: 12, minShare: 0.25},
-	{ratio: 0.4, minCount: 1, minShare: 0.5},
-}
-
 // busyAnnouncementPeriod is how long a delegating instance that no longer owns jobs announces that to all peers.
 const busyAnnouncementPeriod = 3 * heartbeatInterval
 
@@ -78,44 +64,25 @@
 	return gossiper.isJoining(gossiper.startedAt, now)
 }
 
-// delegationThreshold returns the weight below which instances delegate their jobs, or 0 if none should.
-func delegationThreshold(weights []float64) float64 {
-	largest, total := 0.0, 0.0
-	for _, weight := range weights {
-		largest = max(largest, weight)
-		total += weight
-	}
-	for _, rule := range delegationRules {
-		threshold := rule.ratio * largest
-		count, remaining := 0, 0.0
-		for _, weight := range weights {
-			if weight >= threshold {
-				count++
-				remaining += weight
-			}
-		}
-		if count >= rule.minCount && remaining >= rule.minShare*total {
-			return threshold
-		}
-	}
-	return 0
-}
-
-// updateRoles determines which instances delegate their jobs, after a change of the live instances; the caller holds
-// the lock.
+// updateRoles determines which instances delegate their jobs, after a change of the live instances or of the connection
+// limit; the caller holds the lock.
 func (gossiper *Gossiper) updateRoles() {
 	gossiper.joining = gossiper.countJoining(gossiper.now())
-	weights := []float64{gossiper.self.EffectiveWeight()}
+	members := make([]apportioner.Member, 0, len(gossiper.peers)+1)
+	members = append(members, memberOf(&gossiper.self))
 	for _, peer := range gossiper.peers {
-		if !peer.lost && !peer.leaving {
-			weights = append(weights, peer.hello.EffectiveWeight())
+		if peer.isMember() {
+			members = append(members, memberOf(&peer.hello))
 		}
 	}
-	threshold := delegationThreshold(weights)
+	gossiper.apportionment = apportioner.New(members, apportioner.Limits{Connections: gossiper.targetConnections})
 	gossiper.changeContacts(func() {
-		gossiper.delegating = gossiper.self.EffectiveWeight() < threshold
+		gossiper.delegating = !gossiper.apportionment.Starts(nameOf(&gossiper.self))
 		for _, peer := range gossiper.peers {
-			peer.delegating = peer.hello.EffectiveWeight() < threshold
+			// A lost or leaving instance keeps its role until it is back.
+			if peer.isMember() {
+				peer.delegating = !gossiper.apportionment.Starts(nameOf(&peer.hello))
+			}
 		}
 	})
 	if assignment := gossiper.assignment(); !assignment.equal(&gossiper.assigned) {
@@ -124,6 +91,51 @@
 	}
 }
 
+// isMember reports whether the instance takes part in the work.
+func (peer *peer) isMember() bool { return !peer.lost && !peer.leaving }
+
+func memberOf(hello *linker.Hello) apportioner.Member {
+	return apportioner.Member{Name: nameOf(hello), Domain: hello.Domain, Weight: hello.EffectiveWeight()}
+}
+
+// nameOf returns the name that identifies an instance over a restart, or its incarnation if it has none.
+func nameOf(hello *linker.Hello) string {
+	if hello.Name == "" {
+		return hello.Incarnation
+	}
+	return hello.Name
+}
+
+// SetTargetConnections sets how many connections each target accepts from all instances together; 0 if unknown.
+func (gossiper *Gossiper) SetTargetConnections(limit int) {
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	if limit != gossiper.targetConnections {
+		gossiper.targetConnections = limit
+		gossiper.updateRoles()
+	}
+}
+
+// Apportionment returns the plan that determines which of the known instances start runs.
+func (gossiper *Gossiper) Apportionment() apportioner.Plan {
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	return gossiper.apportionment
+}
+
+// ConnectionLimit returns how many connections this instance may hold to each target that it reads, or to each other one; 0
+// means no limit.
+func (gossiper *Gossiper) ConnectionLimit(isReader bool) int {
+	plan := gossiper.Apportionment()
+	return plan.Connections(nameOf(&gossiper.self), isReader)
+}
+
+// Uses reports whether this instance may start runs on a target of a failure domain that another instance reads.
+func (gossiper *Gossiper) Uses(target, domain string) bool {
+	plan := gossiper.Apportionment()
+	return plan.Uses(nameOf(&gossiper.self), target, domain)
+}
+
 // assignment is what determines the readers of targets, apart from the targets. Most changes of a large deployment concern
 // instances that delegate their jobs and read nothing; assigning all readers anew for each of them would take more processor
 // time than the work itself.
@@ -132,16 +144,18 @@
 	// delegating and joining are the states of this instance.
 	delegating bool
 	joining    bool
+	// users is how many instances use each target, if their number is restricted.
+	users int
 }
 
 func (assignment *assignment) equal(other *assignment) bool {
-	return assignment.delegating == other.delegating && assignment.joining == other.joining && maps.Equal(assignment.eligible, other.eligible)
+	return assignment.delegating == other.delegating && assignment.joining == other.joining && assignment.users == other.users && maps.Equal(assignment.eligible, other.eligible)
 }
 
 // assignment returns the present assignment; the caller holds the lock.
 func (gossiper *Gossiper) assignment() assignment {
 	now := gossiper.now()
-	current := assignment{eligible: make(map[string]bool), delegating: gossiper.delegating, joining: gossiper.isJoining(gossiper.startedAt, now)}
+	current := assignment{eligible: make(map[string]bool), delegating: gossiper.delegating, joining: gossiper.isJoining(gossiper.startedAt, now), users: gossiper.apportionment.Users()}
 	for incarnation, peer := range gossiper.peers {
 		if gossiper.isEligible(peer, now) {
 			current.eligible[incarnation] = true
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -131,6 +131,8 @@
 	unreachableByReader bool
 	// suspended means that all instances of the target's failure domain are unresponsive.
 	suspended bool
+	// unused means that this instance starts nothing on the target, since others hold the connections that it accepts.
+	unused bool
 	// unrenewedUntil is until when no request may renew the lease, because a run there must end and cannot be stopped.
 	unrenewedUntil time.Time
 	// leaseEnd is the latest possible end of the target's lease, based on the requests that are known to this instance, and
@@ -267,7 +269,7 @@
 
 // usable reports whether the target may get new work now.
 func (target *target) usable(now time.Time) bool {
-	if target.Draining || target.replaced || target.unreachable || target.unreachableByReader || target.suspended || !target.fencedAt.IsZero() || target.expired(now) || now.Before(target.heldUntil) || now.Before(target.excludedUntil) || now.Before(target.unrenewedUntil) {
+	if target.Draining || target.replaced || target.unreachable || target.unreachableByReader || target.suspended || target.unused || !target.fencedAt.IsZero() || target.expired(now) || now.Before(target.heldUntil) || now.Before(target.excludedUntil) || now.Before(target.unrenewedUntil) {
 		return false
 	}
 	return !target.probation || len(target.allocations) == 0
@@ -275,7 +277,7 @@
 
 // healthy reports whether the target is expected to take new work as soon as it has capacity.
 func (target *target) healthy(now time.Time) bool {
-	return !target.Draining && !target.replaced && !target.unreachable && !target.unreachableByReader && !target.suspended && !target.probation && !target.expired(now)
+	return !target.Draining && !target.replaced && !target.unreachable && !target.unreachableByReader && !target.suspended && !target.unused && !target.probation && !target.expired(now)
 }
 
 // expired reports whether the target's discovery entry disappeared too long ago.
