--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -733,8 +733,8 @@
 	return links != nil && links.Connected(incarnation)
 }
 
-// PeersVersion returns a number that grows with each change of the result of EligiblePeers, and of whether this instance delegates its
-// jobs or is joining.
+// PeersVersion returns a number that grows with each change of the result of EligiblePeers, of whether this instance delegates its
+// jobs or is joining, and of how many instances use each target.
 func (gossiper *Gossiper) PeersVersion() int64 {
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
--- a/gossiper/roles.go
+++ b/gossiper/roles.go
@@ -144,18 +144,22 @@
 	// delegating and joining are the states of this instance.
 	delegating bool
 	joining    bool
-	// users is how many instances use each target, if their number is restricted.
-	users int
+	// users is how many instances use each target besides its reader, if restricted.
+	restricted bool
+	users      int
 }
 
 func (assignment *assignment) equal(other *assignment) bool {
-	return assignment.delegating == other.delegating && assignment.joining == other.joining && assignment.users == other.users && maps.Equal(assignment.eligible, other.eligible)
+	return assignment.delegating == other.delegating && assignment.joining == other.joining && assignment.restricted == other.restricted && assignment.users == other.users && maps.Equal(assignment.eligible, other.eligible)
 }
 
 // assignment returns the present assignment; the caller holds the lock.
 func (gossiper *Gossiper) assignment() assignment {
 	now := gossiper.now()
-	current := assignment{eligible: make(map[string]bool), delegating: gossiper.delegating, joining: gossiper.isJoining(gossiper.startedAt, now), users: gossiper.apportionment.Users()}
+	current := assignment{
+		eligible: make(map[string]bool), delegating: gossiper.delegating, joining: gossiper.isJoining(gossiper.startedAt, now),
+		restricted: gossiper.apportionment.Restricted(), users: gossiper.apportionment.Users(),
+	}
 	for incarnation, peer := range gossiper.peers {
 		if gossiper.isEligible(peer, now) {
 			current.eligible[incarnation] = true
