--- a/follower/follower.go
+++ b/follower/follower.go
@@ -84,6 +84,9 @@
 	// Snapshot means that Records holds every key of the topic; keys that are not in it no longer exist.
 	Snapshot bool
 	Records  []Record
+	// End is the offset that follows a snapshot: all records before it are in the snapshot unless a later one has replaced them.
+	// It is 0 in other updates.
+	End int64
 }
 
 // Follow calls update with the records of a topic until ctx is done. The first update, and the one after each trim of
@@ -127,7 +130,7 @@
 	defer cancel()
 	records, next, err := source.Newest(ctx, topic)
 	if err == nil {
-		update(Update{Snapshot: true, Records: dropUnreadable(topic, records, logger)})
+		update(Update{Snapshot: true, Records: dropUnreadable(topic, records, logger), End: next})
 	}
 	return next, err
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -52,7 +52,8 @@
 	return nil, 0, ctx.Err()
 }
 
-// Guards against missed records after a failed read, a connection that stops responding, or a trimmed topic.
+// Guards against missed records after a failed read, a connection that stops responding, or a trimmed topic, and against a
+// snapshot with a wrong end, by which records would count as withdrawn that are newer than it.
 func TestFollowMissesNoRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -74,7 +75,7 @@
 		go func() {
 			defer close(done)
 			Follow(ctx, scriptedSource, "topic", options, hclog.NewNullLogger(), func(update Update) {
-				text := fmt.Sprint(update.Snapshot)
+				text := fmt.Sprint(update.Snapshot, update.End)
 				for _, record := range update.Records {
 					text += " " + record.Key
 				}
@@ -84,7 +85,7 @@
 		time.Sleep(30 * time.Second)
 		cancel()
 		<-done
-		is.Equal(updates, []string{"true a b", "false a", "false b c", "true a"})
+		is.Equal(updates, []string{"true 5 a b", "false 0 a", "false 0 b c", "true 20 a"})
 		is.Equal(scriptedSource.calls[:10], []string{"newest", "newest", "read 5", "read 6", "read 6", "read 6", "read 6", "read 8", "newest", "read 20"})
 	})
 }
