--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -27,6 +27,8 @@
 			return refused, false
 		case later:
 			return scheduler.refusal(job, dispatcher.ReasonUnavailable, "all targets that were large enough for a task have shrunk", now), false
+		case withheld:
+			return scheduler.refusal(job, dispatcher.ReasonUnavailable, "all targets that are large enough for a task are in evacuated failure domains", now), false
 		case present:
 		}
 	}
@@ -62,20 +64,24 @@
 	never feasibility = iota
 	// Later means that targets were large enough before their capacity shrank.
 	later
+	// Withheld means that targets are large enough and their failure domains are evacuated.
+	withheld
 	// Present means that some target is large enough.
 	present
 )
 
-// feasibility returns whether any target of the service could run a task of the step if it were empty.
+// feasibility returns whether any target of the service could run a task of the step if it were empty, and may be given one.
 func (scheduler *Scheduler) feasibility(service string, step *Step) feasibility {
 	best := never
 	for _, target := range scheduler.byService[service] {
 		switch {
 		case !target.hasLabel(step.Label):
+		case target.evacuated && step.Resources.Fits(target.Capacity):
+			best = withheld
 		case step.Resources.Fits(target.Capacity):
 			return present
 		case step.Resources.Fits(target.largestCapacity):
-			best = later
+			best = max(best, later)
 		}
 	}
 	return best
@@ -113,7 +119,7 @@
 // waveDivisor: the tasks of one step may expect 1/waveDivisor of the total capacity at once.
 const waveDivisor = 4
 
-// totalSlots returns how many tasks of the given resources all targets can run at once. It stops counting once limit is
+// totalSlots returns how many tasks of the given resources all targets outside of evacuated failure domains can run at once. It stops counting once limit is
 // reached.
 func (scheduler *Scheduler) totalSlots(service string, resources Resources, limit int64) int64 {
 	count := int64(0)
@@ -121,7 +127,9 @@
 		if count >= limit {
 			break
 		}
-		count += resources.countIn(target.Capacity)
+		if !target.evacuated {
+			count += resources.countIn(target.Capacity)
+		}
 	}
 	return count
 }
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -17,6 +17,7 @@
 		added := newTarget(info, scheduler.groupSpeed(info), now)
 		added.suspended = scheduler.suspended[info.Domain]
 		added.nonReaderBias = nonReaderSpread * RendezvousHash(scheduler.self, info.ID)
+		added.evacuated = scheduler.evacuated[info.Domain]
 		scheduler.targets[info.ID] = added
 		scheduler.applyKeptReports(info.ID)
 		scheduler.voidLateStarts(added, now)
@@ -64,6 +65,7 @@
 		scheduler.changedTargets[info.ID] = true
 	}
 	known.Target = info
+	scheduler.updateEvacuated(known, now)
 	known.largestCapacity = known.largestCapacity.max(info.Capacity)
 	known.groupSpeed = scheduler.groupSpeed(info)
 	if restarted || info.Address != former {
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -42,7 +42,7 @@
 			task.state = stopping
 			task.avoid(task.runTarget)
 		}
-	case StartNoRoom, StartStale, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced:
+	case StartNoRoom, StartStale, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced, StartWithheld:
 		scheduler.handleStartRejected(target, run, result, now)
 		if current {
 			scheduler.requeueRejected(task, result, now)
@@ -115,7 +115,7 @@
 		target.heldUntil = now.Add(unconnectedBackoff)
 	case StartFenced:
 		target.recordFenced(now)
-	case StartTaken, StartStale, StartLate, StartImpossible, StartUnanswered:
+	case StartTaken, StartStale, StartLate, StartImpossible, StartUnanswered, StartWithheld:
 	}
 }
 
@@ -152,7 +152,7 @@
 		}
 	case StartStale, StartRefused, StartUnsent, StartUnconnected:
 		task.avoid(task.runTarget)
-	case StartTaken, StartNoRoom, StartLate, StartUnanswered, StartFenced:
+	case StartTaken, StartNoRoom, StartLate, StartUnanswered, StartFenced, StartWithheld:
 	}
 	task.lossReason = ""
 	scheduler.enqueue(task)
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -181,6 +181,8 @@
 	StartUnconnected
 	// StartFenced means that the target did nothing, because it has seen a request for a later incarnation.
 	StartFenced
+	// StartWithheld means that the target's failure domain was evacuated before the request was sent, so that nothing was sent.
+	StartWithheld
 )
 
 // mayHaveRun reports whether the task runs, has run or may have run.
@@ -188,14 +190,14 @@
 	switch result {
 	case StartTaken, StartUnanswered, StartStale:
 		return true
-	case StartNoRoom, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced:
+	case StartNoRoom, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced, StartWithheld:
 	}
 	return false
 }
 
 // String returns the name used in logs and metrics.
 func (result StartResult) String() string {
-	names := []string{"unknown", "taken", "no-room", "stale", "late", "refused", "impossible", "unanswered", "unsent", "unconnected", "fenced"}
+	names := []string{"unknown", "taken", "no-room", "stale", "late", "refused", "impossible", "unanswered", "unsent", "unconnected", "fenced", "withheld"}
 	if int(result) < len(names) && result > 0 {
 		return names[result]
 	}
--- a/scheduler/orphan.go
+++ b/scheduler/orphan.go
@@ -22,6 +22,8 @@
 	Starting []string
 	// Complete means that there are no other live instances, as far as the platform knows.
 	Complete bool
+	// Unaware means that some live instance does not exchange evacuations.
+	Unaware bool
 }
 
 // SetPeers sets the live instances.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -31,7 +31,7 @@
 
 // place starts waiting tasks in queue order, each on the target with the lowest cost.
 func (scheduler *Scheduler) place(now time.Time) {
-	if len(scheduler.queue) == 0 {
+	if len(scheduler.queue) == 0 || now.Before(scheduler.startsHeldUntil) {
 		return
 	}
 	if scheduler.link.Backlog(now) > maxStartBacklog {
@@ -228,7 +228,7 @@
 func (scheduler *Scheduler) offerCapacity(target *target, now time.Time) {
 	delete(scheduler.offered, target.ID)
 	target.heldUntil = time.Time{}
-	if !target.readBySelf || target.unreachable || target.Draining || target.withholdsCapacity(now) || target.freeCapacity(now).MilliCores < scheduler.typicalMilliCores/2 {
+	if !target.readBySelf || target.unreachable || target.Draining || target.evacuated || target.withholdsCapacity(now) || target.freeCapacity(now).MilliCores < scheduler.typicalMilliCores/2 {
 		return
 	}
 	own := scheduler.Demand()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -113,6 +113,10 @@
 	releaseRates map[string]releaseRate
 	// suspended holds the failure domains whose instances are all unresponsive.
 	suspended map[string]bool
+	// evacuated holds the failure domains that the operator has asked to evacuate.
+	evacuated map[string]bool
+	// startsHeldUntil is until when nothing starts, since an evacuation may have been missed.
+	startsHeldUntil time.Time
 	// lossDetectionFrom is the time before which no run is considered lost.
 	lossDetectionFrom time.Time
 	// resumedAt is when the last pause of this instance ended.
@@ -163,6 +167,7 @@
 		changedTargets: make(map[string]bool),
 		offered:        make(map[string]bool),
 		suspended:      make(map[string]bool),
+		evacuated:      make(map[string]bool),
 		peerDemands:    make(map[string]Demand),
 		completedAt:    make(map[string]time.Time),
 		releaseRates:   make(map[string]releaseRate),
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -131,6 +131,8 @@
 	unreachableByReader bool
 	// suspended means that all instances of the target's failure domain are unresponsive.
 	suspended bool
+	// evacuated means that the target's failure domain is evacuated.
+	evacuated bool
 	// unrenewedUntil is until when no request may renew the lease, because a run there must end and cannot be stopped.
 	unrenewedUntil time.Time
 	// leaseEnd is the latest possible end of the target's lease, based on the requests that are known to this instance, and
@@ -217,13 +219,13 @@
 }
 
 // report returns the reader's report about the target. The reader receives the ends of all runs, so it is the first to
-// detect that the target fails its runs. During probation it reports no free capacity, so that no other instance starts
-// anything there.
+// detect that the target fails its runs. During probation, and while its failure domain is evacuated, it reports no free capacity,
+// so that no other instance starts anything there.
 func (target *target) report(now time.Time) CapacityReport {
 	switch {
 	case target.unreachable:
 		return CapacityReport{Target: target.ID, Unreachable: true}
-	case target.probation || target.withholdsCapacity(now):
+	case target.probation || target.evacuated || target.withholdsCapacity(now):
 		return CapacityReport{Target: target.ID}
 	}
 	return CapacityReport{Target: target.ID, FreeCapacity: target.freeCapacity(now)}
@@ -267,7 +269,7 @@
 
 // usable reports whether the target may get new work now.
 func (target *target) usable(now time.Time) bool {
-	if target.Draining || target.replaced || target.unreachable || target.unreachableByReader || target.suspended || !target.fencedAt.IsZero() || target.expired(now) || now.Before(target.heldUntil) || now.Before(target.excludedUntil) || now.Before(target.unrenewedUntil) {
+	if target.Draining || target.replaced || target.unreachable || target.unreachableByReader || target.suspended || target.evacuated || !target.fencedAt.IsZero() || target.expired(now) || now.Before(target.heldUntil) || now.Before(target.excludedUntil) || now.Before(target.unrenewedUntil) {
 		return false
 	}
 	return !target.probation || len(target.allocations) == 0
@@ -275,7 +277,7 @@
 
 // healthy reports whether the target is expected to take new work as soon as it has capacity.
 func (target *target) healthy(now time.Time) bool {
-	return !target.Draining && !target.replaced && !target.unreachable && !target.unreachableByReader && !target.suspended && !target.probation && !target.expired(now)
+	return !target.Draining && !target.replaced && !target.unreachable && !target.unreachableByReader && !target.suspended && !target.evacuated && !target.probation && !target.expired(now)
 }
 
 // expired reports whether the target's discovery entry disappeared too long ago.
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -67,6 +67,7 @@
 	scheduler.expireLostContacts(now)
 	scheduler.expireOwnerless(now)
 	scheduler.expireKeptReports(now)
+	scheduler.repeatEvacuationReports(now)
 	for _, target := range scheduler.ordered {
 		if len(target.allocations) > 0 {
 			scheduler.announceLeaseEnd(target, now)
