--- a/linker/codec.go
+++ b/linker/codec.go
@@ -299,6 +299,15 @@
 			texts = append(texts, incarnations[i].Target)
 		}
 	}
+	if update.EvacuationVersion < 0 {
+		return eris.Errorf("version of evacuations is negative: %d", update.EvacuationVersion)
+	}
+	for i := range update.Evacuations {
+		if update.Evacuations[i].Domain == "" || update.Evacuations[i].Version <= 0 {
+			return eris.New("evacuation has no failure domain or no version")
+		}
+		texts = append(texts, update.Evacuations[i].Domain)
+	}
 	texts = append(texts, update.Abandoned...)
 	return checkTexts(texts...)
 }
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -130,7 +130,8 @@
 			Ends:        []RunEnd{{Target: "t", Task: "k", Attempt: 1, Number: 2, Cause: 1}},
 			Verified:    []TargetIncarnation{{Target: "t", Incarnation: 3}},
 			Cancelled:   []CancelledJob{{Job: "j", AgeMS: 2}}, CancelAnswers: []CancelledAnswer{{Job: "j", Active: true}},
-			EndOrigins:   []EndOrigin{{Incarnation: 2, AgeMS: 3}},
+			EndOrigins:        []EndOrigin{{Incarnation: 2, AgeMS: 3}},
+			EvacuationVersion: 7, Evacuations: []Evacuation{{Domain: "d", Version: 7, Evacuated: true}},
 			FreeCapacity: []FreeCapacity{{Target: "t", MilliCores: 1, Unreachable: true}}, Abandoned: []string{"j"}, Waiting: []int64{1, 0}, Leaving: true, Busy: true, SentUS: 6,
 		},
 		Delegation{
@@ -173,6 +174,11 @@
 		{"truncated text", append([]byte{0x82, 0x68}, "withdraw\xa1\x63key\x7a\x00\x10\x00\x00ab"...)},
 		{"text is too long", mustEncode(withdraw(strings.Repeat("k", maxTextBytes+1), 0))},
 		{"too many elements", mustEncode(KeeperMessage{keeper.SyncRequest{Slices: make([]int, MaxElements+1)}})},
+		{"evacuation of too long a domain", mustEncode(StateUpdate{Evacuations: []Evacuation{{Domain: strings.Repeat("d", maxTextBytes+1), Version: 1}}})},
+		{"evacuation without a domain", mustEncode(StateUpdate{Evacuations: []Evacuation{{Version: 1}}})},
+		{"evacuation without a version", mustEncode(StateUpdate{Evacuations: []Evacuation{{Domain: "d"}}})},
+		{"negative version of evacuations", mustEncode(StateUpdate{EvacuationVersion: -1})},
+		{"too many evacuations", mustEncode(StateUpdate{Evacuations: make([]Evacuation, MaxElements+1)})},
 		{"too many tasks", mustEncode(Forward{Tasks: make([]Task, dispatcher.MaxTasks+1)})},
 	}
 	for _, test := range tests {
--- a/linker/message.go
+++ b/linker/message.go
@@ -15,8 +15,10 @@
 	RevisionOwnership = 1
 	// RevisionLeases adds the announced ends of leases.
 	RevisionLeases = 2
+	// RevisionEvacuations adds the records of evacuations, and the highest version of them in broadcasts.
+	RevisionEvacuations = 3
 	// Revision is the revision of this instance.
-	Revision = RevisionLeases
+	Revision = RevisionEvacuations
 )
 
 // Hello identifies an instance. It is the first frame in each direction.
@@ -307,6 +309,16 @@
 	Incarnation int64
 }
 
+// Evacuation is the newest record of the evacuation of a failure domain that the sender knows.
+type Evacuation struct {
+	_      struct{} `cbor:",toarray"`
+	Domain string
+	// Version is the offset of the record in its topic plus one.
+	Version int64
+	// Evacuated means that nothing may start in the domain; otherwise the request was withdrawn.
+	Evacuated bool
+}
+
 // StateUpdate reports what an instance did and observed on the targets since its last update.
 type StateUpdate struct {
 	// Claims, Withdrawn and Stops are sent to the reader of their targets: runs that the sender starts, claims that it
@@ -341,6 +353,10 @@
 	// Cancelled lists jobs that must not run any more. The receiver answers each in CancelAnswers.
 	Cancelled     []CancelledJob    `cbor:"cancelled,omitempty"`
 	CancelAnswers []CancelledAnswer `cbor:"cancel-answers,omitempty"`
+	// EvacuationVersion is the highest version of a record of an evacuation that the sender knows, in broadcasts; 0 if it knows
+	// none. An instance that knows a higher one answers with all records that it knows in Evacuations.
+	EvacuationVersion int64        `cbor:"evacuation-version,omitempty"`
+	Evacuations       []Evacuation `cbor:"evacuations,omitempty"`
 	// Waiting is the number of tasks waiting at the sender, by priority. It is empty in an update for a single
 	// instance.
 	Waiting []int64 `cbor:"waiting,omitempty"`
