--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -114,6 +114,8 @@
 	peers              map[string]*peer
 	// delegating means that this instance delegates its jobs.
 	delegating bool
+	// evacuationVersion is the highest version of an evacuation's record that this instance knows.
+	evacuationVersion int64
 	// heartbeatSentAt is when heartbeats were last sent to all peers; zero makes them due at once.
 	heartbeatSentAt time.Time
 	// peersVersion counts the changes of assigned.
@@ -257,9 +259,10 @@
 		switch {
 		case peer.lost:
 		case peer.hello.Revision >= linker.RevisionOwnership:
+			answering.Unaware = answering.Unaware || peer.hello.Revision < linker.RevisionEvacuations
 			answering.Answering = append(answering.Answering, incarnation)
 		default:
-			answering.Complete = false
+			answering.Complete, answering.Unaware = false, true
 		}
 		if !peer.lost && gossiper.startsRuns(peer, now) {
 			answering.Starting = append(answering.Starting, incarnation)
@@ -559,6 +562,7 @@
 		plan.broadcasts = append(plan.broadcasts, broadcast{sameDomain, withReports(update, gossiper.reports)})
 	}
 	clear(gossiper.reports)
+	plan.broadcasts = gossiper.withEvacuationVersion(plan.broadcasts)
 	return plan
 }
 
--- a/gossiper/traffic.go
+++ b/gossiper/traffic.go
@@ -26,6 +26,7 @@
 	{"cancellations", func(update *linker.StateUpdate) int {
 		return len(update.Abandoned) + len(update.Cancelled) + len(update.CancelAnswers)
 	}},
+	{"evacuations", func(update *linker.StateUpdate) int { return len(update.Evacuations) }},
 }
 
 // traffic counts the entries of the state updates sent, in the order of kinds.
