--- a/executor/executor.go
+++ b/executor/executor.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
+	"github.com/hyssoplift/hyssoplift/evacuator"
 	"github.com/hyssoplift/hyssoplift/gossiper"
 	"github.com/hyssoplift/hyssoplift/linker"
 	"github.com/hyssoplift/hyssoplift/scheduler"
@@ -92,9 +93,14 @@
 
 	// lastSilence is when a target that had answered before last left a poll unanswered, in nanoseconds since 1970.
 	lastSilence atomic.Int64
+	// evacuating means that some failure domain is evacuated, so that starts have to be checked under the lock.
+	evacuating atomic.Bool
 
 	mu        sync.Mutex
 	scheduler *scheduler.Scheduler
+	// evacuator holds the evacuations, and evacuationAwaited is the highest version of them for which starts were held.
+	evacuator         *evacuator.Evacuator
+	evacuationAwaited int64
 	// waiters holds, by job ID, a channel for each caller that waits for the outcome.
 	waiters map[string][]chan dispatcher.Outcome
 	// pollers holds the poller of each known target by ID.
@@ -149,6 +155,7 @@
 		startedAt:     now(),
 		lastTick:      now(),
 		scheduler:     scheduler.New(self.Incarnation, self.Domain),
+		evacuator:     evacuator.New(),
 		waiters:       make(map[string][]chan dispatcher.Outcome),
 		pollers:       make(map[string]*poller),
 		listers:       make(map[string]chan struct{}),
@@ -412,7 +419,11 @@
 	lease := start.Issued.Add(scheduler.LeaseDuration)
 	// This instance may have been paused since the start was decided.
 	result := scheduler.StartLate
-	if sent.Before(lease) && sent.Before(start.Deadline) {
+	switch {
+	case !sent.Before(lease) || !sent.Before(start.Deadline):
+	case executor.Withholds(start.RunTarget):
+		result = scheduler.StartWithheld
+	default:
 		result = executor.client.Start(ctx, start.RunTarget, start, lease)
 	}
 	now := executor.now()
@@ -541,6 +552,7 @@
 	if paused > pauseThreshold && executor.pauseNoticedAt.Before(executor.lastTick) {
 		executor.logger.Warn("instance was paused", "for-ms", paused.Milliseconds())
 		executor.scheduler.RecordPause(now)
+		executor.holdStartsAfter(paused, now)
 		executor.pauseNoticedAt = now
 	}
 	return paused > pauseThreshold
--- a/executor/meter.go
+++ b/executor/meter.go
@@ -17,6 +17,7 @@
 	suspensions     *metrics.Counter
 	targetRestarts  *metrics.Counter
 	overlappingRuns *metrics.Counter
+	startsWithheld  *metrics.Counter
 	tasksGivenUp    *metrics.Counter
 	polls           *metrics.Counter
 	unansweredPolls *metrics.Counter
@@ -35,6 +36,7 @@
 		suspensions:     set.NewCounter("hyssoplift_lease_suspensions_total"),
 		targetRestarts:  set.NewCounter("hyssoplift_target_restarts_total"),
 		overlappingRuns: set.NewCounter("hyssoplift_overlapping_runs_total"),
+		startsWithheld:  set.NewCounter("hyssoplift_starts_withheld_total"),
 		tasksGivenUp:    set.NewCounter("hyssoplift_tasks_given_up_total"),
 		polls:           set.NewCounter("hyssoplift_looks_total"),
 		unansweredPolls: set.NewCounter("hyssoplift_looks_unanswered_total"),
@@ -61,6 +63,9 @@
 // of the request.
 func (meter *meter) recordStart(result scheduler.StartResult, sinceArrival, duration time.Duration) {
 	meter.set.GetOrCreateCounter(`hyssoplift_starts_total{result="` + result.String() + `"}`).Inc()
+	if result == scheduler.StartWithheld {
+		meter.startsWithheld.Inc()
+	}
 	meter.wait.Update(sinceArrival.Seconds())
 	meter.startDurations.Update(duration.Seconds())
 }
@@ -92,6 +97,7 @@
 		}
 		return count
 	}))
+	meter.set.NewGauge("hyssoplift_evacuated_domains", read(func() int { return len(executor.evacuator.Evacuated()) }))
 	meter.set.NewGauge("hyssoplift_targets_known", read(func() int { return len(executor.pollers) }))
 }
 
--- a/executor/peers.go
+++ b/executor/peers.go
@@ -21,6 +21,7 @@
 	}
 	// Messages are held up while the network is cut.
 	delay := executor.peers.DelayOf(from, update.SentUS)
+	executor.handleEvacuations(from, &update, delay, now)
 	for _, claim := range update.Claims {
 		executor.handleClaim(from, claim, delay, now)
 	}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -127,6 +127,7 @@
 	hello := linker.Hello{Domain: settings.Domain, Name: settings.Name, Incarnation: uuid.NewString(), Address: settings.PeerAddress, Weight: weight(settings)}
 	targetClient := platform.NewTargetClient(clocker.Now)
 	jobExecutor := executor.New(hello, settings.LinkMbps, targetClient, clocker.Now, logger)
+	targetClient.WithholdStarts(jobExecutor.Withholds)
 	limits := linker.DefaultLimits()
 	limits.MaxRemoteLinks, limits.IdleTimeout, limits.IOTimeout = maxRemoteLinks, 0, linkTimeout
 	links := linker.New(hello, limits, logger, jobExecutor.Peers().Receive)
@@ -213,7 +214,7 @@
 // followTopics starts to follow the configuration, the targets and the other instances, and registers this instance.
 func (supervisor *Supervisor) followTopics() {
 	supervisor.group.Go(func() {
-		follower.Follow(supervisor.ctx, supervisor.store, platform.ConfigurationTopic, configurationPolling, supervisor.logger, supervisor.applyConfiguration)
+		follower.Follow(supervisor.ctx, supervisor.store, platform.ConfigurationTopic, configurationPolling, supervisor.logger, supervisor.applyOperatorRecords)
 	})
 	supervisor.group.Go(func() {
 		follower.Follow(supervisor.ctx, supervisor.store, platform.TargetTopic, targetPolling, supervisor.logger, func(update follower.Update) {
