--- a/evacuator/evacuator_test.go
+++ b/evacuator/evacuator_test.go
@@ -117,6 +117,15 @@
 	}
 }
 
+// A store that was set up anew has lower offsets. Its requests must not be taken for older ones than the former snapshot.
+func TestSnapshotIsNotJudgedByAFormerOne(t *testing.T) {
+	is := is.New(t)
+	evacuator := New()
+	evacuator.ApplySnapshot(nil, 20)
+	is.Equal(evacuator.ApplySnapshot([]Record{requested("a", 3)}, 5), []Record{requested("a", 3)})
+	is.True(evacuator.Apply(requested("b", 6)))
+}
+
 // The records are one message between instances, so that a flood of keys must not make them grow. A request in force must not be
 // dropped for a withdrawn one, and the version must count what was dropped, or a peer would send it without end.
 func TestNumberOfDomainsIsBounded(t *testing.T) {
