--- a/executor/evacuate.go
+++ b/executor/evacuate.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// staleEvacuationsPause is the pause of this process after which an evacuation may have been missed for so long that a start
-	// would violate it; an evacuation must be in force 5 s after the store has acknowledged it.
-	staleEvacuationsPause = 3 * time.Second
+	// evacuationReserve is the part of the time until an evacuation must be in force that is left after a pause of this process. A
+	// pause that leaves less may have hidden an evacuation for so long that a start would violate it.
+	evacuationReserve = 2 * time.Second
 	// maxEvacuationWait bounds how long starts are held for records of evacuations that this instance may lack: two heartbeats,
 	// or a read of the store that is repeated after it has timed out during a pause.
 	maxEvacuationWait = 300 * time.Millisecond
@@ -108,10 +108,18 @@
 	}
 }
 
+// SetEvacuationBound sets how long after its acknowledgement an evacuation must be in force; 0 means that the deployment has no
+// such bound.
+func (executor *Executor) SetEvacuationBound(bound time.Duration) {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	executor.evacuationBound = bound
+}
+
 // holdStartsAfter holds starts after a pause during which an evacuation may have been requested, until another instance shows that
 // none was, or the store has been read. The caller holds the lock.
 func (executor *Executor) holdStartsAfter(pause time.Duration, now time.Time) {
-	if pause >= staleEvacuationsPause {
+	if executor.evacuationBound > 0 && pause >= executor.evacuationBound-evacuationReserve {
 		executor.scheduler.HoldStarts(now.Add(maxEvacuationWait))
 	}
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -101,6 +101,7 @@
 	// evacuator holds the evacuations, and evacuationAwaited is the highest version of them for which starts were held.
 	evacuator         *evacuator.Evacuator
 	evacuationAwaited int64
+	evacuationBound   time.Duration
 	// waiters holds, by job ID, a channel for each caller that waits for the outcome.
 	waiters map[string][]chan dispatcher.Outcome
 	// pollers holds the poller of each known target by ID.
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -128,6 +128,7 @@
 	targetClient := platform.NewTargetClient(clocker.Now)
 	jobExecutor := executor.New(hello, settings.LinkMbps, targetClient, clocker.Now, logger)
 	targetClient.WithholdStarts(jobExecutor.Withholds)
+	jobExecutor.SetEvacuationBound(time.Duration(settings.EvacuateMS) * time.Millisecond)
 	limits := linker.DefaultLimits()
 	limits.MaxRemoteLinks, limits.IdleTimeout, limits.IOTimeout = maxRemoteLinks, 0, linkTimeout
 	links := linker.New(hello, limits, logger, jobExecutor.Peers().Receive)
