Limit the load of cold targets

The scheduler derives the cold period of a target from its entry, the withdrawal of an evacuation and the service. While it lasts, only the reader starts runs there, as far as the ramp allows; admission counts no more than that.

A target that answers as a new incarnation counts as cold until its entry is read: entries are read every 500 ms, and it would get its whole load until then.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -128,6 +128,8 @@
 	peersKnown bool
 	// services is what the configuration in force says of the services.
 	services []Service
+	// coldBounds bounds the starts on cold targets.
+	coldBounds ColdBounds
 	// leaving means that a planned stop has begun, and reassign that the readers must be assigned again.
 	leaving  bool
 	reassign bool
@@ -380,6 +382,10 @@
 	case scheduler.TargetVerified:
 		executor.logger.Warn("entry of a target contradicts its answer", "target", action.Target, "incarnation", action.Incarnation)
 		executor.peers.BroadcastVerified(action.Target, action.Incarnation)
+	case scheduler.TargetCold:
+		executor.logCold(action)
+	case scheduler.TargetWarm:
+		executor.logger.Info("target is warm", "target", action.Target, "starts", action.Starts)
 	case scheduler.TargetRestarted:
 		executor.meter.targetRestarts.Inc()
 		executor.logTargetRestart(action)
--- a/executor/log.go
+++ b/executor/log.go
@@ -117,6 +117,10 @@
 	executor.logger.Warn("target restarted", "target", restart.Target, "incarnation", restart.Incarnation, "previous", restart.Previous, "runs", formatRuns(restart.Runs))
 }
 
+func (executor *Executor) logCold(cold scheduler.TargetCold) {
+	executor.logger.Info("target is cold", "target", cold.Target, "cause", string(cold.Cause), "for-ms", cold.Until.Sub(executor.now()).Milliseconds(), "taken-over", cold.TakenOver)
+}
+
 func (executor *Executor) logFirstLook(reads, peers int, now time.Time) {
 	executor.logger.Info("first look at targets", "targets", reads, "peers", peers, "since-start-ms", now.Sub(executor.startedAt).Milliseconds())
 }
--- a/executor/meter.go
+++ b/executor/meter.go
@@ -92,6 +92,7 @@
 		}
 		return count
 	}))
+	meter.set.NewGauge("hyssoplift_cold_targets", read(executor.scheduler.ColdTargets))
 	meter.set.NewGauge("hyssoplift_targets_known", read(func() int { return len(executor.pollers) }))
 }
 
--- a/executor/services.go
+++ b/executor/services.go
@@ -1,6 +1,10 @@
 package executor
 
-import "time"
+import (
+	"time"
+
+	"github.com/hyssoplift/hyssoplift/warmer"
+)
 
 // Service is what the configuration says of the targets of a service.
 type Service struct {
@@ -13,9 +17,38 @@
 	ColdStartsPerSecond float64
 }
 
+// ColdBounds bounds the starts on a cold target.
+type ColdBounds struct {
+	// Overage is by how much the rate that suits the target may be exceeded, and Slack how many starts are allowed beyond that; 0 if
+	// unknown.
+	Overage float64
+	Slack   float64
+}
+
 // SetServices replaces what is known of the services.
 func (executor *Executor) SetServices(services []Service) {
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
 	executor.services = services
+	executor.setColdPolicies()
+}
+
+// SetColdBounds sets the bounds for the cold targets of all services.
+func (executor *Executor) SetColdBounds(bounds ColdBounds) {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	executor.coldBounds = bounds
+	executor.setColdPolicies()
+}
+
+// setColdPolicies passes on what is known of cold targets; the caller holds the lock.
+func (executor *Executor) setColdPolicies() {
+	policies := make(map[string]warmer.Policy, len(executor.services))
+	for _, service := range executor.services {
+		policies[service.Name] = warmer.Policy{
+			Period: service.ColdPeriod, StartsPerSecond: service.ColdStartsPerSecond, Overage: executor.coldBounds.Overage, Slack: executor.coldBounds.Slack,
+		}
+	}
+	executor.scheduler.SetColdPolicies(policies, executor.now())
+	executor.runActions()
 }
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -137,7 +137,7 @@
 		if !target.healthy(now) || now.Before(target.excludedUntil) {
 			continue
 		}
-		count += resources.countIn(target.freeCapacity(now))
+		count += target.freeSlots(resources, now)
 	}
 	return count
 }
@@ -156,16 +156,18 @@
 		rate.bestSpeed = max(rate.bestSpeed, target.speedFactor())
 		if !target.readBySelf {
 			used := target.Capacity.Minus(target.freeCapacity(now)).MilliCores
-			rate.perHour += used * int64(time.Hour/defaultRunTime) / defaultMilliCores
+			rate.perHour += target.releasesPerHour(used*int64(time.Hour/defaultRunTime)/defaultMilliCores, now)
 			continue
 		}
+		runEnds := int64(0)
 		for _, allocation := range target.allocations {
 			runTime := defaultRunTime
 			if allocation.estimate > 0 {
 				runTime = target.predict(allocation.estimate)
 			}
-			rate.perHour += int64(time.Hour / max(runTime, time.Millisecond))
+			runEnds += int64(time.Hour / max(runTime, time.Millisecond))
 		}
+		rate.perHour += target.releasesPerHour(runEnds, now)
 	}
 	rate.freeSlots = scheduler.freeSlots(service, Resources{MilliCores: scheduler.typicalMilliCores}, math.MaxInt64, now)
 	if rate.bestSpeed == 0 {
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -18,6 +18,7 @@
 		added.suspended = scheduler.suspended[info.Domain]
 		added.nonReaderBias = nonReaderSpread * RendezvousHash(scheduler.self, info.ID)
 		scheduler.targets[info.ID] = added
+		scheduler.updateColdPeriod(added, now)
 		scheduler.applyKeptReports(info.ID)
 		scheduler.voidLateStarts(added, now)
 		return
@@ -66,6 +67,8 @@
 	known.Target = info
 	known.largestCapacity = known.largestCapacity.max(info.Capacity)
 	known.groupSpeed = scheduler.groupSpeed(info)
+	known.cold.restartedAt = time.Time{}
+	scheduler.updateColdPeriod(known, now)
 	if restarted || info.Address != former {
 		scheduler.voidLateStarts(known, now)
 	}
@@ -98,6 +101,7 @@
 	case incarnation > target.Incarnation, target.verified != 0 && target.verified != incarnation:
 		// The wall clock that names incarnations may have been set back.
 		scheduler.handleTargetRestart(target, incarnation, now)
+		scheduler.presumeCold(target, now)
 		scheduler.voidLateStarts(target, now)
 		scheduler.recordRestartOfStopped(target, now)
 	default:
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -645,6 +645,7 @@
 			target.unreachableSince, target.leaseAnnounced = now, false
 			scheduler.changedTargets[targetID] = true
 		}
+		scheduler.takeOverCold(target, now)
 		// The first poll shows what is running there.
 		target.heldUntil = now.Add(rejectionBackoff)
 		return
--- a/scheduler/isolate.go
+++ b/scheduler/isolate.go
@@ -74,7 +74,7 @@
 	}
 	for _, sibling := range task.job.tasks {
 		target := sibling.runTarget
-		if target != nil && target.isolatedJob == task.job.ID && target.usable(now) && target.fitsIsolated(task) && scheduler.mayRunOn(task, target) {
+		if target != nil && target.isolatedJob == task.job.ID && !target.isCold(now) && target.usable(now) && target.fitsIsolated(task) && scheduler.mayRunOn(task, target) {
 			return target
 		}
 	}
@@ -86,7 +86,7 @@
 			!scheduler.mayRunOn(task, candidate) {
 			continue
 		}
-		cost := candidate.predict(step.Estimate)
+		cost := candidate.predict(step.Estimate) + candidate.coldCost(now)
 		if !candidate.readBySelf {
 			cost += nonReaderCost
 		}
--- a/scheduler/loss.go
+++ b/scheduler/loss.go
@@ -198,6 +198,7 @@
 		scheduler.adoptPending(target, now)
 	} else {
 		scheduler.handleTargetRestart(target, incarnation, now)
+		scheduler.presumeCold(target, now)
 		scheduler.voidLateStarts(target, now)
 	}
 	target.verified = incarnation
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -63,6 +63,9 @@
 	Draining bool
 	// Incarnation grows with each restart under the same ID; 0 if unknown.
 	Incarnation int64
+	// ColdUntil is the end of the time for which the target is slow after its start or after a time without work; zero if it is
+	// not.
+	ColdUntil time.Time
 }
 
 // hasLabel reports whether the target has the label. Every target has the empty label.
@@ -271,7 +274,7 @@
 
 // Action is something that the caller of the scheduler has to do: StartTask, StopRun, RelayStop, SuspendRenewals, QueryOwner,
 // AnnounceLeaseEnd, AwaitRunEnd, WithdrawClaim, OfferCapacity, AnswerJob, LossRecorded, LossWithdrawn or TargetVerified, or to record: RunLost, RunsOverlapped,
-// TaskGivenUp or TargetRestarted.
+// TaskGivenUp, TargetRestarted, TargetCold or TargetWarm.
 type Action interface{ isAction() }
 
 // StartTask asks to start a run on a target.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -73,8 +73,8 @@
 	if best == nil {
 		return false
 	}
-	best.free = best.free.Minus(task.spec().Resources)
 	scheduler.startTask(task, best.target, task.spec().Resources, now)
+	best.free = best.limitFree(best.free.Minus(task.spec().Resources), now)
 	return true
 }
 
@@ -101,7 +101,7 @@
 		if !target.usable(now) {
 			continue
 		}
-		if free := target.freeCapacity(now); least.Fits(free) && scheduler.mayStartOn(target, now) {
+		if free := target.limitFree(target.freeCapacity(now), now); least.Fits(free) && scheduler.mayStartOn(target, now) {
 			candidates = append(candidates, candidate{target, free})
 		}
 	}
@@ -139,6 +139,7 @@
 		if !candidate.readBySelf {
 			cost += nonReaderCost + time.Duration(candidate.nonReaderBias*float64(cost)) + contentionCost
 		}
+		cost += candidate.coldCost(now)
 		if best == nil || cost < bestCost {
 			best, bestCost = candidate, cost
 		}
@@ -228,7 +229,7 @@
 func (scheduler *Scheduler) offerCapacity(target *target, now time.Time) {
 	delete(scheduler.offered, target.ID)
 	target.heldUntil = time.Time{}
-	if !target.readBySelf || target.unreachable || target.Draining || target.withholdsCapacity(now) || target.freeCapacity(now).MilliCores < scheduler.typicalMilliCores/2 {
+	if !target.readBySelf || target.unreachable || target.Draining || target.withholdsCapacity(now) || target.isCold(now) || target.freeCapacity(now).MilliCores < scheduler.typicalMilliCores/2 {
 		return
 	}
 	own := scheduler.Demand()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -125,6 +125,7 @@
 	// isolator knows which tasks were on targets that were lost.
 	isolator *isolator.Isolator
 	lossSharing
+	coldTargets
 	link       Link
 	contention contention
 	// candidateBuffer is reused between placements.
@@ -168,6 +169,7 @@
 		releaseRates:   make(map[string]releaseRate),
 		isolator:       isolator.New(),
 		lossSharing:    newLossSharing(),
+		coldTargets:    newColdTargets(),
 		link:           idleLink{},
 	}
 }
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -187,6 +187,8 @@
 	pendingSince time.Time
 	// isolatedJob is the job whose tasks run here without those of other jobs, or empty.
 	isolatedJob string
+	// cold is the period in which the target gets only a part of its load.
+	cold coldPeriod
 	// cachedSpeed is the speed factor as of cachedVersion, which combines the versions of both learned speeds.
 	cachedSpeed   float64
 	cachedVersion int
@@ -217,13 +219,13 @@
 }
 
 // report returns the reader's report about the target. The reader receives the ends of all runs, so it is the first to
-// detect that the target fails its runs. During probation it reports no free capacity, so that no other instance starts
-// anything there.
+// detect that the target fails its runs. During probation, and while the target is cold, it reports no free capacity, so that
+// no other instance starts anything there.
 func (target *target) report(now time.Time) CapacityReport {
 	switch {
 	case target.unreachable:
 		return CapacityReport{Target: target.ID, Unreachable: true}
-	case target.probation || target.withholdsCapacity(now):
+	case target.probation || target.withholdsCapacity(now) || target.isCold(now):
 		return CapacityReport{Target: target.ID}
 	}
 	return CapacityReport{Target: target.ID, FreeCapacity: target.freeCapacity(now)}
@@ -302,11 +304,15 @@
 }
 
 func (target *target) allocate(run Run, allocation *allocation) {
-	if former, ok := target.allocations[run]; ok {
+	former, ok := target.allocations[run]
+	if ok {
 		target.used = target.used.Minus(former.resources)
 	}
 	allocation.incarnation, allocation.address = target.Incarnation, target.Address
 	target.allocations[run] = allocation
+	if allocation.owner != "" && (!ok || former.owner == "") {
+		target.countColdStart(allocation.claimedAt)
+	}
 	target.used = target.used.Plus(allocation.resources)
 }
 
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -12,6 +12,7 @@
 // Tick handles expired deadlines, lost runs and stragglers, and tasks that may start again.
 func (scheduler *Scheduler) Tick(now time.Time) {
 	scheduler.repeatStops(now)
+	scheduler.endColdPeriods(now)
 	for _, id := range slices.Sorted(maps.Keys(scheduler.jobs)) {
 		scheduler.checkJob(scheduler.jobs[id], now)
 	}
@@ -67,6 +68,7 @@
 	scheduler.expireLostContacts(now)
 	scheduler.expireOwnerless(now)
 	scheduler.expireKeptReports(now)
+	scheduler.repeatColdReports(now)
 	for _, target := range scheduler.ordered {
 		if len(target.allocations) > 0 {
 			scheduler.announceLeaseEnd(target, now)
--- a/supervisor/registry.go
+++ b/supervisor/registry.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"github.com/hyssoplift/hyssoplift/clocker"
 	"github.com/hyssoplift/hyssoplift/follower"
 	"github.com/hyssoplift/hyssoplift/linker"
 	"github.com/hyssoplift/hyssoplift/platform"
@@ -20,6 +21,7 @@
 // targetRegistry holds the targets listed in the store. Only the goroutine that follows the target topic uses it.
 type targetRegistry struct {
 	logger  hclog.Logger
+	now     func() time.Time
 	targets map[string]scheduler.Target
 	// entries holds the encoded entries of targets.
 	entries map[string][]byte
@@ -29,7 +31,7 @@
 }
 
 func newTargetRegistry(logger hclog.Logger) *targetRegistry {
-	return &targetRegistry{logger: logger, targets: make(map[string]scheduler.Target), entries: make(map[string][]byte)}
+	return &targetRegistry{logger: logger, now: clocker.Now, targets: make(map[string]scheduler.Target), entries: make(map[string][]byte)}
 }
 
 // update applies records of targets and reports whether the list of targets may have changed. A snapshot always counts
@@ -70,21 +72,41 @@
 		delete(registry.targets, record.Key)
 		return ok
 	}
-	if ok && platform.IsHeartbeat(registry.entries[record.Key], record.Value) {
+	// The entry of a cold target may say for longer than expected that it is cold.
+	if ok && previous.ColdUntil.IsZero() && platform.IsHeartbeat(registry.entries[record.Key], record.Value) {
 		return false
 	}
-	target, err := platform.DecodeTarget(record.Key, record.Value)
+	now := registry.now()
+	target, err := platform.DecodeTarget(record.Key, record.Value, now)
 	if err != nil {
 		registry.logger.Debug("target entry is invalid, target not used", "target", record.Key, "error", eris.ToString(err, false))
 		delete(registry.targets, record.Key)
 		return ok
 	}
+	coldChanged := !ok || coldEndChanged(&previous, &target, now)
+	if !coldChanged && !target.ColdUntil.IsZero() {
+		// Small differences must not add up unnoticed.
+		target.ColdUntil = previous.ColdUntil
+	}
 	registry.targets[record.Key], registry.entries[record.Key] = target, record.Value
 	registry.incarnationsNamed = registry.incarnationsNamed || target.Incarnation != 0
 	if !ok || previous.Draining != target.Draining || previous.Incarnation != target.Incarnation {
 		registry.logger.Info("target updated", "target", target.ID, "domain", target.Domain, "draining", target.Draining, "incarnation", target.Incarnation)
 	}
-	return !ok || !equalTargets(previous, target)
+	return coldChanged || !equalTargets(previous, target)
+}
+
+// coldEndTolerance is by how much the end of a cold period that an entry names may differ from the known one without counting as a
+// change: heartbeats count the time down, and are read every 500 ms.
+const coldEndTolerance = time.Second
+
+// coldEndChanged reports whether the entries of a target name different ends of its cold period.
+func coldEndChanged(previous, next *scheduler.Target, now time.Time) bool {
+	if previous.Incarnation != next.Incarnation {
+		return true
+	}
+	left := func(target *scheduler.Target) time.Duration { return max(target.ColdUntil.Sub(now), 0) }
+	return (left(next) - left(previous)).Abs() > coldEndTolerance
 }
 
 func equalTargets(a, b scheduler.Target) bool {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -131,6 +131,7 @@
 	limits.MaxRemoteLinks, limits.IdleTimeout, limits.IOTimeout = maxRemoteLinks, 0, linkTimeout
 	links := linker.New(hello, limits, logger, jobExecutor.Peers().Receive)
 	jobExecutor.Peers().SetLinks(links)
+	jobExecutor.SetColdBounds(executor.ColdBounds{Overage: settings.ColdOverage, Slack: settings.ColdSlack})
 	supervisor := &Supervisor{
 		settings:     settings,
 		logWriter:    logWriter,
