--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -304,13 +304,12 @@
 }
 
 func (target *target) allocate(run Run, allocation *allocation) {
-	former, ok := target.allocations[run]
-	if ok {
+	if former, ok := target.allocations[run]; ok {
 		target.used = target.used.Minus(former.resources)
 	}
 	allocation.incarnation, allocation.address = target.Incarnation, target.Address
 	target.allocations[run] = allocation
-	if allocation.owner != "" && (!ok || former.owner == "") {
+	if allocation.owner != "" {
 		target.countColdStart(allocation.claimedAt)
 	}
 	target.used = target.used.Plus(allocation.resources)
--- a/scheduler/warm_up_test.go
+++ b/scheduler/warm_up_test.go
@@ -31,20 +31,14 @@
 type coldPlay struct {
 	scheduler *Scheduler
 	runMS     int
-	endAt     map[StartedRun]int
+	endAt     map[targetRun]int
 	// starts holds the times of the starts by target, and peak is the largest number of runs at a time.
 	starts map[string][]int
 	peak   int
 }
 
-// StartedRun is a run on a target.
-type StartedRun struct {
-	target string
-	run    Run
-}
-
 func newColdPlay(scheduler *Scheduler, runMS int) *coldPlay {
-	return &coldPlay{scheduler: scheduler, runMS: runMS, endAt: make(map[StartedRun]int), starts: make(map[string][]int)}
+	return &coldPlay{scheduler: scheduler, runMS: runMS, endAt: make(map[targetRun]int), starts: make(map[string][]int)}
 }
 
 // advance handles ticks from one time until another, exclusively, and polls the targets.
@@ -64,7 +58,7 @@
 		starts := drain(play.scheduler).starts
 		acceptStarts(play.scheduler, starts, at(now))
 		for _, start := range starts {
-			play.endAt[StartedRun{start.Target, start.Run}] = now + play.runMS
+			play.endAt[targetRun{start.Target, start.Run}] = now + play.runMS
 			play.starts[start.Target] = append(play.starts[start.Target], now)
 		}
 		play.peak = max(play.peak, len(play.endAt))
@@ -201,8 +195,13 @@
 // A new reader must go on from the same end of the period. It does not know what the former one has started, so it must not use the
 // slack again, nor the time before.
 func TestNewReaderGoesOnInTheMiddleOfTheColdPeriod(t *testing.T) {
+	for change, share := range map[int]float64{500: 0.25, coldPeriodMS / 2: 0.75} {
+		t.Run(fmt.Sprintf("after %d ms", change), func(t *testing.T) { testChangeOfReader(t, change, share) })
+	}
+}
+
+func testChangeOfReader(t *testing.T, change int, share float64) {
 	is := is.New(t)
-	const change = coldPeriodMS / 2
 	former, next := newTestScheduler(1), New("next", "a")
 	next.SetTargets(testTargets(1), at(0))
 	next.AttachReader("t0", "self", at(0))
@@ -217,14 +216,14 @@
 	next.SetReader("t0", true, at(change))
 	next.AttachReader("t0", "", at(change))
 	is.Equal(next.targets["t0"].cold.ramp.End(), former.targets["t0"].cold.ramp.End())
-	is.Equal(next.targets["t0"].cold.ramp.Share(at(change)), 0.75)
+	is.Equal(next.targets["t0"].cold.ramp.Share(at(change)), share)
 	second := newColdPlay(next, 20)
 	next.Submit(smallJob("b", 60, change), at(change))
 	second.advance(change, coldPeriodMS)
 	for now := change; now < coldPeriodMS; now += 500 {
 		is.True(first.startedBy("t0", now)+second.startedBy("t0", now+1) <= 5+3*now/1000)
 	}
-	is.True(len(second.starts["t0"]) >= 11) // of 12 that are allowed
+	is.True(len(second.starts["t0"]) >= 3*(coldPeriodMS-change)/1000-1) // one less than are allowed
 	second.advance(coldPeriodMS, coldPeriodMS+50)
 	is.True(len(second.starts["t0"]) >= 40) // warm
 }
@@ -304,6 +303,11 @@
 	is.Equal(ramp.End(), at(2000))
 	is.Equal(ramp.RemainingStarts(at(10), 0), int64(0))
 	is.Equal(ramp.RemainingStarts(at(1010), 0), int64(3))
+	// A reader that could not read the store for a while does not know either what was started before.
+	late := newTestScheduler(1)
+	setColdPolicy(late, coldPolicy, 0)
+	late.SetTargets([]Target{target}, at(0))
+	is.Equal(late.targets["t0"].cold.ramp.RemainingStarts(at(0), 0), int64(0))
 }
 
 // Cold targets must not get work while warm ones have room, and work must not be refused or wait while cold ones may take it.
@@ -372,24 +376,46 @@
 			}
 			is.Equal(scheduler.freeSlots("work", test.resources, 100, at(test.now)), test.want)
 			scheduler.SetReader("t0", false, at(test.now))
-			is.True(test.now == coldPeriodMS || scheduler.freeSlots("work", test.resources, 100, at(test.now)) == 0)
+			clear(scheduler.releaseRates)
+			if test.now < coldPeriodMS {
+				is.Equal(scheduler.freeSlots("work", test.resources, 100, at(test.now)), int64(0))
+				is.Equal(scheduler.releaseRateOf("work", at(test.now)).perHour, int64(0))
+			}
 		})
 	}
 }
 
 // A task that may have crashed a target claims a whole one; its siblings would exceed the share of a cold one.
 func TestIsolatedJobStartsOneTaskOnAColdTarget(t *testing.T) {
+	for cold, warm := range map[string]string{"t0": "t1", "t1": "t0"} {
+		is := is.New(t)
+		scheduler := newTestScheduler(2)
+		setColdPolicy(scheduler, sharePolicy, 0)
+		target := scheduler.targets[cold]
+		scheduler.beginColdPeriod(target, at(0))
+		job := newJob(testJob("j", 2, 100, 0))
+		candidates := []candidate{{scheduler.targets["t0"], target.Capacity}, {scheduler.targets["t1"], target.Capacity}}
+		is.Equal(scheduler.chooseIsolated(job.tasks[0], candidates, at(0)).ID, warm)
+		target.isolatedJob = "j"
+		scheduler.startTask(job.tasks[0], target, target.Capacity, at(0))
+		is.Equal(scheduler.chooseIsolated(job.tasks[1], scheduler.candidatesFor(Resources{MilliCores: 1}, at(0)), at(0)).ID, warm)
+	}
+}
+
+// News of a restart from the reader comes before the entry too; whoever reads the target next must know that it is cold. The first
+// incarnation that becomes known is no restart.
+func TestNewsOfARestart(t *testing.T) {
 	is := is.New(t)
-	scheduler := newTestScheduler(2)
+	scheduler := New("self", "a")
+	unknown := testTarget(1)
+	unknown.Incarnation = 0
+	scheduler.SetTargets([]Target{testTarget(0), unknown}, at(0))
 	setColdPolicy(scheduler, sharePolicy, 0)
-	scheduler.beginColdPeriod(scheduler.targets["t0"], at(0))
-	job := newJob(testJob("j", 2, 100, 0))
-	candidates := scheduler.candidatesFor(Resources{MilliCores: 1}, at(0))
-	is.Equal(scheduler.chooseIsolated(job.tasks[0], candidates, at(0)).ID, "t1") // the warm one
-	cold := scheduler.targets["t0"]
-	cold.isolatedJob = "j"
-	scheduler.startTask(job.tasks[0], cold, cold.Capacity, at(0))
-	is.Equal(scheduler.chooseIsolated(job.tasks[1], scheduler.candidatesFor(Resources{MilliCores: 1}, at(0)), at(0)).ID, "t1")
+	scheduler.HandlePeerRestart("t0", 2, at(10))
+	is.True(scheduler.targets["t0"].isCold(at(10)))
+	is.Equal(scheduler.targets["t0"].cold.ramp.End(), at(10+coldPeriodMS))
+	scheduler.HandlePoll("t1", PollResult{Incarnation: 1, Sent: at(10), Answered: at(11)})
+	is.True(!scheduler.targets["t1"].isCold(at(11)))
 }
 
 // Where neither the configuration nor an entry names a cold period, every decision and every report must be the same as without this
