--- a/executor/meter.go
+++ b/executor/meter.go
@@ -105,6 +105,7 @@
 	}))
 	meter.set.NewGauge("hyssoplift_target_connection_limit", read(func() int { return executor.peers.ConnectionLimit(false) }))
 	meter.set.NewGauge("hyssoplift_evacuated_domains", read(func() int { return len(executor.evacuator.Evacuated()) }))
+	meter.set.NewGauge("hyssoplift_cold_targets", read(executor.scheduler.ColdTargets))
 	meter.set.NewGauge("hyssoplift_targets_known", read(func() int { return len(executor.pollers) }))
 }
 
--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -43,8 +43,9 @@
 }
 
 // handleEvacuationWithdrawn is called for each target when the evacuation of its failure domain is withdrawn, and when its entry
-// begins to name a domain that is not evacuated. Its capacity is reported at once.
-func (scheduler *Scheduler) handleEvacuationWithdrawn(target *target, _ time.Time) {
+// begins to name a domain that is not evacuated. It may be cold by now; otherwise its capacity is reported at once.
+func (scheduler *Scheduler) handleEvacuationWithdrawn(target *target, now time.Time) {
+	scheduler.beginColdPeriod(target, now)
 	scheduler.reportChange(target)
 }
 
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -191,6 +191,8 @@
 	pendingSince time.Time
 	// isolatedJob is the job whose tasks run here without those of other jobs, or empty.
 	isolatedJob string
+	// cold is the period in which the target gets only a part of its load.
+	cold coldPeriod
 	// cachedSpeed is the speed factor as of cachedVersion, which combines the versions of both learned speeds.
 	cachedSpeed   float64
 	cachedVersion int
@@ -221,13 +223,13 @@
 }
 
 // report returns the reader's report about the target. The reader receives the ends of all runs, so it is the first to
-// detect that the target fails its runs. During probation, and while its failure domain is evacuated, it reports no free capacity,
-// so that no other instance starts anything there.
+// detect that the target fails its runs. During probation, while its failure domain is evacuated, and while the target is cold, it
+// reports no free capacity, so that no other instance starts anything there.
 func (target *target) report(now time.Time) CapacityReport {
 	switch {
 	case target.unreachable:
 		return CapacityReport{Target: target.ID, Unreachable: true}
-	case target.probation || target.evacuated || target.withholdsCapacity(now):
+	case target.probation || target.evacuated || target.withholdsCapacity(now) || target.isCold(now):
 		return CapacityReport{Target: target.ID}
 	}
 	return CapacityReport{Target: target.ID, FreeCapacity: target.freeCapacity(now)}
@@ -314,6 +316,9 @@
 	}
 	allocation.incarnation, allocation.address = target.Incarnation, target.Address
 	target.allocations[run] = allocation
+	if allocation.owner != "" {
+		target.countColdStart(allocation.claimedAt)
+	}
 	target.used = target.used.Plus(allocation.resources)
 }
 
