Queue a start again for which no connection was free

The new result no-connection means that nothing was sent, and that the target is not at fault. The task is queued again at once, and this instance starts nothing on the target for 15 ms. The existing results do not fit: unsent makes the target unreachable and tells the other instances, unconnected sets it aside for 520 ms and makes the task avoid it.

--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -42,7 +42,7 @@
 			task.state = stopping
 			task.avoid(task.runTarget)
 		}
-	case StartNoRoom, StartStale, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced:
+	case StartNoRoom, StartStale, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced, StartNoConnection:
 		scheduler.handleStartRejected(target, run, result, now)
 		if current {
 			scheduler.requeueRejected(task, result, now)
@@ -115,6 +115,8 @@
 		target.heldUntil = now.Add(unconnectedBackoff)
 	case StartFenced:
 		target.recordFenced(now)
+	case StartNoConnection:
+		target.unconnectedUntil = now.Add(noConnectionBackoff)
 	case StartTaken, StartStale, StartLate, StartImpossible, StartUnanswered:
 	}
 }
@@ -137,6 +139,10 @@
 // the cause, its reader reports it within this time.
 const unconnectedBackoff = 520 * time.Millisecond
 
+// noConnectionBackoff is how long a target gets no new work from an instance whose connections to it are all in use. A start
+// request occupies a connection for a shorter time.
+const noConnectionBackoff = 15 * time.Millisecond
+
 // unansweredBackoff is how long a target that leaves requests unanswered gets no new work, until it is known whether it
 // answers the stop request.
 const unansweredBackoff = 200 * time.Millisecond
@@ -152,7 +158,7 @@
 		}
 	case StartStale, StartRefused, StartUnsent, StartUnconnected:
 		task.avoid(task.runTarget)
-	case StartTaken, StartNoRoom, StartLate, StartUnanswered, StartFenced:
+	case StartTaken, StartNoRoom, StartLate, StartUnanswered, StartFenced, StartNoConnection:
 	}
 	task.lossReason = ""
 	scheduler.enqueue(task)
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -181,6 +181,9 @@
 	StartUnconnected
 	// StartFenced means that the target did nothing, because it has seen a request for a later incarnation.
 	StartFenced
+	// StartNoConnection means that no connection to the target was free, or that the target refused a new one while it answers on
+	// others, so that nothing left the instance.
+	StartNoConnection
 )
 
 // mayHaveRun reports whether the task runs, has run or may have run.
@@ -188,14 +191,14 @@
 	switch result {
 	case StartTaken, StartUnanswered, StartStale:
 		return true
-	case StartNoRoom, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced:
+	case StartNoRoom, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced, StartNoConnection:
 	}
 	return false
 }
 
 // String returns the name used in logs and metrics.
 func (result StartResult) String() string {
-	names := []string{"unknown", "taken", "no-room", "stale", "late", "refused", "impossible", "unanswered", "unsent", "unconnected", "fenced"}
+	names := []string{"unknown", "taken", "no-room", "stale", "late", "refused", "impossible", "unanswered", "unsent", "unconnected", "fenced", "no-connection"}
 	if int(result) < len(names) && result > 0 {
 		return names[result]
 	}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -112,6 +112,8 @@
 	// heldUntil blocks new work after a rejection for lack of capacity, or while the capacity is offered to another
 	// instance.
 	heldUntil time.Time
+	// unconnectedUntil blocks new work because no connection to the target was free.
+	unconnectedUntil time.Time
 	// excludedUntil blocks new work on a faulty target, and exclusions counts the exclusions in a row.
 	excludedUntil time.Time
 	exclusions    int
@@ -267,7 +269,7 @@
 
 // usable reports whether the target may get new work now.
 func (target *target) usable(now time.Time) bool {
-	if target.Draining || target.replaced || target.unreachable || target.unreachableByReader || target.suspended || !target.fencedAt.IsZero() || target.expired(now) || now.Before(target.heldUntil) || now.Before(target.excludedUntil) || now.Before(target.unrenewedUntil) {
+	if target.Draining || target.replaced || target.unreachable || target.unreachableByReader || target.suspended || !target.fencedAt.IsZero() || target.expired(now) || now.Before(target.heldUntil) || now.Before(target.unconnectedUntil) || now.Before(target.excludedUntil) || now.Before(target.unrenewedUntil) {
 		return false
 	}
 	return !target.probation || len(target.allocations) == 0
