Keep the connections to each target within a limit

Targets accept a limited number of connections from all instances together.

What a start may have done is judged as before: once a part was written, it is unanswered. A poll without a connection is no failed poll.

Without a limit, requests take the former path.

--- a/executor/delegation_test.go
+++ b/executor/delegation_test.go
@@ -59,6 +59,8 @@
 	return nil
 }
 
+func (client instanceClient) SetConnectionLimits(map[string]int) {}
+
 func (client instanceClient) CloseIdle() {
 	client.mu.Lock()
 	defer client.mu.Unlock()
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -51,16 +51,23 @@
 // ErrFenced reports that a target did nothing, because it has seen a request for a later incarnation.
 var ErrFenced = eris.New("the target has seen a request for a later incarnation")
 
+// ErrNoConnection reports that no connection to a target was free within the limit, so that nothing was sent, or that the
+// target ended a new one while it answers on others. It says nothing against the target.
+var ErrNoConnection = eris.New("no connection to the target is free")
+
 // TargetClient sends requests to targets. Times are those of this instance's clock.
 type TargetClient interface {
 	// Start starts a run; the request and the lease that it asks for expire at lease.
+	// It returns StartNoConnection if no connection was free and nothing was sent.
 	Start(ctx context.Context, on scheduler.Target, start scheduler.StartTask, lease time.Time) scheduler.StartResult
 	// Stop stops a run. It returns nil once the target has accepted the request, ErrReplaced if another target has its
-	// address, and ErrFenced if the target did nothing.
+	// address, ErrFenced if the target did nothing, and ErrNoConnection.
 	Stop(ctx context.Context, on scheduler.Target, run scheduler.Run) error
-	// Poll asks for the running and ended runs of a target. It returns ErrReplaced if the target is gone for certain, and
-	// ErrFenced if it did nothing.
+	// Poll asks for the running and ended runs of a target. It returns ErrReplaced if the target is gone for certain,
+	// ErrFenced if it did nothing, and ErrNoConnection.
 	Poll(ctx context.Context, on scheduler.Target, request PollRequest) (scheduler.PollResult, error)
+	// SetConnectionLimits sets how many connections this instance may hold to each target, by address; 0 means any number.
+	SetConnectionLimits(limits map[string]int)
 	// CloseIdle closes unused connections; few requests will follow.
 	CloseIdle()
 }
@@ -128,6 +135,9 @@
 	peersKnown bool
 	// services is what the configuration in force says of the services.
 	services []Service
+	// connectionLimits is what was last passed on to the client, and readersChanged means that readers or targets have changed since.
+	connectionLimits connectionLimits
+	readersChanged   bool
 	// leaving means that a planned stop has begun, and reassign that the readers must be assigned again.
 	leaving  bool
 	reassign bool
@@ -197,6 +207,8 @@
 	for _, id := range executor.scheduler.Contradicted() {
 		executor.wake(id)
 	}
+	executor.readersChanged = true
+	executor.updateConnectionLimits()
 }
 
 // Ready reports whether any target is known.
@@ -378,10 +390,12 @@
 		executor.logWithdrawnLoss(action)
 		executor.peers.BroadcastResponding(action.Target, action.Incarnation)
 	case scheduler.TargetVerified:
+		executor.readersChanged = true // its address may have changed
 		executor.logger.Warn("entry of a target contradicts its answer", "target", action.Target, "incarnation", action.Incarnation)
 		executor.peers.BroadcastVerified(action.Target, action.Incarnation)
 	case scheduler.TargetRestarted:
 		executor.meter.targetRestarts.Inc()
+		executor.readersChanged = true // its address may have changed
 		executor.logTargetRestart(action)
 		executor.wake(action.Target)
 		if executor.reader(action.Target) == executor.self.Incarnation {
@@ -434,6 +448,9 @@
 	for range stop.Attempts() {
 		ctx, cancel := context.WithTimeout(executor.ctx, stopTimeout+executor.uplink.Send(0, executor.now()))
 		err = executor.client.Stop(ctx, stop.RunTarget, stop.Run)
+		for errors.Is(err, ErrNoConnection) && sleeper.For(ctx, noConnectionPause) {
+			err = executor.client.Stop(ctx, stop.RunTarget, stop.Run)
+		}
 		cancel()
 		if err == nil || errors.Is(err, ErrReplaced) || errors.Is(err, ErrFenced) {
 			break
@@ -489,6 +506,7 @@
 			lastSweep = now
 			executor.scheduler.Sweep(now)
 			executor.assignReaders(now)
+			executor.updateConnectionLimits()
 			peers := executor.peers.Answering()
 			executor.scheduler.SetPeers(peers)
 			if !executor.peersKnown && knowsPeers(peers, now.Sub(executor.startedAt)) {
--- a/executor/log.go
+++ b/executor/log.go
@@ -34,6 +34,10 @@
 			"room", start.FreeCapacity.MilliCores, "room-age-ms", start.FreeCapacityAge.Milliseconds(), "room-evidence", string(start.FreeCapacityEvidence), "predicted-ms", start.Predicted.Milliseconds(), "took-ms", took.Milliseconds())
 		return
 	}
+	if result == scheduler.StartNoConnection {
+		// The client logs for each target and period that no connection was free.
+		return
+	}
 	executor.logger.Warn("task not started", "job", start.Job, "task", start.Run.Task, "attempt", start.Run.Attempt, "target", start.Target,
 		"result", result.String(), "room", start.FreeCapacity.MilliCores, "room-age-ms", start.FreeCapacityAge.Milliseconds(), "room-evidence", string(start.FreeCapacityEvidence),
 		"took-ms", took.Milliseconds())
--- a/executor/peers.go
+++ b/executor/peers.go
@@ -270,6 +270,7 @@
 		executor.scheduler.AttachReader(poller.id, best.Incarnation, now)
 	}
 	if poller.isReader.Swap(isReader) != isReader {
+		executor.readersChanged = true
 		executor.logger.Debug("reader of target changed", "target", poller.id, "own", isReader, "reader", best.Name)
 		executor.wake(poller.id)
 	}
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -129,6 +129,7 @@
 		poller.sleep(ctx, max(pause, minPollInterval))
 		return
 	}
+	lastPoll, incarnationSince := poller.lastPoll, poller.incarnationSince
 	poller.lastPoll, poller.incarnationSince = now, state.IncarnationSince
 	if state.MayRenew(now) && poller.failures == 0 {
 		request.Lease = now.Add(scheduler.LeaseDuration)
@@ -139,7 +140,11 @@
 	if executor.degraded(now) {
 		request.Wait = min(request.Wait, degradedPollWait)
 	}
-	executor.poll(ctx, poller, target, request)
+	if !executor.poll(ctx, poller, target, request) {
+		// The poll remains due.
+		poller.lastPoll, poller.incarnationSince = lastPoll, incarnationSince
+		sleeper.For(ctx, noConnectionPause)
+	}
 }
 
 // nextPoll returns the next poll and how long to wait before it; a wait of zero or less means that it is due.
@@ -232,8 +237,9 @@
 	return false
 }
 
-// poll polls the target and processes its answer.
-func (executor *Executor) poll(ctx context.Context, poller *poller, target scheduler.Target, request PollRequest) {
+// poll polls the target and processes its answer. It returns false if no connection to the target was free, which is no failure of
+// the target.
+func (executor *Executor) poll(ctx context.Context, poller *poller, target scheduler.Target, request PollRequest) bool {
 	timeout := request.Wait + pollTimeout
 	if poller.failures > 0 || executor.degraded(poller.lastPoll) {
 		timeout = request.Wait + degradedPollTimeout
@@ -241,24 +247,27 @@
 	pollContext, cancel := context.WithTimeout(ctx, timeout+executor.uplink.Send(0, executor.now()))
 	defer cancel()
 	poll, err := executor.client.Poll(pollContext, target, request)
+	if errors.Is(err, ErrNoConnection) {
+		return false
+	}
 	executor.meter.polls.Inc()
 	if ctx.Err() != nil {
-		return
+		return true
 	}
 	if errors.Is(err, ErrFenced) {
 		executor.handleFencedPoll(poller, target)
-		return
+		return true
 	}
 	if err != nil {
 		executor.handlePollFailure(poller, target, err)
-		return
+		return true
 	}
 	poll.Address = target.Address
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
 	executor.noticePause(poll.Answered)
 	if !executor.scheduler.HandlePoll(poller.id, poll) {
-		return
+		return true
 	}
 	if !poller.polled {
 		executor.logFirstList(poller, poll)
@@ -278,6 +287,7 @@
 		executor.peers.Report(report)
 	}
 	executor.runActions()
+	return true
 }
 
 // processEnds forwards new ends and decides which may be acknowledged; the caller holds the lock.
--- a/executor/poller_test.go
+++ b/executor/poller_test.go
@@ -20,6 +20,8 @@
 
 func (silentClient) CloseIdle() {}
 
+func (silentClient) SetConnectionLimits(map[string]int) {}
+
 func (silentClient) Start(context.Context, scheduler.Target, scheduler.StartTask, time.Time) scheduler.StartResult {
 	return scheduler.StartUnanswered
 }
@@ -32,9 +34,11 @@
 	return scheduler.PollResult{}, eris.New("no answer")
 }
 
-func newTestExecutor(t *testing.T) *Executor {
+func newTestExecutor(t *testing.T) *Executor { return newTestExecutorOf(t, silentClient{}) }
+
+func newTestExecutorOf(t *testing.T, client TargetClient) *Executor {
 	self := linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}
-	executor := New(self, 0, silentClient{}, time.Now, hclog.NewNullLogger())
+	executor := New(self, 0, client, time.Now, hclog.NewNullLogger())
 	t.Cleanup(executor.Close)
 	executor.SetTargets([]scheduler.Target{{ID: "t", Service: "work", Domain: "a", Capacity: scheduler.Resources{MilliCores: 32000}}})
 	return executor
--- a/executor/soak_targets_test.go
+++ b/executor/soak_targets_test.go
@@ -390,6 +390,8 @@
 
 func (*leasedTargets) CloseIdle() {}
 
+func (*leasedTargets) SetConnectionLimits(map[string]int) {}
+
 // describeRuns lists the accepted runs of the tasks of a job; the caller holds the lock.
 func (targets *leasedTargets) describeRuns(tasks []string) string {
 	var text strings.Builder
--- a/executor/stop_list_test.go
+++ b/executor/stop_list_test.go
@@ -26,6 +26,8 @@
 
 func (*lostStartClient) CloseIdle() {}
 
+func (*lostStartClient) SetConnectionLimits(map[string]int) {}
+
 func (client *lostStartClient) Start(_ context.Context, on scheduler.Target, _ scheduler.StartTask, _ time.Time) scheduler.StartResult {
 	client.mu.Lock()
 	defer client.mu.Unlock()
--- a/supervisor/load.go
+++ b/supervisor/load.go
@@ -25,6 +25,8 @@
 	counters := []counter{
 		{"hyssoplift_target_dials_total", "dials", targets.Dials},
 		{"hyssoplift_target_dials_failed_total", "failed-dials", targets.FailedDials},
+		{"hyssoplift_target_connections_denied_total", "denied-connections", targets.DeniedConnections},
+		{"hyssoplift_target_connections_reset_total", "reset-connections", targets.ResetConnections},
 		{"hyssoplift_target_sent_bytes_total", "target-sent", targets.BytesSent},
 		{"hyssoplift_target_received_bytes_total", "target-received", targets.BytesReceived},
 		{"hyssoplift_peer_frames_sent_total", "peer-frames", peers.FramesSent},
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -126,6 +126,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	hello := linker.Hello{Domain: settings.Domain, Name: settings.Name, Incarnation: uuid.NewString(), Address: settings.PeerAddress, Weight: weight(settings)}
 	targetClient := platform.NewTargetClient(clocker.Now)
+	targetClient.SetLogger(logger)
 	jobExecutor := executor.New(hello, settings.LinkMbps, targetClient, clocker.Now, logger)
 	limits := linker.DefaultLimits()
 	limits.MaxRemoteLinks, limits.IdleTimeout, limits.IOTimeout = maxRemoteLinks, 0, linkTimeout
