--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -186,6 +186,9 @@
 	StartFenced
 	// StartWithheld means that the target's failure domain was evacuated before the request was sent, so that nothing was sent.
 	StartWithheld
+	// StartNoConnection means that no connection to the target was free, or that the target refused a new one while it answers on
+	// others, so that nothing left the instance.
+	StartNoConnection
 )
 
 // mayHaveRun reports whether the task runs, has run or may have run.
@@ -193,14 +196,14 @@
 	switch result {
 	case StartTaken, StartUnanswered, StartStale:
 		return true
-	case StartNoRoom, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced, StartWithheld:
+	case StartNoRoom, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced, StartWithheld, StartNoConnection:
 	}
 	return false
 }
 
 // String returns the name used in logs and metrics.
 func (result StartResult) String() string {
-	names := []string{"unknown", "taken", "no-room", "stale", "late", "refused", "impossible", "unanswered", "unsent", "unconnected", "fenced", "withheld"}
+	names := []string{"unknown", "taken", "no-room", "stale", "late", "refused", "impossible", "unanswered", "unsent", "unconnected", "fenced", "withheld", "no-connection"}
 	if int(result) < len(names) && result > 0 {
 		return names[result]
 	}
