--- a/executor/executor.go
+++ b/executor/executor.go
@@ -114,6 +114,8 @@
 	foreignJobs map[foreignJob]context.CancelFunc
 	// cancelQueries holds the jobs of cancellations that other instances have not answered.
 	cancelQueries map[*cancelQuery]string
+	// reservations holds the reservations that starts wait for.
+	reservations map[reservedRun]*reservation
 	// framesSent and bytesSent are what was sent to other instances until the last tick.
 	framesSent int64
 	bytesSent  int64
@@ -156,6 +158,7 @@
 		delegated:     make(map[string]*delegation),
 		foreignJobs:   make(map[foreignJob]context.CancelFunc),
 		cancelQueries: make(map[*cancelQuery]string),
+		reservations:  make(map[reservedRun]*reservation),
 	}
 	executor.scheduler.SetLink(executor.uplink)
 	executor.meter.registerGauges(executor)
@@ -325,9 +328,7 @@
 func (executor *Executor) runAction(action scheduler.Action) {
 	switch action := action.(type) {
 	case scheduler.StartTask:
-		if reader := executor.reader(action.Target); reader != executor.self.Incarnation {
-			executor.peers.Claim(reader, action.Claim)
-		}
+		executor.announceStart(&action)
 		executor.wake(action.Target)
 		go executor.start(action)
 	case scheduler.StopRun:
@@ -406,18 +407,23 @@
 
 // start sends a start request and reports the result to the scheduler.
 func (executor *Executor) start(start scheduler.StartTask) {
+	deniedBy := executor.awaitReservation(&start)
 	sent := executor.now()
 	ctx, cancel := context.WithTimeout(executor.ctx, startTimeout+max(0, start.TransmittedAt.Sub(sent)))
 	defer cancel()
 	lease := start.Issued.Add(scheduler.LeaseDuration)
 	// This instance may have been paused since the start was decided.
 	result := scheduler.StartLate
-	if sent.Before(lease) && sent.Before(start.Deadline) {
+	switch {
+	case deniedBy != "":
+		result = scheduler.StartDenied
+		executor.uplink.Cancel(len(start.Body), sent)
+	case sent.Before(lease) && sent.Before(start.Deadline):
 		result = executor.client.Start(ctx, start.RunTarget, start, lease)
 	}
 	now := executor.now()
 	executor.meter.recordStart(result, now.Sub(start.Arrived), now.Sub(sent))
-	executor.logStart(start, result, now.Sub(sent))
+	executor.logStart(start, result, deniedBy, now.Sub(sent))
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
 	executor.noticePause(now)
--- a/executor/log.go
+++ b/executor/log.go
@@ -28,15 +28,22 @@
 	}
 }
 
-func (executor *Executor) logStart(start scheduler.StartTask, result scheduler.StartResult, took time.Duration) {
+// logStart logs the result of a start; deniedBy is the reader that denied the reservation, or empty.
+func (executor *Executor) logStart(start scheduler.StartTask, result scheduler.StartResult, deniedBy string, took time.Duration) {
 	if result == scheduler.StartTaken {
 		executor.logger.Info("task started", "job", start.Job, "task", start.Run.Task, "attempt", start.Run.Attempt, "target", start.Target,
 			"room", start.FreeCapacity.MilliCores, "room-age-ms", start.FreeCapacityAge.Milliseconds(), "room-evidence", string(start.FreeCapacityEvidence), "predicted-ms", start.Predicted.Milliseconds(), "took-ms", took.Milliseconds())
 		return
 	}
-	executor.logger.Warn("task not started", "job", start.Job, "task", start.Run.Task, "attempt", start.Run.Attempt, "target", start.Target,
+	fields := []any{
+		"job", start.Job, "task", start.Run.Task, "attempt", start.Run.Attempt, "target", start.Target,
 		"result", result.String(), "room", start.FreeCapacity.MilliCores, "room-age-ms", start.FreeCapacityAge.Milliseconds(), "room-evidence", string(start.FreeCapacityEvidence),
-		"took-ms", took.Milliseconds())
+		"took-ms", took.Milliseconds(),
+	}
+	if deniedBy != "" {
+		fields = append(fields, "reader", deniedBy)
+	}
+	executor.logger.Warn("task not started", fields...)
 }
 
 func (executor *Executor) logStop(stop scheduler.StopRun, err error) {
--- a/executor/meter.go
+++ b/executor/meter.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
+	"github.com/hyssoplift/hyssoplift/reserver"
 	"github.com/hyssoplift/hyssoplift/scheduler"
 )
 
@@ -29,6 +30,9 @@
 	// Exported from the start, even if no job is ever delegated and no run lost.
 	set.NewCounter(`hyssoplift_delegated_jobs_total{outcome="complete"}`)
 	set.NewCounter(`hyssoplift_runs_lost_total{reason="lapsed"}`)
+	for _, answer := range []reserver.Answer{reserver.Granted, reserver.Denied, reserver.Unanswered} {
+		set.NewCounter(reservationsMetric(answer))
+	}
 	return &meter{
 		set:             set,
 		stops:           set.NewCounter("hyssoplift_stops_total"),
@@ -61,6 +65,9 @@
 // of the request.
 func (meter *meter) recordStart(result scheduler.StartResult, sinceArrival, duration time.Duration) {
 	meter.set.GetOrCreateCounter(`hyssoplift_starts_total{result="` + result.String() + `"}`).Inc()
+	if result == scheduler.StartDenied {
+		return // there was no request
+	}
 	meter.wait.Update(sinceArrival.Seconds())
 	meter.startDurations.Update(duration.Seconds())
 }
@@ -70,6 +77,15 @@
 	meter.set.GetOrCreateCounter(`hyssoplift_runs_lost_total{reason="` + string(lost.Reason) + `"}`).Inc()
 }
 
+// countReservation counts the answer to a reservation of this instance.
+func (meter *meter) countReservation(answer reserver.Answer) {
+	meter.set.GetOrCreateCounter(reservationsMetric(answer)).Inc()
+}
+
+func reservationsMetric(answer reserver.Answer) string {
+	return `hyssoplift_reservations_total{result="` + answer.String() + `"}`
+}
+
 // registerGauges registers the gauges that read the executor's state when metrics are written.
 func (meter *meter) registerGauges(executor *Executor) {
 	read := func(value func() int) func() float64 {
--- a/executor/peers.go
+++ b/executor/peers.go
@@ -24,6 +24,7 @@
 	for _, claim := range update.Claims {
 		executor.handleClaim(from, claim, delay, now)
 	}
+	executor.handleReservations(from, &update, delay, now)
 	for _, run := range update.Queries {
 		executor.answerQuery(from, decodeOwnedRun(run), now)
 	}
@@ -98,7 +99,16 @@
 // handleClaim records a claim of another instance that was delayed, or answers it with the run's end if that is already
 // known.
 func (executor *Executor) handleClaim(from string, claim linker.Claim, delay time.Duration, now time.Time) {
-	decoded := scheduler.Claim{
+	if end, ended := executor.scheduler.HandlePeerClaim(from, decodeClaim(claim, delay), now); ended {
+		executor.peers.SendRunEnd(from, claim.Target, end)
+		return
+	}
+	executor.wake(claim.Target)
+}
+
+// decodeClaim decodes a claim of an update that was delayed.
+func decodeClaim(claim linker.Claim, delay time.Duration) scheduler.Claim {
+	return scheduler.Claim{
 		Target:      claim.Target,
 		Run:         scheduler.Run{Task: claim.Task, Attempt: claim.Attempt},
 		Resources:   scheduler.Resources{MilliCores: claim.MilliCores, MemoryMB: claim.MemoryMB, Accelerators: claim.Accelerators},
@@ -106,11 +116,6 @@
 		Incarnation: claim.Incarnation,
 		Age:         milliseconds(claim.AgeMS) + delay,
 	}
-	if end, ended := executor.scheduler.HandlePeerClaim(from, decoded, now); ended {
-		executor.peers.SendRunEnd(from, claim.Target, end)
-		return
-	}
-	executor.wake(claim.Target)
 }
 
 // answerQuery tells the reader of a target whether this instance owns a run there; the caller holds the lock.
--- a/executor/uplink.go
+++ b/executor/uplink.go
@@ -41,6 +41,11 @@
 	return uplink.record(float64(bodyBytes+requestOverhead), now)
 }
 
+// Cancel removes a recorded request with a job body of the given size that was not sent after all.
+func (uplink *uplink) Cancel(bodyBytes int, now time.Time) {
+	uplink.record(-float64(bodyBytes+requestOverhead), now)
+}
+
 // RecordMessages records messages to other instances with the given total size.
 func (uplink *uplink) RecordMessages(count, bytes int64, now time.Time) {
 	if count > 0 {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -185,11 +185,15 @@
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
 	update := gossiper.updateFor(reader, false)
-	update.Claims = append(update.Claims, linker.Claim{
+	update.Claims = append(update.Claims, encodeClaim(claim))
+}
+
+func encodeClaim(claim scheduler.Claim) linker.Claim {
+	return linker.Claim{
 		Target: claim.Target, Task: claim.Run.Task, Attempt: claim.Run.Attempt,
 		MilliCores: claim.Resources.MilliCores, MemoryMB: claim.Resources.MemoryMB, Accelerators: claim.Resources.Accelerators,
 		EstimateMS: claim.Estimate.Milliseconds(), Incarnation: claim.Incarnation, AgeMS: claim.Age.Milliseconds(),
-	})
+	}
 }
 
 // Withdraw withdraws the claim of a run at the reader of the target, because the run does not occupy the target.
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -357,6 +357,12 @@
 	gossiper.SendRunEnd("present", "t", end)
 	is.Equal(len(gossiper.outbox["former"].EndOrigins), 0)
 	is.Equal(gossiper.outbox["present"].EndOrigins, []linker.EndOrigin{{Incarnation: 2, AgeMS: 3}})
+	claim := scheduler.Claim{Target: "t", Run: end.Run}
+	is.True(!gossiper.Reserve("former", claim))
+	is.True(!gossiper.Reserve("unknown", claim))
+	is.True(gossiper.Reserve("present", claim))
+	is.Equal(len(gossiper.outbox["former"].Reservations), 0)
+	is.Equal(len(gossiper.outbox["present"].Reservations), 1)
 }
 
 // An instance that starts while others run must not read targets in its first second, in which it is blind; instances that
--- a/gossiper/traffic.go
+++ b/gossiper/traffic.go
@@ -12,6 +12,7 @@
 	count func(*linker.StateUpdate) int
 }{
 	{"claims", func(update *linker.StateUpdate) int { return len(update.Claims) }},
+	{"reservations", func(update *linker.StateUpdate) int { return len(update.Reservations) + len(update.ReservationAnswers) }},
 	{"withdrawals", func(update *linker.StateUpdate) int { return len(update.Withdrawn) }},
 	{"stops", func(update *linker.StateUpdate) int { return len(update.Stops) }},
 	{"lease-ends", func(update *linker.StateUpdate) int { return len(update.LeaseEnds) }},
--- a/linker/codec.go
+++ b/linker/codec.go
@@ -257,8 +257,13 @@
 
 func checkStateUpdate(update *StateUpdate) error {
 	texts := make([]string, 0, 2*(len(update.Claims)+len(update.Ends)+len(update.Withdrawn)+len(update.Stops))+len(update.FreeCapacity))
-	for i := range update.Claims {
-		texts = append(texts, update.Claims[i].Target, update.Claims[i].Task)
+	for _, claims := range [][]Claim{update.Claims, update.Reservations} {
+		for i := range claims {
+			texts = append(texts, claims[i].Target, claims[i].Task)
+		}
+	}
+	for i := range update.ReservationAnswers {
+		texts = append(texts, update.ReservationAnswers[i].Target, update.ReservationAnswers[i].Task)
 	}
 	for i := range update.Ends {
 		texts = append(texts, update.Ends[i].Target, update.Ends[i].Task)
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -119,7 +119,8 @@
 		BundleRequest{ID: 1, Stream: "bundles", After: -1},
 		BundleResponse{ID: 1, Offset: 4, UnreplacedThrough: 5, Record: []byte("b")},
 		StateUpdate{
-			Claims:      []Claim{{Target: "t", Task: "k", Attempt: 1, MilliCores: 2, MemoryMB: 3, Accelerators: 4, EstimateMS: 5, Incarnation: 6, AgeMS: 7}},
+			Claims:       []Claim{{Target: "t", Task: "k", Attempt: 1, MilliCores: 2, MemoryMB: 3, Accelerators: 4, EstimateMS: 5, Incarnation: 6, AgeMS: 7}},
+			Reservations: []Claim{{Target: "t", Task: "k", Attempt: 2, MilliCores: 2}}, ReservationAnswers: []ReservationAnswer{{Target: "t", Task: "k", Attempt: 2, Granted: true}},
 			Losses:      []Loss{{Target: "t", Incarnation: 1, Address: "a", Evidence: 2, AgeMS: 3, Observer: "o", Runs: []LostRun{{Task: "k", Attempt: 4, Route: "r", AgeMS: 5, Cleared: true, Fate: 3}}}},
 			Queries:     []OwnedRun{{Target: "t", Incarnation: 1, Task: "k", Attempt: 2}},
 			Disowned:    []OwnedRun{{Target: "t", Incarnation: 1, Task: "k", Attempt: 2}},
@@ -172,6 +173,8 @@
 		{"tag", append([]byte{0x82, 0x68}, "withdraw\xa1\x64view\xc1\x01"...)},
 		{"truncated text", append([]byte{0x82, 0x68}, "withdraw\xa1\x63key\x7a\x00\x10\x00\x00ab"...)},
 		{"text is too long", mustEncode(withdraw(strings.Repeat("k", maxTextBytes+1), 0))},
+		{"task of a reservation is too long", mustEncode(StateUpdate{Reservations: []Claim{{Task: strings.Repeat("k", maxTextBytes+1)}}})},
+		{"target of an answer is too long", mustEncode(StateUpdate{ReservationAnswers: []ReservationAnswer{{Target: strings.Repeat("k", maxTextBytes+1)}}})},
 		{"too many elements", mustEncode(KeeperMessage{keeper.SyncRequest{Slices: make([]int, MaxElements+1)}})},
 		{"too many tasks", mustEncode(Forward{Tasks: make([]Task, dispatcher.MaxTasks+1)})},
 	}
--- a/linker/message.go
+++ b/linker/message.go
@@ -15,8 +15,14 @@
 	RevisionOwnership = 1
 	// RevisionLeases adds the announced ends of leases.
 	RevisionLeases = 2
+	// RevisionEvacuations adds the evacuations of failure domains.
+	RevisionEvacuations = 3
+	// RevisionShares adds the shares of callers in the capacity.
+	RevisionShares = 4
+	// RevisionReservations adds reservations of free capacity and their answers.
+	RevisionReservations = 5
 	// Revision is the revision of this instance.
-	Revision = RevisionLeases
+	Revision = RevisionReservations
 )
 
 // Hello identifies an instance. It is the first frame in each direction.
@@ -188,6 +194,15 @@
 	AgeMS       int64
 }
 
+// ReservationAnswer says whether the reader of a target has granted a reservation.
+type ReservationAnswer struct {
+	_       struct{} `cbor:",toarray"`
+	Target  string
+	Task    string
+	Attempt int64
+	Granted bool
+}
+
 // RunEnd reports that a run on a target has ended.
 type RunEnd struct {
 	_       struct{} `cbor:",toarray"`
@@ -315,6 +330,10 @@
 	Claims    []Claim `cbor:"claims,omitempty"`
 	Withdrawn []RunID `cbor:"withdrawn,omitempty"`
 	Stops     []RunID `cbor:"stops,omitempty"`
+	// Reservations lists the claims whose runs the sender starts only once the reader of the target has answered, or after a
+	// short time. They are sent in place of Claims; the reader repeats each in ReservationAnswers.
+	Reservations       []Claim             `cbor:"reservations,omitempty"`
+	ReservationAnswers []ReservationAnswer `cbor:"reservation-answers,omitempty"`
 	// Suspensions lists leases that must not be renewed.
 	Suspensions []Suspension `cbor:"suspensions,omitempty"`
 	// Queries lists runs on targets that the sender reads and for which it has no recent claim. An instance answers each with
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -19,8 +19,8 @@
 	if task != nil && result.mayHaveRun() {
 		task.job.mayHaveStarted = true
 	}
-	if target != nil && !target.readBySelf && (result == StartTaken || result == StartNoRoom) {
-		scheduler.contention.record(result == StartNoRoom)
+	if target != nil && !target.readBySelf {
+		scheduler.recordContention(target, run, result)
 	}
 	switch result {
 	case StartTaken:
@@ -42,7 +42,7 @@
 			task.state = stopping
 			task.avoid(task.runTarget)
 		}
-	case StartNoRoom, StartStale, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced:
+	case StartNoRoom, StartStale, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced, StartDenied:
 		scheduler.handleStartRejected(target, run, result, now)
 		if current {
 			scheduler.requeueRejected(task, result, now)
@@ -115,11 +115,13 @@
 		target.heldUntil = now.Add(unconnectedBackoff)
 	case StartFenced:
 		target.recordFenced(now)
+	case StartDenied:
+		scheduler.handleNoRoom(target, now)
 	case StartTaken, StartStale, StartLate, StartImpossible, StartUnanswered:
 	}
 }
 
-// handleNoRoom handles a rejection for lack of capacity. If another instance reads the target, the free capacity in its
+// handleNoRoom handles a rejection or a denial for lack of capacity. If another instance reads the target, the free capacity in its
 // last report counts as zero until the next report. Otherwise, or if that report is too old to count, the target gets no work for
 // rejectionBackoff: the claim of the run that took the capacity is still on its way.
 func (scheduler *Scheduler) handleNoRoom(target *target, now time.Time) {
@@ -152,7 +154,7 @@
 		}
 	case StartStale, StartRefused, StartUnsent, StartUnconnected:
 		task.avoid(task.runTarget)
-	case StartTaken, StartNoRoom, StartLate, StartUnanswered, StartFenced:
+	case StartTaken, StartNoRoom, StartLate, StartUnanswered, StartFenced, StartDenied:
 	}
 	task.lossReason = ""
 	scheduler.enqueue(task)
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -181,6 +181,8 @@
 	StartUnconnected
 	// StartFenced means that the target did nothing, because it has seen a request for a later incarnation.
 	StartFenced
+	// StartDenied means that the target's reader has denied the reservation, so that nothing was sent to the target.
+	StartDenied
 )
 
 // mayHaveRun reports whether the task runs, has run or may have run.
@@ -188,14 +190,14 @@
 	switch result {
 	case StartTaken, StartUnanswered, StartStale:
 		return true
-	case StartNoRoom, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced:
+	case StartNoRoom, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced, StartDenied:
 	}
 	return false
 }
 
 // String returns the name used in logs and metrics.
 func (result StartResult) String() string {
-	names := []string{"unknown", "taken", "no-room", "stale", "late", "refused", "impossible", "unanswered", "unsent", "unconnected", "fenced"}
+	names := []string{"unknown", "taken", "no-room", "stale", "late", "refused", "impossible", "unanswered", "unsent", "unconnected", "fenced", "denied"}
 	if int(result) < len(names) && result > 0 {
 		return names[result]
 	}
@@ -291,6 +293,8 @@
 	FreeCapacityAge time.Duration
 	// FreeCapacityEvidence is what FreeCapacity was derived from.
 	FreeCapacityEvidence CapacityEvidence
+	// Reserve means that the target's reader is to be asked for a reservation before the request is sent.
+	Reserve bool
 	// Predicted is the expected run time on this target.
 	Predicted time.Duration
 	// TransmittedAt is when this instance's link will have sent the request.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -194,7 +194,7 @@
 	task.stopAcceptedAt, task.endEvidence = time.Time{}, ""
 	task.missingSince = time.Time{}
 	task.predicted = runTarget.predict(step.Estimate)
-	runTarget.allocate(task.run(), &allocation{owner: scheduler.self, resources: claimed, estimate: step.Estimate, claimedAt: now})
+	runTarget.allocate(task.run(), &allocation{owner: scheduler.self, resources: claimed, estimate: step.Estimate, claimedAt: now, reportedAt: runTarget.reportedAt})
 	runTarget.extendLease(now, LeaseStarted)
 	scheduler.recordRunResources(step.Resources)
 	if runTarget.readBySelf {
@@ -211,6 +211,7 @@
 		FreeCapacity:         freeCapacity,
 		FreeCapacityAge:      runTarget.freeCapacityAge(now),
 		FreeCapacityEvidence: runTarget.capacityEvidence(now),
+		Reserve:              scheduler.reserves(runTarget, now),
 		Predicted:            task.predicted,
 		TransmittedAt:        now.Add(scheduler.link.Send(len(task.job.Body), now)),
 	})
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -7,6 +7,7 @@
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 	"github.com/hyssoplift/hyssoplift/isolator"
+	"github.com/hyssoplift/hyssoplift/reserver"
 )
 
 const (
@@ -127,6 +128,7 @@
 	lossSharing
 	link       Link
 	contention contention
+	reserver   reservationPolicy
 	// candidateBuffer is reused between placements.
 	candidateBuffer []candidate
 }
@@ -169,6 +171,7 @@
 		isolator:       isolator.New(),
 		lossSharing:    newLossSharing(),
 		link:           idleLink{},
+		reserver:       reserver.New(),
 	}
 }
 
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -64,6 +64,8 @@
 	address   string
 	estimate  time.Duration
 	claimedAt time.Time
+	// reportedAt is when the report of free capacity arrived on which this instance relied when it decided the start, or zero.
+	reportedAt time.Time
 	// repeatedAt is when the owner last sent the claim.
 	repeatedAt time.Time
 	// ownerContact is the contact with the owner, or nil.
