--- /dev/null
+++ b/executor/reserve_test.go
@@ -0,0 +1,178 @@
+package executor
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/hyssoplift/hyssoplift/linker"
+	"github.com/hyssoplift/hyssoplift/reserver"
+	"github.com/hyssoplift/hyssoplift/scheduler"
+)
+
+// reservingExecutor is an executor that wants a reservation for a run on a target that the instance reader reads.
+type reservingExecutor struct {
+	*Executor
+	client *lateClient
+	logs   bytes.Buffer
+}
+
+func newReservingExecutor(readerRevision int) *reservingExecutor {
+	reserving := &reservingExecutor{client: &lateClient{started: make(chan string, 10)}}
+	logger := hclog.New(&hclog.LoggerOptions{Output: &reserving.logs, JSONFormat: true})
+	reserving.Executor = New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, reserving.client, time.Now, logger)
+	hello := linker.Hello{Domain: "a", Name: "n2", Incarnation: "reader", Revision: readerRevision}
+	reserving.peers.Receive(hello, hello)
+	reserving.mu.Lock()
+	defer reserving.mu.Unlock()
+	reserving.scheduler.SetTargets(infosOf(1), time.Now())
+	reserving.pollers["t"] = &poller{id: "t", reader: "reader"}
+	reserving.assignedVersion = reserving.peers.PeersVersion()
+	return reserving
+}
+
+// begin begins the start of a run that was decided some time ago.
+func (reserving *reservingExecutor) begin(ago time.Duration) {
+	now := time.Now()
+	reserving.mu.Lock()
+	defer reserving.mu.Unlock()
+	reserving.runAction(scheduler.StartTask{
+		Claim: scheduler.Claim{Target: "t", Run: scheduler.Run{Task: "j.0.0.0", Attempt: 1}}, RunTarget: infosOf(1)[0], Job: "j", Reserve: true,
+		Issued: now.Add(-ago), Deadline: now.Add(time.Minute), FreeCapacityAge: 7 * time.Millisecond,
+	})
+}
+
+func (reserving *reservingExecutor) answer(from string, granted bool) {
+	reserving.HandleStateUpdate(from, linker.StateUpdate{ReservationAnswers: []linker.ReservationAnswer{{Target: "t", Task: "j.0.0.0", Attempt: 1, Granted: granted}}})
+}
+
+func (reserving *reservingExecutor) counts(line string) bool {
+	var metrics bytes.Buffer
+	reserving.WriteMetrics(&metrics)
+	return strings.Contains(metrics.String(), line+"\n")
+}
+
+// A start must be sent as soon as its reservation is granted, not at all if it is denied, and without an answer after 10 ms: a
+// reader that is lost or slow must not delay it further, nor prevent it later.
+func TestStartAwaitsItsReservation(t *testing.T) {
+	granted, denied := func(reserving *reservingExecutor) { reserving.answer("reader", true) }, func(reserving *reservingExecutor) { reserving.answer("reader", false) }
+	tests := []struct {
+		name     string
+		revision int
+		ago      time.Duration
+		// after is the time from the decision until event.
+		after time.Duration
+		event func(*reservingExecutor)
+		// sent means that the request is sent before the event, and started that it is sent at all.
+		sent, started bool
+		result        string
+	}{
+		{"granted", linker.RevisionReservations, 0, 9 * time.Millisecond, granted, false, true, "granted"},
+		{"denied", linker.RevisionReservations, 0, 9 * time.Millisecond, denied, false, false, "denied"},
+		{"granted late", linker.RevisionReservations, 0, 11 * time.Millisecond, granted, true, true, "unanswered"},
+		{"denied late", linker.RevisionReservations, 0, 11 * time.Millisecond, denied, true, true, "unanswered"},
+		{"denied by another instance", linker.RevisionReservations, 0, time.Millisecond, func(reserving *reservingExecutor) { reserving.answer("other", false) }, false, true, "unanswered"},
+		{"reader lost", linker.RevisionReservations, 0, time.Millisecond, func(reserving *reservingExecutor) { reserving.PeerLost("reader") }, false, true, "unanswered"},
+		{"another reader", linker.RevisionReservations, 0, time.Millisecond, func(reserving *reservingExecutor) {
+			reserving.mu.Lock()
+			defer reserving.mu.Unlock()
+			reserving.pollers["t"].reader = "self"
+		}, false, true, "unanswered"},
+		{"paused for longer than the lease", linker.RevisionReservations, scheduler.LeaseDuration, time.Millisecond, func(*reservingExecutor) {}, false, false, "unanswered"},
+		{"earlier revision", linker.RevisionReservations - 1, 0, 0, func(*reservingExecutor) {}, true, true, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				reserving := newReservingExecutor(test.revision)
+				defer reserving.Close()
+				reserving.begin(test.ago)
+				time.Sleep(test.after)
+				synctest.Wait()
+				is.Equal(len(reserving.client.started) == 1, test.sent)
+				test.event(reserving)
+				synctest.Wait()
+				if test.result != "unanswered" {
+					is.Equal(len(reserving.client.started) == 1, test.started) // at once
+				}
+				time.Sleep(2 * reserver.AnswerTimeout)
+				synctest.Wait()
+				is.Equal(len(reserving.client.started) == 1, test.started)
+				is.Equal(len(reserving.reservations), 0)
+				for _, result := range []string{"granted", "denied", "unanswered"} {
+					counted := reserving.counts(`hyssoplift_reservations_total{result="` + result + `"} 1`)
+					is.Equal(counted, result == test.result)
+				}
+				is.Equal(reserving.counts(`hyssoplift_starts_total{result="denied"} 1`), test.result == "denied")
+				line := reserving.logs.String()
+				is.Equal(strings.Contains(line, `"result":"denied"`), test.result == "denied")
+				is.Equal(strings.Contains(line, `"reader":"reader"`) && strings.Contains(line, `"room-age-ms":7`), test.result == "denied")
+			})
+		})
+	}
+}
+
+// A denied start sends nothing, so it must not count as queued on a narrow link, where it would hold up the next starts.
+func TestDeniedStartLeavesTheLinkFree(t *testing.T) {
+	is := is.New(t)
+	uplink, now := newUplink(2), time.Now()
+	before := uplink.Send(4096, now)
+	uplink.Send(4096, now)
+	uplink.Cancel(4096, now)
+	is.Equal(uplink.Backlog(now), before)
+	uplink.Cancel(4096, now.Add(before)) // the link would have sent it
+	is.Equal(uplink.Backlog(now.Add(before)), time.Duration(0))
+}
+
+// An instance and the reader of its target must understand each other: a start that does not fit must be denied over the link,
+// and one that fits must be sent.
+func TestLinkedReaderAnswersReservations(t *testing.T) {
+	is := is.New(t)
+	target := newMemoryTarget(time.Minute)
+	members := newEquals(t, target, "one", "two")
+	starter, reader := members[0], members[1]
+	readBy := func(member *member) string {
+		member.mu.Lock()
+		defer member.mu.Unlock()
+		return member.reader("t")
+	}
+	await(t, "both know the same reader", func() bool { return readBy(starter) == readBy(reader) })
+	if readBy(starter) == "one" {
+		starter, reader = reader, starter
+	}
+	await(t, "the reader has listed the runs", func() bool {
+		reader.mu.Lock()
+		defer reader.mu.Unlock()
+		return len(reader.scheduler.Reports(time.Now())) == 1
+	})
+	counts := func(line string) func() bool {
+		return func() bool {
+			var metrics bytes.Buffer
+			starter.WriteMetrics(&metrics)
+			return strings.Contains(metrics.String(), line+"\n")
+		}
+	}
+	begin := func(task string, milliCores int64) {
+		now, run := time.Now(), scheduler.Run{Task: task, Attempt: 1}
+		starter.mu.Lock()
+		defer starter.mu.Unlock()
+		// A slow machine may not answer in time, so the start is decided in the future.
+		starter.runAction(scheduler.StartTask{
+			Claim: scheduler.Claim{Target: "t", Run: run, Resources: scheduler.Resources{MilliCores: milliCores}}, RunTarget: scheduler.Target{ID: "t"},
+			Job: task, Reserve: true, Issued: now.Add(20 * time.Second), Deadline: now.Add(time.Minute),
+		})
+	}
+	started := func() int { return target.readLocked(func() int { return target.startsBy["one"] + target.startsBy["two"] }) }
+	begin("large", 400000)
+	await(t, "the first start is denied", counts(`hyssoplift_starts_total{result="denied"} 1`))
+	is.Equal(started(), 0)
+	begin("small", 1000)
+	await(t, "the second one is granted", counts(`hyssoplift_reservations_total{result="granted"} 1`))
+	await(t, "the second one is sent", func() bool { return started() == 1 })
+}
