--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -16,7 +16,7 @@
 )
 
 // maxAges are the maximum ages of a report in the classes for which shares are kept. The last class has none. In a trial with
-// 13 starting instances, targets rejected 19%, 41%, 57% and 58% of the starts in these classes.
+// 13 starting instances, targets rejected 19% of the starts at 0 ms, 41% at 4 to 8 ms, 57% at 9 to 20 ms and 58% above.
 var maxAges = [...]time.Duration{2 * time.Millisecond, 8 * time.Millisecond, 20 * time.Millisecond}
 
 // Reserver decides when to ask for reservations. It is not safe for concurrent use.
