--- a/executor/reserve_test.go
+++ b/executor/reserve_test.go
@@ -145,7 +145,7 @@
 		return int(total)
 	}
 	begun := 0
-	begin := func(milliCores int64) {
+	begin := func(milliCores int64, ago time.Duration) {
 		begun++
 		now, task := time.Now(), fmt.Sprintf("j%d.0.0.0", begun)
 		starter := members[0]
@@ -158,7 +158,7 @@
 		defer starter.mu.Unlock()
 		starter.runAction(scheduler.StartTask{
 			Claim:     scheduler.Claim{Target: "t", Run: scheduler.Run{Task: task, Attempt: 1}, Resources: scheduler.Resources{MilliCores: milliCores}},
-			RunTarget: scheduler.Target{ID: "t"}, Job: task, Reserve: true, Issued: now, Deadline: now.Add(time.Minute),
+			RunTarget: scheduler.Target{ID: "t"}, Job: task, Reserve: true, Issued: now.Add(-ago), Deadline: now.Add(time.Minute),
 		})
 	}
 	sent := func() int {
@@ -166,15 +166,33 @@
 	}
 	// Readers are assigned some time after the instances know each other, and a slow machine may not answer in time.
 	await(t, "a start is denied", func() bool {
-		begin(400000)
+		begin(400000, 0)
 		await(t, "the start is decided", func() bool { return sent()+count(reserver.Denied) == begun })
 		return count(reserver.Denied) > 0
 	})
 	denied := count(reserver.Denied)
 	await(t, "a start is granted", func() bool {
-		begin(1000)
+		begin(1000, 0)
 		await(t, "the start is decided", func() bool { return sent()+count(reserver.Denied) == begun })
 		return count(reserver.Granted) > 0
 	})
 	is.Equal(denied, 1)
+	// A start without an answer in time is sent, so the reader that has denied it too late needs the claim.
+	claims := func() int64 {
+		total := int64(0)
+		for _, member := range members {
+			for _, entries := range member.peers.Entries() {
+				if entries.Kind() == "claims" {
+					total += entries.Sent()
+				}
+			}
+		}
+		return total
+	}
+	before := claims()
+	await(t, "the claim of such a start is sent", func() bool {
+		begin(400000, reserver.AnswerTimeout)
+		await(t, "the start is decided", func() bool { return sent()+count(reserver.Denied) == begun })
+		return claims() > before
+	})
 }
--- a/scheduler/reserve_test.go
+++ b/scheduler/reserve_test.go
@@ -68,6 +68,7 @@
 		starter.HandleStartResult(start.Target, start.Run, StartDenied, at(3))
 		actions := drain(starter)
 		is.Equal(len(actions.stops), 0)
+		is.True(starter.contention.denied > 0 && starter.contention.rejected == 0)
 		is.Equal(actions.starts[0].Target, "t1")
 		starter.HandlePeerReport(CapacityReport{Target: "t0", Reporter: "reader-0", FreeCapacity: withCapacity(0, 14000, 1024).Capacity}, at(20))
 		starter.HandleStartResult("t1", actions.starts[0].Run, StartDenied, at(20))
