--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -189,6 +189,8 @@
 	// StartNoConnection means that no connection to the target was free, or that the target refused a new one while it answers on
 	// others, so that nothing left the instance.
 	StartNoConnection
+	// StartDenied means that the target's reader has denied the reservation, so that nothing was sent to the target.
+	StartDenied
 )
 
 // mayHaveRun reports whether the task runs, has run or may have run.
@@ -196,14 +198,14 @@
 	switch result {
 	case StartTaken, StartUnanswered, StartStale:
 		return true
-	case StartNoRoom, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced, StartWithheld, StartNoConnection:
+	case StartNoRoom, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced, StartWithheld, StartNoConnection, StartDenied:
 	}
 	return false
 }
 
 // String returns the name used in logs and metrics.
 func (result StartResult) String() string {
-	names := []string{"unknown", "taken", "no-room", "stale", "late", "refused", "impossible", "unanswered", "unsent", "unconnected", "fenced", "withheld", "no-connection"}
+	names := []string{"unknown", "taken", "no-room", "stale", "late", "refused", "impossible", "unanswered", "unsent", "unconnected", "fenced", "withheld", "no-connection", "denied"}
 	if int(result) < len(names) && result > 0 {
 		return names[result]
 	}
@@ -299,6 +301,8 @@
 	FreeCapacityAge time.Duration
 	// FreeCapacityEvidence is what FreeCapacity was derived from.
 	FreeCapacityEvidence CapacityEvidence
+	// Reserve means that the target's reader is to be asked for a reservation before the request is sent.
+	Reserve bool
 	// Predicted is the expected run time on this target.
 	Predicted time.Duration
 	// TransmittedAt is when this instance's link will have sent the request.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -7,6 +7,7 @@
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 	"github.com/hyssoplift/hyssoplift/isolator"
+	"github.com/hyssoplift/hyssoplift/reserver"
 )
 
 const (
@@ -132,6 +133,7 @@
 	coldTargets
 	link       Link
 	contention contention
+	reserver   reservationPolicy
 	// candidateBuffer is reused between placements.
 	candidateBuffer []candidate
 }
@@ -176,6 +178,7 @@
 		lossSharing:    newLossSharing(),
 		coldTargets:    newColdTargets(),
 		link:           idleLink{},
+		reserver:       reserver.New(),
 	}
 }
 
