--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -38,7 +38,7 @@
 		scheduler.contention.record(result == StartNoRoom)
 	case StartDenied:
 		scheduler.contention.recordDenial()
-	case StartStale, StartLate, StartRefused, StartImpossible, StartUnanswered, StartUnsent, StartUnconnected, StartFenced:
+	case StartStale, StartLate, StartRefused, StartImpossible, StartUnanswered, StartUnsent, StartUnconnected, StartFenced, StartWithheld, StartNoConnection:
 		return
 	}
 	if allocation, ok := target.allocations[run]; ok {
