Estimate run ends on other readers' targets by the size of the tasks

The used capacity of these targets was divided by 14 cores, the size of the tasks of the first deployment. Where tasks have 8 cores, the estimated rate was 57% of the real one, and jobs were refused that would have been in time.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -157,6 +158,8 @@
 		return rate
 	}
 	rate := releaseRate{validUntil: now.Add(releaseRateTTL)}
+	// Before the first run, nothing is known of the size of tasks.
+	typical := cmp.Or(scheduler.typicalMilliCores, defaultMilliCores)
 	for _, target := range scheduler.byService[service] {
 		if !target.healthy(now) {
 			continue
@@ -164,7 +167,7 @@
 		rate.bestSpeed = max(rate.bestSpeed, target.speedFactor())
 		if !target.readBySelf {
 			used := target.Capacity.Minus(target.freeCapacity(now)).MilliCores
-			rate.perHour += target.releasesPerHour(used*int64(time.Hour/defaultRunTime)/defaultMilliCores, now)
+			rate.perHour += target.releasesPerHour(used*int64(time.Hour/defaultRunTime)/typical, now)
 			continue
 		}
 		runEnds := int64(0)
--- a/scheduler/admit_test.go
+++ b/scheduler/admit_test.go
@@ -131,3 +131,20 @@
 	load := scheduler.load(newJob(testJob("j", 1, 100, 0)), scheduler.releaseRateOf("work", at(0)), at(0))
 	is.Equal(load.TasksAhead, int64(5))
 }
+
+// The rate of run ends on targets of other readers is estimated from their used capacity. It took each run for one of 14 cores, so
+// that jobs of smaller tasks were refused although enough runs would have ended in time.
+func TestReleaseRateFollowsTheSizeOfTasks(t *testing.T) {
+	for _, test := range []struct {
+		milliCores int64
+		perSecond  int64
+	}{{8000, 4 * 5}, {16000, 2 * 5}, {32000, 5}} { // runs of 200 ms on a full target of 32 cores
+		is := is.New(t)
+		scheduler := New("self", "a")
+		scheduler.SetTargets(testTargets(1), at(0))
+		scheduler.AttachReader("t0", "other", at(0))
+		scheduler.HandlePeerReport(CapacityReport{Target: "t0", Reporter: "other", FreeCapacity: Resources{MilliCores: 1}}, at(1))
+		scheduler.recordRunResources(Resources{MilliCores: test.milliCores})
+		is.Equal((scheduler.releaseRateOf("work", at(2)).perHour+1800)/3600, test.perSecond)
+	}
+}
