--- a/apportioner/connections.go
+++ b/apportioner/connections.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// readerConnections is how many more connections the reader of a target may hold: a poll of its own is nearly always
-	// held back there.
+	// readerConnections is how many more connections the reader of a target may hold: the target holds back a poll of its own nearly
+	// always.
 	readerConnections = 1
 	// maxLimit bounds the connection limit that counts, so that no product overflows.
 	maxLimit = 1 << 20
--- a/apportioner/rule.go
+++ b/apportioner/rule.go
@@ -60,7 +60,7 @@
 				held += candidates[i].units
 			}
 		}
-		// If nobody would delegate, RuleAll decides.
+		// If no instance would delegate, RuleAll decides.
 		if count < len(candidates) && limits.allow(count) && (count >= rule.minCount || len(candidates) < rule.smallCount) && float64(held) >= rule.minShare*float64(total) {
 			return atLeast(candidates, threshold, count), rule.rule
 		}
--- a/executor/cold_bounds_test.go
+++ b/executor/cold_bounds_test.go
@@ -21,7 +21,7 @@
 	now := time.Unix(1_000_000, 0)
 	executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, silentClient{}, func() time.Time { return now },
 		hclog.New(&hclog.LoggerOptions{Output: &output, JSONFormat: true}))
-	executor.Close() // nothing but this test calls the executor any more
+	executor.Close() // from here on, only this test calls the executor
 	metrics := func() string {
 		var written bytes.Buffer
 		executor.WriteMetrics(&written)
--- a/executor/evacuate.go
+++ b/executor/evacuate.go
@@ -60,8 +60,8 @@
 	executor.putEvacuationsInForce(changed, source)
 }
 
-// putEvacuationsInForce lets the scheduler and the other instances know the records by which domains are evacuated or not evacuated
-// any more. The caller holds the lock.
+// putEvacuationsInForce passes on the records by which a domain is evacuated, or no longer evacuated, to the scheduler, and their
+// version to the other instances. The caller holds the lock.
 func (executor *Executor) putEvacuationsInForce(changed []evacuator.Record, source string) {
 	now := executor.now()
 	executor.evacuating.Store(len(executor.evacuator.Evacuated()) > 0)
--- a/executor/services_test.go
+++ b/executor/services_test.go
@@ -14,7 +14,7 @@
 	"github.com/hyssoplift/hyssoplift/scheduler"
 )
 
-// Of 300 equal instances, those that start work need more connections than a target accepts. When the configuration tells the
+// Of 300 equal instances, those that start work need more connections than a target accepts. When the configuration states the
 // limit, an instance must leave the targets of another failure domain to the instances there, and log its role.
 func TestConnectionLimitOfServicesDeterminesTheUseOfTargets(t *testing.T) {
 	for _, test := range []struct {
--- a/gossiper/reservations.go
+++ b/gossiper/reservations.go
@@ -19,7 +19,7 @@
 	return true
 }
 
-// AnswerReservation tells an instance without delay whether its reservation is granted.
+// AnswerReservation sends an instance without delay whether its reservation is granted.
 func (gossiper *Gossiper) AnswerReservation(to, target string, run scheduler.Run, granted bool) {
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -67,9 +67,17 @@
 		return
 	}
 	for _, target := range scheduler.ordered {
-		if target.evacuated && target.readBySelf && now.Sub(target.lastReportAt) >= reportTTL/2 {
-			target.lastReport = CapacityReport{}
-			scheduler.changedTargets[target.ID] = true
+		if target.evacuated {
+			scheduler.renewReport(target, now)
 		}
 	}
 }
+
+// renewReport lets the reader of a target repeat its report of no free capacity well before other instances take the last one for
+// outdated: they would then count the whole capacity as free.
+func (scheduler *Scheduler) renewReport(target *target, now time.Time) {
+	if target.readBySelf && now.Sub(target.lastReportAt) >= reportTTL/2 {
+		target.lastReport = CapacityReport{}
+		scheduler.changedTargets[target.ID] = true
+	}
+}
--- a/scheduler/reserve_test.go
+++ b/scheduler/reserve_test.go
@@ -145,7 +145,7 @@
 	is.Equal(reader.targets["t0"].leaseEnd, at(500).Add(LeaseDuration+leaseMargin))
 }
 
-// Reservations must be asked for only where the reader can tell more than this instance knows.
+// Reservations must be asked for only where the reader knows more than this instance.
 func TestReservationsAreAskedOnlyFromReaders(t *testing.T) {
 	tests := []struct {
 		name    string
--- a/scheduler/warm_up.go
+++ b/scheduler/warm_up.go
@@ -16,9 +16,6 @@
 	// periodNoticeDelay is how long after the beginning of a cold period instances learn of it: targets' entries are read every
 	// 500 ms. A reader of a target that was cold for longer does not know what was started there before.
 	periodNoticeDelay = time.Second
-	// coldReportInterval is how often a reader repeats that a cold target has no free capacity for others, who would take an
-	// older report than reportTTL for outdated.
-	coldReportInterval = reportTTL / 2
 )
 
 // nothingFree is the free capacity of a target that must not get work: no task fits, not even one that requires nothing.
@@ -219,11 +216,8 @@
 // repeatColdReports lets the reports about cold targets be sent again before they are outdated: an instance that does not know that
 // the target is cold, since it cannot read the store, must not take it for idle.
 func (scheduler *Scheduler) repeatColdReports(now time.Time) {
-	for id, target := range scheduler.cold {
-		if target.readBySelf && now.Sub(target.lastReportAt) >= coldReportInterval {
-			target.lastReport = CapacityReport{}
-			scheduler.changedTargets[id] = true
-		}
+	for _, target := range scheduler.cold {
+		scheduler.renewReport(target, now)
 	}
 }
 
