Ask for reservations only where connections to targets are limited

Elsewhere a rejected start costs little, and the deployments on which nothing was limited before must start tasks as before.

--- a/executor/connection_limits.go
+++ b/executor/connection_limits.go
@@ -21,6 +21,8 @@
 		return
 	}
 	executor.connectionLimits, executor.readersChanged = limits, false
+	// A rejected start uses a connection, which is scarce only where there is a limit.
+	executor.scheduler.SetReserving(limits != connectionLimits{})
 	executor.client.SetConnectionLimits(executor.limitsByAddress(limits))
 }
 
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -14,6 +14,25 @@
 	Record(age time.Duration, failed bool)
 }
 
+// neverReserving is the policy of instances that hold as many connections to targets as they need: there, a rejected start costs
+// little, and an answer to a reservation would delay the start by a round trip.
+type neverReserving struct{}
+
+func (neverReserving) Asks(time.Duration) bool { return false }
+
+func (neverReserving) Record(time.Duration, bool) {}
+
+// SetReserving sets whether this instance may ask for reservations.
+func (scheduler *Scheduler) SetReserving(reserving bool) {
+	_, never := scheduler.reserver.(neverReserving)
+	switch {
+	case reserving && never:
+		scheduler.reserver = reserver.New()
+	case !reserving:
+		scheduler.reserver = neverReserving{}
+	}
+}
+
 // reserves reports whether the reader of a target is to be asked for a reservation before a run starts there. An isolated run
 // claims the whole target, and a target on probation gets one run at a time; both start as without reservations.
 func (scheduler *Scheduler) reserves(target *target, now time.Time) bool {
--- a/scheduler/reserve_test.go
+++ b/scheduler/reserve_test.go
@@ -232,3 +232,25 @@
 	is.True(denying.cost() < time.Minute) // bounded
 	is.True(rejecting.cost() < time.Minute)
 }
+
+// Where connections to targets are not limited, a round trip to the reader would only delay the start, however many are rejected.
+func TestReservationsOnlyWhereAllowed(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		settings []bool
+		asks     bool
+	}{{"at first", nil, false}, {"allowed", []bool{true}, true}, {"no longer", []bool{true, false}, false}, {"again", []bool{true, false, true}, true}} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			scheduler := New("self", "a")
+			for _, reserving := range test.settings {
+				scheduler.SetReserving(reserving)
+			}
+			for range 100 {
+				scheduler.reserver.Record(0, true)
+			}
+			scheduler.SetReserving(test.asks) // repeated settings must not forget the rejections
+			is.Equal(scheduler.reserver.Asks(0), test.asks)
+		})
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -7,7 +7,6 @@
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 	"github.com/hyssoplift/hyssoplift/isolator"
-	"github.com/hyssoplift/hyssoplift/reserver"
 )
 
 const (
@@ -178,7 +177,7 @@
 		lossSharing:    newLossSharing(),
 		coldTargets:    newColdTargets(),
 		link:           idleLink{},
-		reserver:       reserver.New(),
+		reserver:       neverReserving{},
 	}
 }
 
