Guard the log and the scheduler in tests of the executor's log lines

The test now holds the lock for its direct calls, and the tests of log lines share the locked buffer of the soak.

--- a/executor/cold_bounds_test.go
+++ b/executor/cold_bounds_test.go
@@ -17,11 +17,11 @@
 // log and in the metrics.
 func TestColdTargetsAreLoggedAndCounted(t *testing.T) {
 	is := is.New(t)
-	var output bytes.Buffer
+	var output logBuffer
 	now := time.Unix(1_000_000, 0)
 	executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, silentClient{}, func() time.Time { return now },
 		hclog.New(&hclog.LoggerOptions{Output: &output, JSONFormat: true}))
-	executor.Close() // from here on, only this test calls the executor
+	executor.Close() // ticks come from this test alone
 	metrics := func() string {
 		var written bytes.Buffer
 		executor.WriteMetrics(&written)
@@ -54,8 +54,10 @@
 	}
 	is.Equal(starts, 1)
 	now = now.Add(3 * time.Second)
+	executor.mu.Lock() // the second task is started by a goroutine
 	executor.scheduler.Tick(now)
 	executor.runActions()
+	executor.mu.Unlock()
 	is.True(strings.Contains(output.String(), `"@message":"target is warm"`))
 	is.True(strings.Contains(metrics(), "hyssoplift_cold_targets 0\n"))
 }
--- a/executor/log_test.go
+++ b/executor/log_test.go
@@ -1,7 +1,6 @@
 package executor
 
 import (
-	"bytes"
 	"strings"
 	"testing"
 	"time"
@@ -18,7 +17,7 @@
 // caller.
 func TestLineOfATaskThatIsGivenUpNamesEachLoss(t *testing.T) {
 	is := is.New(t)
-	var output bytes.Buffer
+	var output logBuffer
 	logger := hclog.New(&hclog.LoggerOptions{Output: &output, JSONFormat: true})
 	executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, silentClient{}, time.Now, logger)
 	t.Cleanup(executor.Close)
@@ -47,7 +46,7 @@
 // The runs of lost instances show only in the first list of their target; later lists must not repeat the line.
 func TestFirstListOfUnknownRunsIsLoggedOnce(t *testing.T) {
 	is := is.New(t)
-	var output bytes.Buffer
+	var output logBuffer
 	client := &lookRecorder{running: []scheduler.ActiveRun{{Run: scheduler.Run{Task: "j.0.0.0", Attempt: 2}}}}
 	executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, client, time.Now, hclog.New(&hclog.LoggerOptions{Output: &output, JSONFormat: true}))
 	t.Cleanup(executor.Close)
--- a/executor/reserve_test.go
+++ b/executor/reserve_test.go
@@ -20,7 +20,7 @@
 type reservingExecutor struct {
 	*Executor
 	client *lateClient
-	logs   bytes.Buffer
+	logs   logBuffer
 }
 
 func newReservingExecutor(readerRevision int) *reservingExecutor {
--- a/executor/services_test.go
+++ b/executor/services_test.go
@@ -1,7 +1,6 @@
 package executor
 
 import (
-	"bytes"
 	"fmt"
 	"strings"
 	"testing"
@@ -57,7 +56,7 @@
 // A role is not visible in the lines of jobs; the line must say by which rule and for how many instances it was chosen.
 func TestRoleIsLogged(t *testing.T) {
 	is := is.New(t)
-	var output bytes.Buffer
+	var output logBuffer
 	now := time.Unix(1_000_000, 0)
 	self := linker.Hello{Domain: "a", Name: "self", Incarnation: "self", Weight: 0.144}
 	executor := New(self, 0, silentClient{}, func() time.Time { return now }, hclog.New(&hclog.LoggerOptions{Output: &output, JSONFormat: true}))
--- a/executor/soak_test.go
+++ b/executor/soak_test.go
@@ -145,7 +145,7 @@
 	sound  bool
 }
 
-// logBuffer holds the log lines of all instances.
+// logBuffer collects log lines that goroutines may still write while a test reads them.
 type logBuffer struct {
 	mu     sync.Mutex
 	buffer bytes.Buffer
@@ -157,13 +157,17 @@
 	return logs.buffer.Write(line)
 }
 
-// about returns the lines that mention a job or one of its tasks.
-func (logs *logBuffer) about(job string) string {
+func (logs *logBuffer) String() string {
 	logs.mu.Lock()
 	defer logs.mu.Unlock()
+	return logs.buffer.String()
+}
+
+// about returns the lines that mention a job or one of its tasks.
+func (logs *logBuffer) about(job string) string {
 	mentioned := regexp.MustCompile(`\b` + regexp.QuoteMeta(job) + `\b`)
 	var found strings.Builder
-	for line := range strings.Lines(logs.buffer.String()) {
+	for line := range strings.Lines(logs.String()) {
 		if mentioned.MatchString(line) {
 			found.WriteString("    " + line)
 		}
