--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -134,100 +134,16 @@
 			cost -= time.Duration(explorationDiscount * float64(cost))
 		}
 		if candidate.Domain != scheduler.domain {
-			cost += trialSpill.cross
-			if trialSpill.threshold > 0 && scheduler.trialFree(scheduler.domain, task, now) < trialSpill.threshold && scheduler.trialFree(candidate.Domain, task, now) > scheduler.trialFree(scheduler.domain, task, now) {
-				cost -= trialSpill.cross + nonReaderCost + time.Duration(candidate.nonReaderBias*float64(cost)) + contentionCost
-			}
+			cost += crossDomainCost
 		}
 		if !candidate.readBySelf {
 			cost += nonReaderCost + time.Duration(candidate.nonReaderBias*float64(cost)) + contentionCost
 		}
 		cost += candidate.coldCost(now)
-		if step.Resources.MilliCores > 2000 && step.Resources.MilliCores <= 16000 && trialPacking.dedicated[candidate.ID] {
-			continue
-		}
-		if trialPacking.weight > 0 {
-			size := step.Resources.MilliCores
-			cost += time.Duration(trialPacking.weight * float64(scheduler.packer.Loss(candidate.free.MilliCores, size)-size) / float64(size) * float64(step.Estimate))
-		}
-		if trialPacking.on {
-			trialCosts = append(trialCosts, trialCost{candidate, cost})
-		}
 		if best == nil || cost < bestCost {
 			best, bestCost = candidate, cost
 		}
 	}
-	if trialPacking.on && best != nil {
-		best = scheduler.trialChoose(task, bestCost, now)
-	}
-	trialCosts = trialCosts[:0]
-	return best
-}
-
-type trialCost struct {
-	*candidate
-	cost time.Duration
-}
-
-var trialCosts []trialCost
-
-var trialPacking struct {
-	on        bool
-	tolerance time.Duration
-	share     float64
-	reserve   bool
-	mode      int
-	dedicated map[string]bool
-	weight    float64
-}
-
-func (scheduler *Scheduler) trialChoose(task *task, bestCost time.Duration, now time.Time) *candidate {
-	size := task.spec().Resources.MilliCores
-	limit := bestCost + trialPacking.tolerance + time.Duration(trialPacking.share*float64(task.spec().Estimate))
-	var best *candidate
-	var bestLoss int64
-	var bestSeen time.Duration
-	for _, c := range trialCosts {
-		if c.cost > limit {
-			continue
-		}
-		var loss int64
-		switch trialPacking.mode {
-		case 0:
-			loss = scheduler.packer.Loss(c.free.MilliCores, size)
-		case 1: // best fit
-			loss = c.free.MilliCores
-		case 2: // remaining capacity is next to nothing or fits a typical task
-			rest, typical := c.free.MilliCores-size, int64(8000)
-			if rest >= typical || rest < 1000 {
-				loss = 0
-			} else {
-				loss = 1
-			}
-			if c.Capacity.MilliCores > 16000 {
-				loss += 2
-			}
-		case 3: // as 2, without the reservation of large targets
-			if rest := c.free.MilliCores - size; rest < 6400 && rest >= 1000 {
-				loss = 1
-			}
-		case 4: // only the reservation
-			if c.Capacity.MilliCores > 16000 {
-				loss = 1
-			}
-		}
-		if best == nil || loss < bestLoss || loss == bestLoss && c.cost < bestSeen {
-			best, bestLoss, bestSeen = c.candidate, loss, c.cost
-		}
-	}
-	if trialPacking.reserve && size <= 16000 && best.Capacity.MilliCores > 16000 && best.free.MilliCores-size < 20000 {
-		// hold a large target for a waiting large task
-		for _, waiting := range scheduler.queue {
-			if waiting != nil && waiting.spec().Resources.MilliCores > 16000 {
-				return nil
-			}
-		}
-	}
 	return best
 }
 
@@ -282,7 +198,6 @@
 	runTarget.allocate(task.run(), &allocation{owner: scheduler.self, resources: claimed, estimate: step.Estimate, claimedAt: now, reportedAt: runTarget.reportedAt})
 	runTarget.extendLease(now, LeaseStarted)
 	scheduler.recordRunResources(step.Resources)
-	scheduler.packer.Record(step.Resources.MilliCores)
 	if runTarget.readBySelf {
 		scheduler.changedTargets[runTarget.ID] = true
 	}
@@ -334,9 +249,6 @@
 			continue
 		}
 		target.offerCount++
-		if trialSpill.ownFirst && own[priority] > 0 {
-			return
-		}
 		if recipient := scheduler.drawRecipient(target.ID, target.offerCount, priority, waiting, own[priority]); recipient != scheduler.self {
 			target.heldUntil = now.Add(offerTimeout)
 			scheduler.offered[target.ID] = true
@@ -378,23 +290,3 @@
 	}
 	return scheduler.self
 }
-
-var trialSpill = struct {
-	cross     time.Duration
-	threshold float64
-	ownFirst  bool
-}{cross: crossDomainCost}
-
-// trialFree returns the free share of the capacity of a failure domain.
-func (scheduler *Scheduler) trialFree(domain string, task *task, now time.Time) float64 {
-	free, total := int64(0), int64(0)
-	for _, target := range scheduler.ordered {
-		if target.Domain == domain {
-			total += target.Capacity.MilliCores
-			if target.usable(now) {
-				free += max(0, target.freeCapacity(now).MilliCores)
-			}
-		}
-	}
-	return float64(free) / float64(max(total, 1))
-}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -7,7 +7,6 @@
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 	"github.com/hyssoplift/hyssoplift/isolator"
-	"github.com/hyssoplift/hyssoplift/packer"
 )
 
 const (
@@ -134,7 +133,6 @@
 	link       Link
 	contention contention
 	reserver   reservationPolicy
-	packer     packer.Packer
 	// candidateBuffer is reused between placements.
 	candidateBuffer []candidate
 }
