Use capacity beside own long runs

Cause: an instance sends no claims to itself, so the reader of a target took its own runs for ones without an owner 600 ms after their starts and withheld the free capacity until they ended.

--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -678,14 +678,30 @@
 func (scheduler *Scheduler) Claims(now time.Time) []Claim {
 	var claims []Claim
 	for _, name := range slices.Sorted(maps.Keys(scheduler.tasks)) {
-		task := scheduler.tasks[name]
-		if task.mayBeRunning() && task.state != uncertain && !task.runTarget.readBySelf {
+		if task := scheduler.tasks[name]; task.claimsRun() && !task.runTarget.readBySelf {
 			claims = append(claims, task.claim(now))
 		}
 	}
 	return claims
 }
 
+// claimsRun reports whether the claim of the latest run is repeated.
+func (task *task) claimsRun() bool { return task.mayBeRunning() && task.state != uncertain }
+
+// repeatOwnClaims repeats the claims of this instance's runs on the targets that it reads itself. Without a repeated claim, the
+// reader of a target withholds its free capacity. Claims from before a pause are not repeated: callers may have given up the runs
+// meanwhile and sent their jobs elsewhere.
+func (scheduler *Scheduler) repeatOwnClaims(now time.Time) {
+	for _, task := range scheduler.tasks {
+		if !task.claimsRun() || !task.runTarget.readBySelf {
+			continue
+		}
+		if allocation, ok := task.runTarget.allocations[task.run()]; ok && allocation.claimedAt.After(scheduler.resumedAt) {
+			allocation.repeatedAt = now
+		}
+	}
+}
+
 // claim returns the claim of the latest run.
 func (task *task) claim(now time.Time) Claim {
 	claim := Claim{
--- a/scheduler/own_claim_test.go
+++ b/scheduler/own_claim_test.go
@@ -37,6 +37,20 @@
 	is.Equal(len(drain(scheduler).starts), 0)
 }
 
+// While an instance was paused, its callers may have sent their jobs elsewhere, so nothing may start beside runs from before the
+// pause, as long as they last.
+func TestCapacityBesideARunFromBeforeAPauseIsWithheld(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(1)
+	start := startOne(scheduler, testJob("long", 1, 2000, 0))
+	scheduler.RecordPause(at(100))
+	for now := 100; now <= 900; now += 100 {
+		scheduler.HandlePoll(start.Target, PollResult{Incarnation: 1, Running: []ActiveRun{{Run: start.Run}}, Sent: at(now - 1), Answered: at(now)})
+		scheduler.Sweep(at(now))
+	}
+	is.True(scheduler.withheld(start.Target, at(900)))
+}
+
 func (scheduler *Scheduler) withheld(target string, now time.Time) bool {
 	return scheduler.targets[target].withholdsCapacity(now)
 }
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -59,6 +59,7 @@
 // Sweep removes stale claims, completed jobs and recorded ends; call it a few times a second.
 func (scheduler *Scheduler) Sweep(now time.Time) {
 	scheduler.repeatStops(now)
+	scheduler.repeatOwnClaims(now)
 	scheduler.expireSuspensions(now)
 	scheduler.expirePendingEntries(now)
 	scheduler.expireCancellations(now)
