--- a/cmd/hyssoplift-capacity/main.go
+++ b/cmd/hyssoplift-capacity/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	_ "embed"
 	"flag"
 	"fmt"
 	"io"
@@ -12,6 +13,11 @@
 	"github.com/hyssoplift/hyssoplift/estimator"
 )
 
+// sweep is the section on plays of whole deployments at several sizes, which no benchmark of this repository produces.
+//
+//go:embed sweep.md
+var sweep string
+
 func main() {
 	if err := run(os.Args[1:], os.Stdin, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "hyssoplift-capacity:", eris.ToString(err, false))
@@ -43,5 +49,9 @@
 	if err != nil {
 		return err
 	}
-	return estimator.New(measurements, estimator.TargetScale()).WritePage(stdout)
+	if err := estimator.New(measurements, estimator.TargetScale()).WritePage(stdout); err != nil {
+		return err
+	}
+	_, err = io.WriteString(stdout, sweep)
+	return eris.Wrap(err, "writing the page")
 }
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -639,13 +639,6 @@
 // Place starts the waiting tasks that fit; call it after changes reported by other instances.
 func (scheduler *Scheduler) Place(now time.Time) { scheduler.place(now) }
 
-// SetUsed sets whether this instance may start runs on a target. Runs that are there continue.
-func (scheduler *Scheduler) SetUsed(targetID string, used bool) {
-	if target, ok := scheduler.targets[targetID]; ok {
-		target.unused = !used
-	}
-}
-
 // SetReader sets whether this instance is the reader of a target.
 func (scheduler *Scheduler) SetReader(targetID string, reads bool, now time.Time) {
 	target, ok := scheduler.targets[targetID]
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -48,6 +48,13 @@
 	}
 }
 
+// SetUsed sets whether this instance may start runs on a target. Runs that are there continue.
+func (scheduler *Scheduler) SetUsed(targetID string, used bool) {
+	if target, ok := scheduler.targets[targetID]; ok {
+		target.unused = !used
+	}
+}
+
 // ExpireOffers offers capacity again that was not claimed within offerTimeout; call it at about that interval.
 func (scheduler *Scheduler) ExpireOffers(now time.Time) {
 	if len(scheduler.offered) > 0 {
