--- a/scheduler/own_claim_test.go
+++ b/scheduler/own_claim_test.go
@@ -13,10 +13,7 @@
 	is := is.New(t)
 	scheduler := newTestScheduler(1)
 	start := startOne(scheduler, testJob("long", 1, 2000, 0))
-	for now := 100; now <= 900; now += 100 {
-		scheduler.HandlePoll(start.Target, PollResult{Incarnation: 1, Running: []ActiveRun{{Run: start.Run}}, Sent: at(now - 1), Answered: at(now)})
-		scheduler.Sweep(at(now))
-	}
+	scheduler.listUntil(start, 900)
 	is.Equal(scheduler.targets[start.Target].report(at(900)).FreeCapacity.MilliCores, int64(18000))
 	scheduler.Submit(testJob("short", 1, 100, 900), at(900))
 	is.Equal(len(drain(scheduler).starts), 1)
@@ -28,10 +25,7 @@
 	scheduler := newTestScheduler(1)
 	start := startOne(scheduler, testJob("long", 1, 2000, 0))
 	scheduler.Abandon("long", "the caller left", at(50))
-	for now := 100; now <= 900; now += 100 {
-		scheduler.HandlePoll(start.Target, PollResult{Incarnation: 1, Running: []ActiveRun{{Run: start.Run}}, Sent: at(now - 1), Answered: at(now)})
-		scheduler.Sweep(at(now))
-	}
+	scheduler.listUntil(start, 900)
 	is.True(scheduler.withheld(start.Target, at(50).Add(orphanGrace+time.Millisecond)))
 	scheduler.Submit(testJob("short", 1, 100, 900), at(900))
 	is.Equal(len(drain(scheduler).starts), 0)
@@ -44,13 +38,18 @@
 	scheduler := newTestScheduler(1)
 	start := startOne(scheduler, testJob("long", 1, 2000, 0))
 	scheduler.RecordPause(at(100))
-	for now := 100; now <= 900; now += 100 {
-		scheduler.HandlePoll(start.Target, PollResult{Incarnation: 1, Running: []ActiveRun{{Run: start.Run}}, Sent: at(now - 1), Answered: at(now)})
-		scheduler.Sweep(at(now))
-	}
+	scheduler.listUntil(start, 900)
 	is.True(scheduler.withheld(start.Target, at(900)))
 }
 
 func (scheduler *Scheduler) withheld(target string, now time.Time) bool {
 	return scheduler.targets[target].withholdsCapacity(now)
 }
+
+// listUntil lets the target list a run as running until the given millisecond.
+func (scheduler *Scheduler) listUntil(start StartTask, end int) {
+	for now := 100; now <= end; now += 100 {
+		scheduler.HandlePoll(start.Target, PollResult{Incarnation: 1, Running: []ActiveRun{{Run: start.Run}}, Sent: at(now - 1), Answered: at(now)})
+		scheduler.Sweep(at(now))
+	}
+}
