--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -36,6 +36,7 @@
 	if !job.mayHaveStarted && scheduler.routeSuspended(job) {
 		return scheduler.refusal(job, dispatcher.ReasonUnavailable, "jobs of the route have crashed too many targets", now), false
 	}
+	scheduler.recordShare(job, now)
 	rate := scheduler.releaseRateOf(job.Service, now)
 	needed := time.Duration(float64(job.remainingCriticalPath()) / rate.bestSpeed)
 	if now.Add(needed).After(job.Deadline) {
@@ -47,6 +48,9 @@
 	if job.load.ExpectedWait > job.load.MaxWait {
 		return scheduler.refusal(job, dispatcher.ReasonOverload, "the job would wait longer than it has time", now), false
 	}
+	if !scheduler.admitShare(job, rate, now) {
+		return scheduler.refusal(job, dispatcher.ReasonOverload, "the caller uses more than its share", now), false
+	}
 	return dispatcher.Refused{}, true
 }
 
@@ -165,6 +169,7 @@
 			continue
 		}
 		rate.bestSpeed = max(rate.bestSpeed, target.speedFactor())
+		rate.cores += float64(target.Capacity.MilliCores/typical*typical) / milliCoresPerCore * target.speedFactor()
 		if !target.readBySelf {
 			used := target.Capacity.Minus(target.freeCapacity(now)).MilliCores
 			rate.perHour += target.releasesPerHour(used*int64(time.Hour/defaultRunTime)/typical, now)
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -628,6 +628,9 @@
 // RemovePeer drops the demand of a lost instance. Its runs renew no leases.
 func (scheduler *Scheduler) RemovePeer(owner string) {
 	delete(scheduler.peerDemands, owner)
+	for _, shares := range scheduler.arbiters {
+		shares.RemovePeer(owner)
+	}
 	scheduler.loseContact(owner)
 	for _, target := range scheduler.ordered {
 		for _, allocation := range target.allocations {
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/hyssoplift/hyssoplift/arbiter"
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 	"github.com/hyssoplift/hyssoplift/isolator"
 )
@@ -104,6 +105,8 @@
 	Body     string
 	Steps    []Step
 	Priority int
+	// Share is the share of the job's route and caller; 0 if unknown.
+	Share arbiter.Share
 	// MaxFailures is how many failed runs of one task make the job fail.
 	MaxFailures int
 	// Arrived is when the whole request had been received, and Deadline is when its caller stops waiting.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/hyssoplift/hyssoplift/arbiter"
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 	"github.com/hyssoplift/hyssoplift/isolator"
 )
@@ -133,6 +134,8 @@
 	link       Link
 	contention contention
 	reserver   reservationPolicy
+	// arbiters divide the capacity of the services whose tasks share it.
+	arbiters map[string]*arbiter.Arbiter
 	// candidateBuffer is reused between placements.
 	candidateBuffer []candidate
 }
@@ -145,7 +148,9 @@
 	// bestSpeed is the highest learned speed among the healthy targets.
 	bestSpeed float64
 	// freeSlots is how many tasks with the typical resources could start now.
-	freeSlots  int64
+	freeSlots int64
+	// cores is the capacity that tasks with the typical resources can use, weighted by the speed of the targets.
+	cores      float64
 	validUntil time.Time
 }
 
@@ -178,6 +183,7 @@
 		coldTargets:    newColdTargets(),
 		link:           idleLink{},
 		reserver:       neverReserving{},
+		arbiters:       make(map[string]*arbiter.Arbiter),
 	}
 }
 
