Name the share, its demand, its level and the lent capacity in refusals

A refusal for the use of a share was logged like one for a long wait. The fields share, share-cores, share-level and share-lendable are logged only where the arbiter lent or refused capacity, so that other log lines are unchanged.

--- a/executor/log.go
+++ b/executor/log.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/hyssoplift/hyssoplift/arbiter"
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 	"github.com/hyssoplift/hyssoplift/scheduler"
 )
@@ -22,6 +23,10 @@
 	case dispatcher.Unknown:
 		executor.logger.Warn("job answered", append(fields, "outcome", "unknown", "detail", outcome.Detail())...)
 	case dispatcher.Refused:
+		if shares := answer.Load.Shares; shares.Verdict != arbiter.Usual {
+			fields = append(fields, "share", fmt.Sprintf("%016x", uint64(answer.Load.Share)),
+				"share-cores", shares.Demand, "share-level", shares.Level, "share-lendable", shares.Lendable)
+		}
 		executor.logger.Warn("job answered", append(fields, "outcome", "refused", "reason", string(outcome.Reason()), "detail", outcome.Detail(),
 			"ahead", answer.Load.TasksAhead, "free", answer.Load.FreeSlots, "expected-ms", answer.Load.ExpectedWait.Milliseconds(),
 			"patience-ms", answer.Load.MaxWait.Milliseconds(), "retry-ms", outcome.RetryAt().Sub(now).Milliseconds())...)
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -352,6 +352,9 @@
 	// longest acceptable wait.
 	ExpectedWait time.Duration
 	MaxWait      time.Duration
+	// Share is the job's share and Shares the decision on it, if the job was lent capacity or refused for its share.
+	Share  arbiter.Share
+	Shares arbiter.Decision
 }
 
 // WithdrawClaim asks to withdraw the claim of a run at the reader of the target, because the run does not occupy the
--- a/scheduler/shares.go
+++ b/scheduler/shares.go
@@ -47,6 +47,9 @@
 	}
 	service := arbiter.Service{Cores: rate.cores, FreeCores: scheduler.freeCores(job.Service, now), Waits: job.load.ExpectedWait > 0}
 	decision := shares.Decide(job.shareJob(), service, now)
+	if decision.Verdict != arbiter.Usual {
+		job.load.Share, job.load.Shares = job.Share, decision
+	}
 	if decision.Verdict == arbiter.Lent {
 		job.startDeadline = now
 	}
--- a/scheduler/shares_test.go
+++ b/scheduler/shares_test.go
@@ -31,7 +31,8 @@
 // replayed counts the jobs of the first caller and of all others, and those that were not completed.
 type replayed struct {
 	jobs, refused, firstJobs, firstRefused int
-	// actions is a hash of all actions.
+	// named counts the refusals that name the share of the first caller, and actions is a hash of all actions.
+	named   int
 	actions uint64
 }
 
@@ -79,6 +80,9 @@
 			for _, action := range scheduler.actions {
 				_, _ = fmt.Fprintf(actions, "%+v", action)
 				if answer, ok := action.(AnswerJob); ok {
+					if answer.Load.Shares.Verdict == arbiter.Refused && answer.Load.Share == arbiter.ShareOf("r", "0") {
+						replayed.named++
+					}
 					replayed.record(callers[answer.Job], answer.Outcome)
 				}
 			}
@@ -186,7 +190,7 @@
 }
 
 // While no share is in excess, shares must change no action: neither with equal callers at 79% of the capacity nor with a caller that
-// sends ten times as much as others while there is capacity for all. While one is in excess, they must.
+// sends ten times as much as others while there is capacity for all. While one is in excess, they must, and refusals must name the share.
 func TestSharesChangeNothingWithoutExcess(t *testing.T) {
 	for _, test := range []struct {
 		instances int
@@ -196,7 +200,7 @@
 	}{{1, 150, false, false}, {4, 150, false, false}, {1, 90, true, false}, {4, 90, true, false}, {1, 150, true, true}, {4, 150, true, true}} {
 		plain := replay{instances: test.instances, load: test.load, excess: test.excess}.play(0)
 		shared := replay{instances: test.instances, load: test.load, excess: test.excess, shared: true}.play(0)
-		if (plain.actions != shared.actions) != test.changes {
+		if (plain.actions != shared.actions) != test.changes || (shared.named > 0) != test.changes {
 			t.Errorf("%+v: %+v without shares, %+v with shares", test, plain, shared)
 		}
 	}
