--- a/scheduler/shares_test.go
+++ b/scheduler/shares_test.go
@@ -157,7 +157,8 @@
 	before := replay{instances: instances, load: load}.sum()
 	without := replay{instances: instances, load: load, excess: true}.sum()
 	with := replay{instances: instances, load: load, excess: true, shared: true}.sum()
-	t.Logf("%d instances at %.0f jobs a second: equal callers %v; with the excess and no shares %v; with shares %v", instances, load, before, without, with)
+	t.Logf("%d instances at %.0f jobs a second: equal callers %v; with the excess and no shares %v; with shares %v",
+		instances, load, before, without, with)
 	allowed := 1.1 * float64(before.refused)
 	if before.refused <= 20 {
 		allowed = float64(before.refused) + 2.5
@@ -178,7 +179,7 @@
 	}
 }
 
-// The loads of the acceptance criterion at which refusals still rise: until a share is known to be in excess, about 0.3 s after it
+// The loads of the acceptance criterion at which refusals still rise: until a share is known to be in excess, about half a second after it
 // begins to send more, its jobs are handled like any others.
 func TestRefusalsOfOthersHardlyRiseAtOnce(t *testing.T) {
 	for _, test := range []struct {
