--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -136,6 +136,10 @@
 		report := arbiter.reports[owner]
 		everywhere.add(report.of(job.Share))
 	}
+	if everywhere.demand <= 0 {
+		// The demand of jobs without declared cores has no part in any instance.
+		return Decision{}
+	}
 	own.fill(level.cores*here.demand/everywhere.demand, job.CoreSeconds, now)
 	contended := service.Waits || level.total.demand > contendedUtilization*service.Cores
 	if contended || service.FreeCores < (1-contendedUtilization)*service.Cores {
--- a/arbiter/arbiter_test.go
+++ b/arbiter/arbiter_test.go
@@ -116,3 +116,22 @@
 		}
 	}
 }
+
+// Jobs without declared cores made the tokens of their share NaN, so that it was refused for good once it was in excess.
+func TestJobsWithoutCoresLeaveTheTokensFinite(t *testing.T) {
+	is := is.New(t)
+	arbiter, service := New(), Service{Cores: 10, Waits: true}
+	empty := Job{Share: 1}
+	arbiter.Record(empty, at(0))
+	is.Equal(arbiter.Decide(empty, service, at(0)), Decision{})
+	usual := 0
+	for now := range 1000 {
+		job := Job{Share: 1, Cores: 1, CoreSeconds: 0.1}
+		arbiter.Record(job, at(now))
+		if arbiter.Decide(job, service, at(now)).Verdict == Usual {
+			usual++
+		}
+	}
+	is.True(arbiter.shares[1].inExcess)
+	is.True(usual >= 90)
+}
