--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -136,8 +136,9 @@
 		report := arbiter.reports[owner]
 		everywhere.add(report.of(job.Share))
 	}
-	if everywhere.demand <= 0 {
-		// The demand of jobs without declared cores has no part in any instance.
+	if everywhere.demand <= 0 || service.Cores <= 0 {
+		// Jobs without declared cores would divide zero by zero, and a level of zero would put every share in excess. The latter happens
+		// for up to 50 ms after the first target has become healthy, since the capacity is cached.
 		return Decision{}
 	}
 	own.fill(level.cores*here.demand/everywhere.demand, job.CoreSeconds, now)
--- a/arbiter/arbiter_test.go
+++ b/arbiter/arbiter_test.go
@@ -135,3 +135,14 @@
 	is.True(arbiter.shares[1].inExcess)
 	is.True(usual >= 90)
 }
+
+// While the capacity of the service is not known, for example because all targets are unhealthy, every share was in excess.
+func TestNoShareIsInExcessWithoutCapacity(t *testing.T) {
+	is := is.New(t)
+	arbiter := New()
+	for now := range 100 {
+		job := Job{Share: Share(1 + now%10), Cores: 1, CoreSeconds: 0.1}
+		arbiter.Record(job, at(now))
+		is.Equal(arbiter.Decide(job, Service{FreeCores: 1}, at(now)).Verdict, Usual)
+	}
+}
