Record a job for its share only when it is first sent

A job that is sent again while its tasks may be running added to the demand of its share a second time, although the arbiter does not decide on it.

--- a/scheduler/shares.go
+++ b/scheduler/shares.go
@@ -32,9 +32,10 @@
 	return described
 }
 
-// recordShare records the arrival of a job at the arbiter of its service.
+// recordShare records the arrival of a job at the arbiter of its service. A job that may have started was recorded when it was first
+// sent.
 func (scheduler *Scheduler) recordShare(job *job, now time.Time) {
-	if shares, ok := scheduler.arbiters[job.Service]; ok {
+	if shares, ok := scheduler.arbiters[job.Service]; ok && !job.mayHaveStarted {
 		shares.Record(job.shareJob(), now)
 	}
 }
--- a/scheduler/shares_test.go
+++ b/scheduler/shares_test.go
@@ -206,3 +206,23 @@
 		}
 	}
 }
+
+// A job that is sent again while its tasks may be running added to the demand of its share a second time.
+func TestJobThatMayHaveStartedIsRecordedForItsShareOnce(t *testing.T) {
+	for _, test := range []struct {
+		mayHaveStarted bool
+		recorded       bool
+	}{{false, true}, {true, false}} {
+		scheduler := newTestScheduler(3)
+		scheduler.SetShared("work", true)
+		info := testJob("j", 1, 100, 0)
+		info.Share = 1
+		job := newJob(info)
+		job.mayHaveStarted = test.mayHaveStarted
+		_, admitted := scheduler.admit(job, at(0))
+		decision := scheduler.arbiters["work"].Decide(job.shareJob(), arbiter.Service{Cores: 100}, at(0))
+		if !admitted || (decision.Demand > 0) != test.recorded {
+			t.Errorf("%+v: admitted %v, demand %v", test, admitted, decision.Demand)
+		}
+	}
+}
