Test the bound of shares, tokens at two instances, and the start of lent jobs

No test failed when shares were kept without bound, when each instance gave a share all of its tokens, or when a job on lent capacity waited for room.

--- a/arbiter/arbiter_test.go
+++ b/arbiter/arbiter_test.go
@@ -147,3 +147,43 @@
 		is.Equal(arbiter.Decide(job, Service{FreeCores: 1}, at(now)).Verdict, Usual)
 	}
 }
+
+// Callers with ever new addresses must not use unbounded memory, and must not keep out later ones once they are inactive.
+func TestNumberOfSharesIsBounded(t *testing.T) {
+	is := is.New(t)
+	arbiter := New()
+	for number := range 2 * maxShares {
+		arbiter.Record(Job{Share: Share(number + 1), Cores: 1, CoreSeconds: 0.1}, at(0))
+	}
+	is.Equal(len(arbiter.shares), maxShares)
+	is.Equal(arbiter.Decide(Job{Share: 2 * maxShares, Cores: 1, CoreSeconds: 0.1}, Service{Cores: 1, Waits: true}, at(0)), Decision{})
+	late := at(int(activeTime.Milliseconds()) + 1)
+	arbiter.Record(Job{Share: 2 * maxShares, Cores: 1, CoreSeconds: 0.1}, late)
+	is.Equal(len(arbiter.shares), 1)
+}
+
+// A share whose jobs arrive at two instances must not get the tokens of its level at each of them.
+func TestTokensAreDividedAmongInstances(t *testing.T) {
+	service, job := Service{Cores: 10, Waits: true}, Job{Share: 1, Cores: 1, CoreSeconds: 0.1}
+	other := Job{Share: 2, Cores: 1, CoreSeconds: 0.1}
+	instances, usual := []*Arbiter{New(), New()}, 0
+	for now := range 4000 {
+		for number, arbiter := range instances {
+			if report, ok := instances[1-number].Report(at(now)); ok && now%10 == 0 {
+				arbiter.HandleReport("other", report, at(now))
+			}
+			if now%10 == 0 {
+				arbiter.Record(other, at(now))
+				arbiter.Decide(other, service, at(now))
+			}
+			arbiter.Record(job, at(now))
+			if arbiter.Decide(job, service, at(now)).Verdict == Usual && now >= 3000 {
+				usual++
+			}
+		}
+	}
+	// The level is 5 cores, which is 50 jobs a second.
+	if usual < 45 || usual > 55 {
+		t.Errorf("%d jobs a second at both instances instead of 50", usual)
+	}
+}
--- a/scheduler/shares_test.go
+++ b/scheduler/shares_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"testing"
 
+	"github.com/matryer/is"
+
 	"github.com/hyssoplift/hyssoplift/arbiter"
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 )
@@ -226,3 +228,24 @@
 		}
 	}
 }
+
+// A job on lent capacity that does not start at once must be refused instead of waiting: others may need what is free later.
+func TestJobOnLentCapacityMustStartAtOnce(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(3)
+	scheduler.SetShared("work", true)
+	scheduler.typicalMilliCores = 14000
+	shares := scheduler.arbiters["work"]
+	excess := arbiter.Job{Share: 1, Cores: 14, CoreSeconds: 1.4}
+	for now := range 1000 {
+		shares.Record(excess, at(now))
+		shares.Decide(excess, arbiter.Service{Cores: 84, Waits: true}, at(now))
+	}
+	info := testJob("j", 1, 500, 1000)
+	info.Share = 1
+	job := newJob(info)
+	_, admitted := scheduler.admit(job, at(1000))
+	is.True(admitted)
+	is.Equal(job.load.Shares.Verdict, arbiter.Lent)
+	is.Equal(job.startDeadline, at(1000))
+}
