Report the first figures of an instance to the others

Cause: before the first run, freeCores returned 0, so that an idle service looked full and instances reported for their first seconds by accident. Change: the free capacity uses the default size of tasks, and the first reports are a rule of the arbiter.

--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -83,7 +83,7 @@
 	reports    map[string]receivedReport
 	level      level
 	levelUntil time.Time
-	// since is when the first job arrived, and reportsUntil until when the service counts as contended for reports.
+	// since is when the first job arrived, and reportsUntil until when the shares are reported.
 	since        time.Time
 	reportsUntil time.Time
 	// evictAt is when inactive shares may be dropped again to make room.
@@ -148,7 +148,8 @@
 	}
 	own.fill(level.cores*here.demand/everywhere.demand, job.CoreSeconds, now)
 	contended := service.Waits || level.total.demand > contendedUtilization*service.Cores
-	if contended || service.FreeCores < (1-contendedUtilization)*service.Cores {
+	// Averages that have just begun are uncertain, so the first figures are reported even without contention.
+	if begins := now.Sub(arbiter.since) < averagingTime; contended || begins || service.FreeCores < (1-contendedUtilization)*service.Cores {
 		arbiter.reportsUntil = now.Add(activeTime)
 	}
 	switch {
--- a/scheduler/shares.go
+++ b/scheduler/shares.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/hyssoplift/hyssoplift/arbiter"
@@ -74,10 +75,10 @@
 
 // freeCores returns the free capacity of the usable targets of a service.
 func (scheduler *Scheduler) freeCores(service string, now time.Time) float64 {
-	free := int64(0)
+	free, typical := int64(0), cmp.Or(scheduler.typicalMilliCores, defaultMilliCores)
 	for _, target := range scheduler.byService[service] {
 		if target.healthy(now) && !now.Before(target.excludedUntil) {
-			free += target.freeSlots(Resources{MilliCores: scheduler.typicalMilliCores}, now) * scheduler.typicalMilliCores
+			free += target.freeSlots(Resources{MilliCores: typical}, now) * typical
 		}
 	}
 	return float64(free) / milliCoresPerCore
