--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -625,7 +625,7 @@
 	scheduler.peerDemands[owner] = demand
 }
 
-// RemovePeer drops the demand of a lost instance. Its runs renew no leases.
+// RemovePeer drops the demand of a lost instance and its reports on shares. Its runs renew no leases.
 func (scheduler *Scheduler) RemovePeer(owner string) {
 	delete(scheduler.peerDemands, owner)
 	for _, shares := range scheduler.arbiters {
