--- /dev/null
+++ b/review/standin-3/client.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// phase is a step of a job.
+type phase struct {
+	Count         int    `json:"count"`
+	CPU           int64  `json:"cpu"`
+	MemMB         int64  `json:"memMb"`
+	EstRuntimeMS  int    `json:"estRuntimeMs"`
+	DependsOn     []int  `json:"dependsOn,omitempty"`
+	RequiredLabel string `json:"requiredLabel,omitempty"`
+	AntiAffinity  int    `json:"antiAffinity,omitempty"`
+}
+
+// newID returns the ID of a job.
+func newID() string {
+	id := make([]byte, 8)
+	_, _ = rand.Read(id)
+	return hex.EncodeToString(id)
+}
+
+// answer is the answer to a call of a client; status 0 means that there was none.
+type answer struct {
+	status int
+	body   string
+	at     time.Time
+}
+
+// call sends a request of a client on a channel of its own.
+func (deployment *deployment) call(method string, to *instance, path string, body []byte, wait time.Duration) answer {
+	request, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", to.ip, deployment.ports.frontend, path), bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	request.Host = "q.example"
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	client := http.Client{Timeout: wait, Transport: &http.Transport{DisableKeepAlives: true}}
+	deployment.record.line("client: %s %s to %s", method, path, to.name)
+	response, err := client.Do(request)
+	if err != nil {
+		deployment.record.line("client: %s %s at %s gets no answer: %v", method, path, to.name, err)
+		return answer{at: time.Now()}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, _ := io.ReadAll(response.Body)
+	deployment.record.line("client: %s %s at %s gets %d %s", method, path, to.name, response.StatusCode, data)
+	return answer{response.StatusCode, string(data), time.Now()}
+}
+
+// submit sends a job that need not be kept, of which each task works for the given time, and waits for its answer.
+func (deployment *deployment) submit(to *instance, id string, work, wait time.Duration, phases ...phase) answer {
+	cpu := int64(0)
+	for i := range phases {
+		phases[i].EstRuntimeMS = int(work.Milliseconds())
+		cpu = max(cpu, phases[i].CPU)
+	}
+	body, err := json.Marshal(map[string]any{"spec": fmt.Sprintf("%d %d", work.Milliseconds(), cpu), "phases": phases, "bestEffort": true})
+	if err != nil {
+		panic(err)
+	}
+	return deployment.call(http.MethodPost, to, "/q/"+id, body, wait)
+}
+
+// cancel cancels a job.
+func (deployment *deployment) cancel(to *instance, id string) answer {
+	return deployment.call(http.MethodDelete, to, "/q/"+id, nil, 4*time.Second)
+}
