Review case 12: tasks start on a runner that has come back as another kind

Tried: a runner crashes and starts again under its id with another label, while jobs require the former one. Seen: up to half a second after its return, starts by the labels of its former incarnation.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,6 +18,7 @@
 // cases holds the cases by number. trouble is false if the disruption is to be left out.
 var cases = map[string]func(deployment *deployment, trouble bool) (result, error){
 	"11": cancelAfterLostDeletes,
+	"12": startsAsAnotherKind,
 }
 
 // zones holds the zones of all cases.
