Review case 13: more tasks of a step on a runner than antiAffinity allows, after a job is sent again

Tried: the channel of a job is reset once its first step is done; the job is sent again 1,300 ms later.

--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -61,6 +62,11 @@
 
 // submit sends a job that need not be kept, of which each task works for the given time, and waits for its answer.
 func (deployment *deployment) submit(to *instance, id string, work, wait time.Duration, phases ...phase) answer {
+	return deployment.call(http.MethodPost, to, "/q/"+id, encodeJob(work, phases), wait)
+}
+
+// encodeJob returns the body of a job.
+func encodeJob(work time.Duration, phases []phase) []byte {
 	cpu := int64(0)
 	for i := range phases {
 		phases[i].EstRuntimeMS = int(work.Milliseconds())
@@ -70,7 +76,24 @@
 	if err != nil {
 		panic(err)
 	}
-	return deployment.call(http.MethodPost, to, "/q/"+id, body, wait)
+	return body
+}
+
+// submitAndReset sends a job like submit. Its channel is reset after some time.
+func (deployment *deployment) submitAndReset(to *instance, id string, work, wait, after time.Duration, phases ...phase) {
+	channel, err := net.Dial("tcp", net.JoinHostPort(to.ip, strconv.Itoa(deployment.ports.frontend)))
+	if err != nil {
+		deployment.record.line("client: cannot connect to %s: %v", to.name, err)
+		return
+	}
+	body := encodeJob(work, phases)
+	deployment.record.line("client: POST /q/%s to %s", id, to.name)
+	_, err = fmt.Fprintf(channel, "POST /q/%s HTTP/1.1\r\nHost: q.example\r\nContent-Type: application/json\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+		id, wait.Milliseconds(), len(body), body)
+	time.Sleep(after)
+	_ = channel.(*net.TCPConn).SetLinger(0)
+	_ = channel.Close()
+	deployment.record.line("client: the channel of %s at %s is reset, %v", id, to.name, err)
 }
 
 // cancel cancels a job.
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(deployment *deployment, trouble bool) (result, error){
 	"11": cancelAfterLostDeletes,
 	"12": startsAsAnotherKind,
+	"13": sendsSpreadJobAgain,
 }
 
 // zones holds the zones of all cases.
