Review case 11: a job that its client sends again from another zone runs twice at once

Tried: half of the clients of a zone move while their jobs are at work, and hand them in again in the next zone 1,300 ms later; the first channel stays open. Seen: all tasks of these jobs are at work twice for 1.4 s, and both channels get 200. Without the moves the rule is held.

The cases are put in order, the gravest first: the former 14 is 12, 12 is 13 and 13 is 14.

--- a/review/standin-3/case_links.go
+++ b/review/standin-3/case_links.go
@@ -16,6 +16,10 @@
 	// cancelWindow is the length of a give_up with the share 0.4, and windows how many follow each other.
 	cancelWindow = 12 * time.Second
 	windows      = 4
+	// restartPause is the pause between the end of a process and its next start.
+	restartPause = 300 * time.Millisecond
+	// cancelBound is how long after the acknowledgement of a cancelling nothing of the job starts any more (cancel_ms).
+	cancelBound = 3 * time.Second
 	// inTouchPause is longer than contactMs.
 	inTouchPause = 4 * time.Second
 )
--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -86,14 +86,21 @@
 		deployment.record.line("client: cannot connect to %s: %v", to.name, err)
 		return
 	}
-	body := encodeJob(work, phases)
 	deployment.record.line("client: POST /q/%s to %s", id, to.name)
-	_, err = fmt.Fprintf(channel, "POST /q/%s HTTP/1.1\r\nHost: q.example\r\nContent-Type: application/json\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		id, wait.Milliseconds(), len(body), body)
+	deployment.writeJob(channel, id, wait, encodeJob(work, phases))
 	time.Sleep(after)
 	_ = channel.(*net.TCPConn).SetLinger(0)
 	_ = channel.Close()
-	deployment.record.line("client: the channel of %s at %s is reset, %v", id, to.name, err)
+	deployment.record.line("client: the channel of %s at %s is reset", id, to.name)
+}
+
+// writeJob writes the request that hands a job in.
+func (deployment *deployment) writeJob(channel net.Conn, id string, wait time.Duration, body []byte) {
+	_, err := fmt.Fprintf(channel, "POST /q/%s HTTP/1.1\r\nHost: q.example\r\nContent-Type: application/json\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+		id, wait.Milliseconds(), len(body), body)
+	if err != nil {
+		deployment.record.line("client: %s cannot be sent: %v", id, err)
+	}
 }
 
 // cancel cancels a job.
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -17,10 +17,10 @@
 
 // cases holds the cases by number. trouble is false if the disruption is to be left out.
 var cases = map[string]func(deployment *deployment, trouble bool) (result, error){
-	"11": cancelAfterLostDeletes,
-	"12": startsAsAnotherKind,
-	"13": sendsSpreadJobAgain,
-	"14": restartAfterManyCancels,
+	"11": askAgainElsewhere,
+	"12": restartAfterManyCancels,
+	"13": startsAsAnotherKind,
+	"14": sendsSpreadJobAgain,
 }
 
 // zones holds the zones of all cases.
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -81,8 +81,6 @@
 	open     map[net.Conn]bool
 	seq      int64
 	state    string
-	// mute reports whether an order gets no answer and is not carried out.
-	mute func(path string, order order) bool
 }
 
 // fleet holds the runners and all that they have begun.
@@ -211,7 +209,7 @@
 		return
 	}
 	runner.mu.Lock()
-	if runner.life != life || runner.mute != nil && runner.mute(path, command) {
+	if runner.life != life {
 		runner.mu.Unlock()
 		<-request.Context().Done()
 		return
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -37,8 +37,6 @@
 
 	mu     sync.Mutex
 	topics map[string]*topic
-	// late returns how much later an append of an instance is carried out, which then gets no answer; 0 if it is answered.
-	late func(topic, key string, value []byte) time.Duration
 }
 
 func startStore(record *record, address string) (*store, error) {
@@ -94,25 +92,6 @@
 	store.put(name, key, data)
 }
 
-// keys returns the keys of a topic that have a value.
-func (store *store) keys(name string) []string {
-	store.mu.Lock()
-	defer store.mu.Unlock()
-	var keys []string
-	for key := range store.topic(name).newest {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
-// setLate sets which appends are carried out later.
-func (store *store) setLate(late func(topic, key string, value []byte) time.Duration) {
-	store.mu.Lock()
-	defer store.mu.Unlock()
-	store.late = late
-}
-
 func (store *store) append(writer http.ResponseWriter, request *http.Request) {
 	body, err := io.ReadAll(request.Body)
 	name := request.URL.Query().Get("topic")
@@ -125,24 +104,10 @@
 		http.Error(writer, "not yours", http.StatusForbidden)
 		return
 	}
-	store.mu.Lock()
-	late := store.late
-	store.mu.Unlock()
 	what := "record of " + key
 	if len(value) == 0 {
 		what = "deletion of the record of " + key
 	}
-	if late != nil {
-		if delay := late(name, key, value); delay > 0 {
-			store.record.line("store: %s in %s gets no answer and is carried out %d ms later", what, name, delay.Milliseconds())
-			time.AfterFunc(delay, func() {
-				store.put(name, key, value)
-				store.record.line("store: %s in %s is carried out now", what, name)
-			})
-			<-request.Context().Done()
-			return
-		}
-	}
 	time.Sleep(appendTime)
 	offset := store.put(name, key, value)
 	store.record.line("store: %s in %s acknowledged", what, name)
