Review case 13: a job whose route was dropped cannot be cancelled

Tried: a version drops a route while jobs are at work on it; they are cancelled 2.5 s after its ack, at two instances by turns. Seen: every cancel gets 404, and tasks go on to start 6.5 s past the bound. Without the version the rule is held.

--- a/review/standin-3/instance.go
+++ b/review/standin-3/instance.go
@@ -59,16 +59,16 @@
 	if added.ports, err = freePorts(8); err != nil {
 		return nil, err
 	}
-	added.configure(1)
+	added.configure(1, "q")
 	return added, nil
 }
 
-// configure writes a configuration with the route of the cases.
-func (deployment *deployment) configure(version int) {
+// configure writes a configuration with a route of the given prefix.
+func (deployment *deployment) configure(version int, prefix string) {
 	deployment.store.putJSON("keyed.op", "config", map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
-			"name": "q0", "host": "q.example", "prefix": "/q/", "service": "booking", "timeoutMs": 20000, "priority": 0, "maxAttempts": 3, "targetFactor": 3,
+			"name": "queue-" + prefix, "host": "q.example", "prefix": "/" + prefix + "/", "service": "booking", "timeoutMs": 20000, "priority": 0, "maxAttempts": 3, "targetFactor": 3,
 			"targetLatencyMs": 3000,
 		}},
 		"services": []map[string]any{{"name": "booking", "maxConns": 64, "enforcesCapacity": true, "healthPath": "/healthz"}},
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,8 +19,9 @@
 var cases = map[string]func(deployment *deployment, trouble bool) (result, error){
 	"11": askAgainElsewhere,
 	"12": restartAfterManyCancels,
-	"13": startsAsAnotherKind,
-	"14": sendsSpreadJobAgain,
+	"13": cancelAfterRouteIsDropped,
+	"14": startsAsAnotherKind,
+	"15": sendsSpreadJobAgain,
 }
 
 // zones holds the zones of all cases.
