Review case 12: more jobs are cancelled, as on the grown sites

With 190 a second, still below what the site's troubles give, each list is far above what can be decoded.

--- a/review/standin-3/case_links.go
+++ b/review/standin-3/case_links.go
@@ -10,7 +10,7 @@
 
 const (
 	// jobInterval is the time between two jobs, and of cancelOf jobs in a row the first cancelCount are cancelled (0.4).
-	jobInterval = 3600 * time.Microsecond
+	jobInterval = 2100 * time.Microsecond
 	cancelOf    = 5
 	cancelCount = 2
 	// cancelWindow is the length of a give_up with the share 0.4, and windows how many follow each other.
