Log outstanding starts, the evidence for restarts and who disowned a run

The logs could not tell the hypotheses of the incident apart: that a start may still be carried out when its task starts elsewhere, what an instance learned of a restart from, when the target was first sent a request that names the new incarnation, and what the instances answered that were asked for an owner.

run lost has outstanding-ms, target restarted has evidence, restarted target refuses former orders is new, run stopped has listed-ms and disowned for runs without an owner, and a planned stop says how many starts it leaves behind. Metrics: starts outstanding, starts left outstanding, seconds unguarded. PollResult.Named is the incarnation that a poll named.

--- a/executor/log.go
+++ b/executor/log.go
@@ -61,7 +61,11 @@
 			"reason", stop.Reason, "error", eris.ToString(err, false))
 		return
 	}
-	executor.logger.Info("run stopped", "task", stop.Run.Task, "attempt", stop.Run.Attempt, "target", stop.RunTarget.ID, "reason", stop.Reason)
+	fields := []any{"task", stop.Run.Task, "attempt", stop.Run.Attempt, "target", stop.RunTarget.ID, "reason", stop.Reason}
+	if stop.ListedFor > 0 {
+		fields = append(fields, "listed-ms", stop.ListedFor.Milliseconds(), "disowned", stop.Disowned)
+	}
+	executor.logger.Info("run stopped", fields...)
 }
 
 func (executor *Executor) logSuspension(suspend scheduler.SuspendRenewals) {
@@ -90,6 +94,9 @@
 	if lost.Reason == scheduler.LossStopped {
 		fields = append(fields, "ended-by", string(lost.End), "stop-age-ms", lost.StopAge.Milliseconds())
 	}
+	if lost.Outstanding > 0 {
+		fields = append(fields, "outstanding-ms", lost.Outstanding.Milliseconds())
+	}
 	executor.logger.Info("run lost", fields...)
 }
 
@@ -130,7 +137,8 @@
 }
 
 func (executor *Executor) logTargetRestart(restart scheduler.TargetRestarted) {
-	executor.logger.Warn("target restarted", "target", restart.Target, "incarnation", restart.Incarnation, "previous", restart.Previous, "runs", formatRuns(restart.Runs))
+	executor.logger.Warn("target restarted", "target", restart.Target, "incarnation", restart.Incarnation, "previous", restart.Previous,
+		"evidence", string(restart.Evidence), "runs", formatRuns(restart.Runs))
 }
 
 func (executor *Executor) logCold(cold scheduler.TargetCold) {
--- a/executor/meter.go
+++ b/executor/meter.go
@@ -27,6 +27,10 @@
 	startDurations  *metrics.Histogram
 	// undescribedSeconds is how long restarted targets were not used because their entries had not been read.
 	undescribedSeconds *metrics.FloatCounter
+	// unguardedSeconds is how long restarted targets were known before they had answered a request that names their present incarnations.
+	unguardedSeconds *metrics.FloatCounter
+	// startsLeftOutstanding counts the tasks that were queued again while a start of theirs might still be carried out.
+	startsLeftOutstanding *metrics.Counter
 }
 
 func newMeter() *meter {
@@ -51,6 +55,9 @@
 		wait:               set.NewHistogram("hyssoplift_start_wait_seconds"),
 		startDurations:     set.NewHistogram("hyssoplift_start_order_seconds"),
 		undescribedSeconds: set.NewFloatCounter("hyssoplift_target_undescribed_seconds_total"),
+		unguardedSeconds:   set.NewFloatCounter("hyssoplift_target_unguarded_seconds_total"),
+
+		startsLeftOutstanding: set.NewCounter("hyssoplift_starts_left_outstanding_total"),
 	}
 }
 
@@ -85,6 +92,9 @@
 // countLostRun counts a run of this instance that was lost or stopped.
 func (meter *meter) countLostRun(lost scheduler.RunLost) {
 	meter.set.GetOrCreateCounter(`hyssoplift_runs_lost_total{reason="` + string(lost.Reason) + `"}`).Inc()
+	if lost.Outstanding > 0 {
+		meter.startsLeftOutstanding.Inc()
+	}
 }
 
 // countReservation counts the answer to a reservation of this instance.
@@ -106,6 +116,7 @@
 		}
 	}
 	meter.set.NewGauge("hyssoplift_jobs_active", read(executor.scheduler.ActiveJobs))
+	meter.set.NewGauge("hyssoplift_starts_outstanding", read(executor.scheduler.OutstandingStarts))
 	meter.set.NewGauge("hyssoplift_tasks_waiting", read(func() int {
 		return int(executor.waitingTasks())
 	}))
--- a/executor/peers.go
+++ b/executor/peers.go
@@ -320,6 +320,9 @@
 	executor.mu.Lock()
 	executor.leaving, executor.reassign, executor.stopsAt = true, true, stopsAt
 	executor.scheduler.EndJobsBy(stopsAt)
+	if outstanding := executor.scheduler.OutstandingStarts(); outstanding > 0 {
+		executor.logger.Warn("starts without an answer are left behind by a planned stop", "starts", outstanding)
+	}
 	executor.group.Go(func() {
 		if sleeper.For(executor.ctx, stopsAt.Sub(executor.now())) {
 			executor.answerDelegatedAtStop()
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -262,7 +262,7 @@
 		executor.handlePollFailure(poller, target, err)
 		return true
 	}
-	poll.Address = target.Address
+	poll.Address, poll.Named = target.Address, target.Incarnation
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
 	executor.noticePause(poll.Answered)
--- a/executor/stop_list.go
+++ b/executor/stop_list.go
@@ -70,7 +70,7 @@
 		}
 		return false
 	}
-	poll.Address = target.Address
+	poll.Address, poll.Named = target.Address, target.Incarnation
 	executor.noticePause(poll.Answered)
 	executor.scheduler.HandleStopList(target.ID, poll)
 	executor.runActions()
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -55,7 +55,7 @@
 func (scheduler *Scheduler) applyEntry(known *target, info Target, now time.Time) {
 	restarted := info.Incarnation != 0 && info.Incarnation != known.Incarnation
 	if restarted {
-		scheduler.handleTargetRestart(known, info.Incarnation, now)
+		scheduler.handleTargetRestart(known, info.Incarnation, RestartDiscovered, now)
 	}
 	former, formerService := known.Address, known.Service
 	if info.Address != former {
@@ -92,22 +92,34 @@
 			scheduler.emit(TargetVerified{Target: target.ID, Incarnation: poll.Incarnation})
 		}
 	}
-	scheduler.settleIncarnation(target, poll.Incarnation, now)
+	scheduler.settleIncarnation(target, poll.Incarnation, RestartAnswered, now)
 	if poll.Address != "" && poll.Address != target.Address {
 		// Only an entry has named another address.
 		target.Address = poll.Address
 		target.resetExclusions()
 	}
 	target.replaced, target.addressVerified = false, true
+	scheduler.recordNamed(target, poll.Named, now)
+}
+
+// recordNamed records that the target has answered a request that names the given incarnation.
+func (scheduler *Scheduler) recordNamed(target *target, incarnation int64, now time.Time) {
+	if incarnation == 0 || incarnation != target.Incarnation || target.guarded == incarnation {
+		return
+	}
+	target.guarded = incarnation
+	if !target.restartedAt.IsZero() {
+		scheduler.emit(TargetGuarded{Target: target.ID, Incarnation: incarnation, After: now.Sub(target.incarnationSince)})
+	}
 }
 
 // settleIncarnation records that an incarnation of a target has answered this instance or its reader.
-func (scheduler *Scheduler) settleIncarnation(target *target, incarnation int64, now time.Time) {
+func (scheduler *Scheduler) settleIncarnation(target *target, incarnation int64, evidence RestartEvidence, now time.Time) {
 	switch {
 	case incarnation == 0 || incarnation == target.Incarnation:
 	case incarnation > target.Incarnation, target.verified != 0 && target.verified != incarnation:
 		// The wall clock that names incarnations may have been set back.
-		scheduler.handleTargetRestart(target, incarnation, now)
+		scheduler.handleTargetRestart(target, incarnation, evidence, now)
 		scheduler.voidLateStarts(target, now)
 		scheduler.recordRestartOfStopped(target, now)
 	default:
@@ -192,7 +204,7 @@
 		scheduler.adoptPending(target, now)
 	}
 	scheduler.takePending(target)
-	scheduler.settleIncarnation(target, incarnation, now)
+	scheduler.settleIncarnation(target, incarnation, RestartReported, now)
 }
 
 // expirePendingEntries uses the entries that nothing has settled in time.
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -227,7 +227,7 @@
 	scheduler.emit(RunLost{
 		Target: target.ID, Incarnation: task.incarnation, Run: task.run(), Job: task.job.ID, Reason: reason, Restarts: task.restarts,
 		Lease: target.leaseEvidence, RenewalAge: now.Sub(target.lastRenewal()), ListAge: now.Sub(target.lastPolled),
-		End: task.endEvidence, StopAge: task.stopAge(now),
+		End: task.endEvidence, StopAge: task.stopAge(now), Outstanding: scheduler.outstandingFor(target.ID, task.run(), now),
 	})
 	if reason == LossLapsed || reason == LossUnanswered || task.incarnation < task.runTarget.Incarnation {
 		scheduler.recordLostRun(task, now)
@@ -475,7 +475,7 @@
 
 // handleTargetRestart drops the learned state of the target's previous incarnation. Whether its runs have ended shows
 // only in the target's list: an instance that had not learned of the restart may have started runs since.
-func (scheduler *Scheduler) handleTargetRestart(target *target, incarnation int64, now time.Time) {
+func (scheduler *Scheduler) handleTargetRestart(target *target, incarnation int64, evidence RestartEvidence, now time.Time) {
 	previous := target.Incarnation
 	target.Incarnation, target.incarnationSince, target.addressVerified = incarnation, now, false
 	if previous == 0 {
@@ -486,7 +486,7 @@
 	scheduler.forgetReport(target, now)
 	defer scheduler.observeIncarnation(target.ID, target.Address, incarnation, now)
 	scheduler.recordUnnoticedEnd(target, previous, now)
-	scheduler.emit(TargetRestarted{Target: target.ID, Incarnation: incarnation, Previous: previous, Runs: target.occupyingRuns(now)})
+	scheduler.emit(TargetRestarted{Target: target.ID, Incarnation: incarnation, Previous: previous, Runs: target.occupyingRuns(now), Evidence: evidence})
 	target.speed = learnedSpeed{}
 	target.resetExclusions()
 	for _, allocation := range target.allocations {
--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -69,3 +69,17 @@
 	}
 	scheduler.requestStop(target, late.run, "start was not answered by a former incarnation", false, now)
 }
+
+// OutstandingStarts returns the number of starts that got no answer and may still be carried out.
+func (scheduler *Scheduler) OutstandingStarts() int { return len(scheduler.lateStarts) }
+
+// outstandingFor returns how much longer a start of a run that got no answer may be carried out by a later incarnation of its target;
+// 0 if there is none.
+func (scheduler *Scheduler) outstandingFor(targetID string, run Run, now time.Time) time.Duration {
+	for i := range scheduler.lateStarts {
+		if late := &scheduler.lateStarts[i]; late.targetRun == (targetRun{targetID, run}) {
+			return max(0, late.until.Sub(now))
+		}
+	}
+	return 0
+}
--- a/scheduler/loss.go
+++ b/scheduler/loss.go
@@ -197,7 +197,7 @@
 	if pending := target.pending; pending != nil && pending.Incarnation == incarnation {
 		scheduler.adoptPending(target, now)
 	} else {
-		scheduler.handleTargetRestart(target, incarnation, now)
+		scheduler.handleTargetRestart(target, incarnation, RestartReported, now)
 		scheduler.voidLateStarts(target, now)
 	}
 	target.verified = incarnation
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -251,6 +251,9 @@
 // PollResult is a target's answer to a poll.
 type PollResult struct {
 	Incarnation int64
+	// Named is the incarnation that the request named; 0 if unknown. Once a target has seen a request that names its present
+	// incarnation, it refuses orders for former ones.
+	Named int64
 	// Address is the address that was polled; empty if it is the known one.
 	Address string
 	Running []ActiveRun
@@ -284,7 +287,7 @@
 
 // Action is something that the caller of the scheduler has to do: StartTask, StopRun, RelayStop, SuspendRenewals, QueryOwner,
 // AnnounceLeaseEnd, AwaitRunEnd, WithdrawClaim, OfferCapacity, AnswerJob, LossRecorded, LossWithdrawn or TargetVerified, or to record: RunLost, RunsOverlapped,
-// TaskGivenUp, TargetRestarted, TargetCold or TargetWarm.
+// TaskGivenUp, TargetRestarted, TargetGuarded, TargetDescribed, TargetCold or TargetWarm.
 type Action interface{ isAction() }
 
 // StartTask asks to start a run on a target.
@@ -319,6 +322,10 @@
 	Reason    string
 	// Repeated means that an earlier request has got no answer; this one is sent once only.
 	Repeated bool
+	// ListedFor is the time since a run without a live owner was first listed or claimed, and Disowned is how many instances have
+	// answered that they do not own it; zero for other runs.
+	ListedFor time.Duration
+	Disowned  int
 }
 
 // Attempts returns how often the request is sent before it counts as not answered.
@@ -434,6 +441,9 @@
 	// known.
 	End     EndEvidence
 	StopAge time.Duration
+	// Outstanding is how much longer a start of the run that got no answer may be carried out by a later incarnation of the target;
+	// 0 if each start was answered.
+	Outstanding time.Duration
 }
 
 // RunsOverlapped records that a run of a task of this instance went on to its own end after a later one had been started.
@@ -492,6 +502,30 @@
 	Incarnation int64
 	Previous    int64
 	Runs        []OccupyingRun
+	// Evidence is what showed the restart.
+	Evidence RestartEvidence
+}
+
+// RestartEvidence is what showed that a target has restarted.
+type RestartEvidence string
+
+// Evidence for the restart of a target. The values are used in logs.
+const (
+	// RestartAnswered means that the target has answered this instance.
+	RestartAnswered RestartEvidence = "answer"
+	// RestartDiscovered means that an entry of discovery names the incarnation.
+	RestartDiscovered RestartEvidence = "entry"
+	// RestartReported means that another instance has sent the news.
+	RestartReported RestartEvidence = "peer"
+)
+
+// TargetGuarded records that a restarted target has answered a request that names its present incarnation, so that it refuses
+// orders for former ones.
+type TargetGuarded struct {
+	Target      string
+	Incarnation int64
+	// After is the time since this instance has known of the incarnation.
+	After time.Duration
 }
 
 func (StartTask) isAction()        {}
@@ -509,4 +543,5 @@
 func (LossRecorded) isAction()     {}
 func (LossWithdrawn) isAction()    {}
 func (TargetRestarted) isAction()  {}
+func (TargetGuarded) isAction()    {}
 func (TargetVerified) isAction()   {}
--- a/scheduler/starvation_test.go
+++ b/scheduler/starvation_test.go
@@ -570,7 +570,7 @@
 				}
 				poller.failures, poller.answered = 0, true
 				instance.connections[target.id] = incarnation
-				poll.Answered = at(simulation.now)
+				poll.Answered, poll.Named = at(simulation.now), known.Incarnation
 				simulation.handlePoll(number, target, poll)
 			})
 		})
@@ -637,7 +637,7 @@
 		simulation.after(1, func() {
 			starvation.handle(simulation, instance, number, "", func() {
 				poller.listedAt = 0
-				poll.Answered = at(simulation.now)
+				poll.Answered, poll.Named = at(simulation.now), known.Incarnation
 				if fenced {
 					instance.scheduler.HandleFenced(known, at(simulation.now))
 					return
--- a/scheduler/stop.go
+++ b/scheduler/stop.go
@@ -87,7 +87,11 @@
 	pending.reason, pending.requestedAt = reason, now
 	pending.incarnation, pending.address = target.Incarnation, target.Address
 	pending.underWay++
-	scheduler.emit(StopRun{RunTarget: target.Target, Run: run, Reason: reason, Repeated: pending.failures > 0})
+	stop := StopRun{RunTarget: target.Target, Run: run, Reason: reason, Repeated: pending.failures > 0}
+	if allocation, ok := target.allocations[run]; ok && (allocation.owner == "" || allocation.ownerLost) {
+		stop.ListedFor, stop.Disowned = now.Sub(allocation.claimedAt), len(allocation.disowned)
+	}
+	scheduler.emit(stop)
 	if unwanted {
 		pending.unwanted = true
 		scheduler.suspendRenewals(key, pending, now)
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -190,6 +190,9 @@
 	// next incarnation.
 	verified        int64
 	addressVerified bool
+	// guarded is the incarnation that has answered a request of this instance that names it, and that refuses orders for former ones
+	// since; 0 if none.
+	guarded int64
 	// described is the incarnation that the entry in use describes.
 	described int64
 	// pending is an entry that contradicts what the target has answered, or nil, and pendingSince when it was read.
