Request an unanswered start again on its target

Cause: an accepted stop ends a run and refuses it on the incarnation that accepts the stop. It was taken for the end of the order, which remains for as long as the network may deliver it. The task moved away from an order that could still be carried out.

Change: the start is requested again on the same target, under the same attempt and with the same deadline, until the target says what has become of it: 200 if the run is there. No answer to a repeated request but 200 counts as an answer to the first one. Work that had begun and whose answer was lost is no longer thrown away.

TestLostStartIsFoundOutAtOnce stated that one lost request makes a task leave its target; all requests to that target are lost now, the check is the same, and it also requires that the target was asked again.

The simulation has a new row, restart of all with targets that end again in the seconds after it and requests that are late by 0.1 to 3.1 s, and a poll that is not held back gives up after 100 ms there, as in the executor.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -444,7 +444,49 @@
 
 // start sends a start request and reports the result to the scheduler.
 func (executor *Executor) start(start scheduler.StartTask) {
-	deniedBy := executor.awaitReservation(&start)
+	result := scheduler.StartDenied
+	if deniedBy := executor.awaitReservation(&start); deniedBy == "" {
+		result = executor.requestStart(&start)
+	} else {
+		now := executor.now()
+		executor.uplink.Cancel(len(start.Body), now)
+		executor.recordStart(&start, result, deniedBy, now)
+	}
+	for isFirst := true; ; isFirst = false {
+		pause, again := executor.handleStartResult(&start, result, isFirst)
+		if !again || pause > 0 && !sleeper.For(executor.ctx, pause) {
+			return
+		}
+		result = executor.requestStart(&start)
+	}
+}
+
+// handleStartResult reports the result of a start request to the scheduler. It returns true if the start is to be requested again, and
+// after which pause.
+func (executor *Executor) handleStartResult(start *scheduler.StartTask, result scheduler.StartResult, isFirst bool) (time.Duration, bool) {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	now := executor.now()
+	executor.noticePause(now)
+	pause, again := executor.scheduler.RepeatStart(start, result, isFirst, now)
+	switch {
+	case again:
+		executor.meter.startsRepeated.Inc()
+		start.TransmittedAt = now.Add(pause + executor.uplink.Send(len(start.Body), now))
+	case isFirst:
+		executor.scheduler.HandleStartResult(start.Target, start.Run, result, now)
+	default:
+		executor.scheduler.HandleRepeatedStartResult(start.Target, start.Run, result, now)
+	}
+	executor.runActions()
+	if result == scheduler.StartFenced {
+		executor.wake(start.Target)
+	}
+	return pause, again
+}
+
+// requestStart sends a start request once.
+func (executor *Executor) requestStart(start *scheduler.StartTask) scheduler.StartResult {
 	sent := executor.now()
 	ctx, cancel := context.WithTimeout(executor.ctx, startTimeout+max(0, start.TransmittedAt.Sub(sent)))
 	defer cancel()
@@ -452,26 +494,21 @@
 	// This instance may have been paused since the start was decided.
 	result := scheduler.StartLate
 	switch {
-	case deniedBy != "":
-		result = scheduler.StartDenied
-		executor.uplink.Cancel(len(start.Body), sent)
 	case !sent.Before(lease) || !sent.Before(start.Deadline):
 	case executor.Withholds(start.RunTarget):
 		result = scheduler.StartWithheld
 	default:
-		result = executor.client.Start(ctx, start.RunTarget, start, lease)
+		result = executor.client.Start(ctx, start.RunTarget, *start, lease)
 	}
+	executor.recordStart(start, result, "", sent)
+	return result
+}
+
+// recordStart logs and counts a start request; deniedBy is the reader that denied the reservation, or empty.
+func (executor *Executor) recordStart(start *scheduler.StartTask, result scheduler.StartResult, deniedBy string, sent time.Time) {
 	now := executor.now()
 	executor.meter.recordStart(result, now.Sub(start.Arrived), now.Sub(sent))
-	executor.logStart(start, result, deniedBy, now.Sub(sent))
-	executor.mu.Lock()
-	defer executor.mu.Unlock()
-	executor.noticePause(now)
-	executor.scheduler.HandleStartResult(start.Target, start.Run, result, now)
-	executor.runActions()
-	if result == scheduler.StartFenced {
-		executor.wake(start.Target)
-	}
+	executor.logStart(*start, result, deniedBy, now.Sub(sent))
 }
 
 // stop sends a stop request and reports to the scheduler whether the target accepted it.
--- a/executor/meter.go
+++ b/executor/meter.go
@@ -19,6 +19,7 @@
 	targetRestarts  *metrics.Counter
 	overlappingRuns *metrics.Counter
 	startsWithheld  *metrics.Counter
+	startsRepeated  *metrics.Counter
 	tasksGivenUp    *metrics.Counter
 	roleChanges     *metrics.Counter
 	polls           *metrics.Counter
@@ -48,6 +49,7 @@
 		targetRestarts:     set.NewCounter("hyssoplift_target_restarts_total"),
 		overlappingRuns:    set.NewCounter("hyssoplift_overlapping_runs_total"),
 		startsWithheld:     set.NewCounter("hyssoplift_starts_withheld_total"),
+		startsRepeated:     set.NewCounter("hyssoplift_starts_repeated_total"),
 		tasksGivenUp:       set.NewCounter("hyssoplift_tasks_given_up_total"),
 		roleChanges:        set.NewCounter("hyssoplift_role_changes_total"),
 		polls:              set.NewCounter("hyssoplift_looks_total"),
--- a/executor/stop_list_test.go
+++ b/executor/stop_list_test.go
@@ -13,12 +13,13 @@
 	"github.com/hyssoplift/hyssoplift/scheduler"
 )
 
-// lostStartClient is the client of targets that get the first start never, and hold back the answers to polls.
+// lostStartClient is the client of targets of which the first one gets no start request, and that hold back the answers to polls.
 type lostStartClient struct {
 	mu sync.Mutex
-	// lostOn is the target of the lost start, acceptedAt when it accepted the stop, and lists how often its list was then requested
+	// lostOn is the target of the lost start, requests counts the requests for it, acceptedAt when it accepted the stop, and lists how often its list was then requested
 	// at once.
 	lostOn     string
+	requests   int
 	acceptedAt time.Time
 	lists      int
 	restarted  chan time.Time
@@ -31,8 +32,9 @@
 func (client *lostStartClient) Start(_ context.Context, on scheduler.Target, _ scheduler.StartTask, _ time.Time) scheduler.StartResult {
 	client.mu.Lock()
 	defer client.mu.Unlock()
-	if client.lostOn == "" {
+	if client.lostOn == "" || client.lostOn == on.ID {
 		client.lostOn = on.ID
+		client.requests++
 		return scheduler.StartUnanswered
 	}
 	client.restarted <- time.Now()
@@ -85,4 +87,5 @@
 	defer client.mu.Unlock()
 	is.True(restartedAt.Sub(client.acceptedAt) < pollWait/2)
 	is.Equal(client.lists, 1)
+	is.True(client.requests > 1) // the target has been asked again before the task left it
 }
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -31,11 +31,8 @@
 			if target.recordUnanswered(1, startedAt(target, run, now)) {
 				target.heldUntil = now.Add(unansweredBackoff)
 			}
-			if allocation, ok := target.allocations[run]; ok {
-				allocation.unanswered = true
-			}
+			scheduler.recordUnansweredStart(target, run, now)
 			scheduler.recordStartOnLost(target, run, now)
-			scheduler.recordLateStart(target, run, now)
 			scheduler.requestStop(target, run, "start was not answered", !current, now)
 		}
 		if current {
@@ -102,6 +99,11 @@
 		// The answer came from a former incarnation, or from another target at its address.
 		return
 	}
+	scheduler.recordRejection(target, result, now)
+}
+
+// recordRejection updates what is known of a target by its answer to a start that it did not take.
+func (scheduler *Scheduler) recordRejection(target *target, result StartResult, now time.Time) {
 	switch result {
 	case StartNoRoom:
 		target.recordResponse(now)
--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -28,13 +28,20 @@
 	until       time.Time
 }
 
-// recordLateStart remembers a start that got no answer and whose stop is requested now.
+// recordLateStart remembers a start that got no answer.
 func (scheduler *Scheduler) recordLateStart(target *target, run Run, now time.Time) {
+	started := startedAt(target, run, now)
+	for i := range scheduler.lateStarts {
+		if late := &scheduler.lateStarts[i]; late.targetRun == (targetRun{target.ID, run}) && late.startedAt.Equal(started) {
+			late.until = now.Add(maxRequestDelay)
+			return
+		}
+	}
 	if len(scheduler.lateStarts) >= maxLateStarts {
 		scheduler.lateStarts = slices.Delete(scheduler.lateStarts, 0, 1)
 	}
 	scheduler.lateStarts = append(scheduler.lateStarts, lateStart{
-		targetRun: targetRun{target.ID, run}, startedAt: startedAt(target, run, now),
+		targetRun: targetRun{target.ID, run}, startedAt: started,
 		incarnation: target.Incarnation, address: target.Address, until: now.Add(maxRequestDelay),
 	})
 }
@@ -50,7 +57,7 @@
 	}
 }
 
-// expireLateStarts forgets starts that are carried out no more.
+// expireLateStarts forgets starts that are not carried out any longer.
 func (scheduler *Scheduler) expireLateStarts(now time.Time) {
 	scheduler.lateStarts = slices.DeleteFunc(scheduler.lateStarts, func(late lateStart) bool { return !now.Before(late.until) })
 }
--- a/scheduler/restart_simulation_test.go
+++ b/scheduler/restart_simulation_test.go
@@ -10,6 +10,8 @@
 const (
 	minRestartRunMS = 600
 	maxRestartRunMS = 3000
+	// maxEndAfterRestartMS is how long after the instances a target ends again at most.
+	maxEndAfterRestartMS = 2500
 	// maxEarlyEndMS is how long before the instances a target ends at most.
 	maxEarlyEndMS = 100
 	// startupGraceMS is how long after its start an instance polls no idle target at most, and minStartupGraceMS how long at
@@ -38,6 +40,9 @@
 			simulation.after(killAt-early, func() { simulation.spontaneous.end(simulation, target, down, "ended") })
 		}
 	}
+	if starvation.causes.endAgain {
+		starvation.scheduleEndsAfterRestart(simulation, killAt)
+	}
 	simulation.after(killAt, func() {
 		starvation.killedAt = simulation.now
 		for number := range simulation.instances {
@@ -46,6 +51,25 @@
 	})
 }
 
+// scheduleEndsAfterRestart ends a quarter of the targets at any time of the seconds after a restart of all instances.
+func (starvation *starvation) scheduleEndsAfterRestart(simulation *simulation, killAt int) {
+	random := starvation.random
+	for _, target := range simulation.targets {
+		if random.IntN(4) == 0 {
+			down := 100 + random.IntN(300)
+			simulation.after(killAt+random.IntN(maxEndAfterRestartMS), func() { simulation.spontaneous.end(simulation, target, down, "ended again") })
+		}
+	}
+}
+
+// drawRequestDelay returns after how long a request without an answer is carried out.
+func (starvation *starvation) drawRequestDelay() int {
+	if starvation.causes.endAgain {
+		return 100 + starvation.random.IntN(3000)
+	}
+	return 2000 + starvation.random.IntN(2000)
+}
+
 // restart kills an instance and replaces it by one that knows nothing of the others.
 func (starvation *starvation) restart(simulation *simulation, number int) {
 	former := simulation.instances[number]
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -516,16 +516,7 @@
 			if simulation.spontaneous != nil {
 				simulation.spontaneous.wake(simulation, number, action.Target)
 			}
-			simulation.request(number, action.Target, action.TransmittedAt, func(target *simulatedTarget) StartResult { return simulation.start(target, number, action) },
-				func(result StartResult, answered bool) {
-					if !answered && simulation.naive {
-						result = StartRefused
-					}
-					if simulation.spontaneous != nil {
-						simulation.spontaneous.recordResult(simulation, number, action, result)
-					}
-					scheduler.HandleStartResult(action.Target, action.Run, result, at(simulation.now))
-				})
+			simulation.requestStart(number, action, true)
 		case StopRun:
 			simulation.request(number, action.RunTarget.ID, time.Time{}, func(target *simulatedTarget) StartResult { return simulation.stop(target, &action) },
 				func(result StartResult, answered bool) {
@@ -594,6 +585,33 @@
 	}
 }
 
+// requestStart requests a start, and again as its instance decides.
+func (simulation *simulation) requestStart(number int, start StartTask, isFirst bool) {
+	scheduler := simulation.instances[number].scheduler
+	execute := func(target *simulatedTarget) StartResult { return simulation.start(target, number, start) }
+	simulation.request(number, start.Target, start.TransmittedAt, execute, func(result StartResult, answered bool) {
+		if !answered && simulation.naive {
+			result = StartRefused
+		}
+		if simulation.spontaneous != nil {
+			simulation.spontaneous.recordResult(simulation, number, start, result)
+		}
+		pause, again := scheduler.RepeatStart(&start, result, isFirst, at(simulation.now))
+		switch {
+		case again:
+			simulation.after(int(pause/time.Millisecond), func() {
+				if simulation.instances[number].scheduler == scheduler && !simulation.instances[number].crashed {
+					simulation.requestStart(number, start, false)
+				}
+			})
+		case isFirst:
+			scheduler.HandleStartResult(start.Target, start.Run, result, at(simulation.now))
+		default:
+			scheduler.HandleRepeatedStartResult(start.Target, start.Run, result, at(simulation.now))
+		}
+	})
+}
+
 // request delivers a request to a target and returns its answer. A request that gets no answer may still be executed
 // seconds later. transmittedAt is when a narrow link will have sent it; zero if it was not queued yet.
 func (simulation *simulation) request(from int, id string, transmittedAt time.Time, execute func(*simulatedTarget) StartResult, answer func(StartResult, bool)) {
--- a/scheduler/starvation_test.go
+++ b/scheduler/starvation_test.go
@@ -33,16 +33,20 @@
 	kills bool
 	// restartOfAll means that all instances and some targets restart at one moment, after some requests got no answer.
 	restartOfAll bool
+	// endAgain means that some targets end in the seconds after such a restart, and that late requests are carried out at any
+	// time within seconds.
+	endAgain bool
 }
 
 const (
 	starvationEndMS    = 12000
 	starvationSubmitMS = 8000
 	starvationJobs     = 80
-	// requestTimeoutMS limits the wait for the answer to a start or a stop, pollTimeoutMS that for the answer to a poll, and
-	// degradedPollTimeoutMS that for the answer to a poll after a failed one.
+	// requestTimeoutMS limits the wait for the answer to a start or a stop, pollTimeoutMS that for the answer to a poll that the target
+	// may hold back, lookTimeoutMS that to another poll, and degradedPollTimeoutMS that to a poll after a failed one.
 	requestTimeoutMS      = 60
 	pollTimeoutMS         = 400
+	lookTimeoutMS         = 100
 	degradedPollTimeoutMS = 90
 	// starvedStopMS is how long a target takes at most to stop a run, longer than the platform allows.
 	starvedStopMS = 200
@@ -534,6 +538,9 @@
 	known, _ := instance.scheduler.Target(target.id)
 	decided, clock := simulation.now, instance.connections[target.id]
 	timeout := pollTimeoutMS
+	if restarted || !reads || !state.Occupied {
+		timeout = lookTimeoutMS
+	}
 	if poller.failures > 0 {
 		timeout = degradedPollTimeoutMS
 	}
@@ -670,7 +677,7 @@
 		switch {
 		case starvation.losing(simulation.now):
 			starvation.counts["late"]++
-			simulation.after(2000+starvation.random.IntN(2000), func() {
+			simulation.after(starvation.drawRequestDelay(), func() {
 				if !target.down(simulation.now) {
 					starvation.executing, starvation.sentBy = true, instance.name
 					execute(target)
@@ -846,6 +853,7 @@
 		{"starved readers", starvationCauses{readers: true}},
 		{"late orders", starvationCauses{lateOrders: true}},
 		{"restart of all", starvationCauses{restartOfAll: true}},
+		{"restart of all, targets end again", starvationCauses{restartOfAll: true, endAgain: true}},
 		{"all", starvationCauses{pauses: true, readers: true, lateOrders: true}},
 	}
 	seeds := 10
