Start a task elsewhere only once its restarted target refuses the former start

Cause: an answer to a poll that named the former incarnation, or news from another instance, shows that a target has restarted, and that its runs have ended. Their tasks started elsewhere at once, while the present incarnation still carried out a late start of them: it refuses orders for former incarnations only from the first request on that names it.

Change: a list counts as the end of a run in a restart only if the request for it named the present incarnation; the reader's next poll does, at once. A task with a start that got no answer, and that runs, waits until the next incarnation has accepted its stop.

TestTaskOfAnOutstandingStartWaitsForTheNextIncarnation and TestRunOfARestartedTargetIsLostOnceTheTargetRefusesFormerOrders failed before.

--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -409,6 +409,8 @@
 		allocation := target.allocations[run]
 		switch {
 		case listed[run] || allocation.confirmedAt.IsZero() || !allocation.confirmedAt.Before(poll.Sent):
+		case allocation.restarted && poll.Named != 0 && poll.Named < target.Incarnation:
+			// The next poll names the present incarnation, which refuses orders for former ones from then on.
 		case allocation.restarted && target.readBySelf && now.Sub(target.readSince) >= missingTimeout:
 			scheduler.handleRunLostInRestart(target, run, now)
 		default:
--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -74,6 +74,10 @@
 		// The stop will release the claim, which shows that the run may have been on the former incarnation.
 		scheduler.recordRunLoss(target, late.run, allocation, isolator.Restarted, now, now)
 	}
+	if task != nil && task.state == running && task.latest(late.target, late.run) {
+		// The run has ended with the former incarnation. The task starts again once the present one refuses the late start.
+		task.state = stopping
+	}
 	scheduler.requestStop(target, late.run, "start was not answered by a former incarnation", false, now)
 }
 
--- a/scheduler/repeat_start_test.go
+++ b/scheduler/repeat_start_test.go
@@ -92,3 +92,38 @@
 	is.True(drain(scheduler).answers[0].Started)
 	is.Equal(scheduler.ActiveJobs(), 0)
 }
+
+// A task whose start had got no answer must not start elsewhere on the news that its target has restarted: the next incarnation may
+// carry out the late start until it has seen a request that names it.
+func TestTaskOfAnOutstandingStartWaitsForTheNextIncarnation(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	start := startOf(scheduler)
+	_, _ = scheduler.RepeatStart(&start, StartUnanswered, true, at(60))
+	scheduler.HandleRepeatedStartResult(start.Target, start.Run, StartTaken, at(62))
+	scheduler.HandlePeerRestart(start.Target, 2, at(100))
+	actions := drain(scheduler)
+	is.Equal(len(actions.starts), 0)
+	is.Equal(len(actions.stops), 1)
+	is.Equal(actions.stops[0].RunTarget.Incarnation, int64(2))
+	scheduler.Tick(at(110))
+	is.Equal(len(drain(scheduler).starts), 0)
+	scheduler.HandleStopResult(start.Target, start.Run, true, at(112))
+	scheduler.HandlePoll(start.Target, PollResult{Incarnation: 2, Named: 2, Sent: at(113), Answered: at(114)})
+	scheduler.Tick(at(120))
+	is.Equal(len(drain(scheduler).starts), 1)
+}
+
+// The answer to a poll that named the former incarnation shows that a run has ended, but the present incarnation still carries out
+// orders for the former one.
+func TestRunOfARestartedTargetIsLostOnceTheTargetRefusesFormerOrders(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	start := startOf(scheduler)
+	acceptStarts(scheduler, []StartTask{start}, at(2))
+	scheduler.HandlePoll(start.Target, PollResult{Incarnation: 2, Named: 1, Sent: at(400), Answered: at(401)})
+	scheduler.Tick(at(410))
+	is.Equal(len(drain(scheduler).starts), 0)
+	scheduler.HandlePoll(start.Target, PollResult{Incarnation: 2, Named: 2, Sent: at(411), Answered: at(412)})
+	is.Equal(len(drain(scheduler).starts), 1)
+}
--- a/scheduler/starvation_test.go
+++ b/scheduler/starvation_test.go
@@ -865,13 +865,15 @@
 			causes, counts, failing := make(map[string]int), make(map[string]int), 0
 			for offset := range uint64(seeds) {
 				seed := *starvationFirst + offset
-				starvation := newStarvationSimulation(seed, test.causes).runStarvation()
-				failing += min(1, len(starvation.twice))
-				addCounts(counts, starvation.counts)
-				for _, pair := range starvation.twice {
-					causes[pair.cause]++
-					t.Errorf("seed %d: %s: %s", seed, pair.cause, pair.text)
-				}
+				t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+					starvation := newStarvationSimulation(seed, test.causes).runStarvation()
+					failing += min(1, len(starvation.twice))
+					addCounts(counts, starvation.counts)
+					for _, pair := range starvation.twice {
+						causes[pair.cause]++
+						t.Errorf("seed %d: %s: %s", seed, pair.cause, pair.text)
+					}
+				})
 			}
 			t.Logf("%d of %d seeds with two runs of a task at once; %v", failing, seeds, counts)
 			for _, cause := range slices.Sorted(maps.Keys(causes)) {
