Name the next incarnation to a target as soon as it may be there

Cause: a target refuses orders for its former incarnation from the first request on that names the present one. A target that was down was probed every 400 ms, also by an instance a start of which was outstanding there.

Change: the reader polls a target that is known to have restarted at once, also before it knows the other instances. An instance with an outstanding start on a target that does not respond polls it every 25 ms, for the 12 s for which the start may be carried out.

--- a/executor/peers.go
+++ b/executor/peers.go
@@ -47,6 +47,9 @@
 	}
 	for _, report := range decodeReports(from, &update) {
 		executor.scheduler.HandlePeerReport(report, now)
+		if report.Unreachable {
+			executor.wake(report.Target)
+		}
 	}
 	if len(update.Waiting) > 0 {
 		executor.scheduler.RecordBroadcast(from, now.Add(-delay))
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -40,9 +40,12 @@
 	probeInterval = 400 * time.Millisecond
 	// minProbeInterval is the pause of the reader after the target has become unreachable, which doubles up to probeInterval: a
 	// target that is back carries out orders for its former incarnation until it is polled.
-	minProbeInterval  = 12 * time.Millisecond
-	maxProbeInterval  = 3200 * time.Millisecond
-	maxProbeDoublings = 3
+	minProbeInterval = 12 * time.Millisecond
+	// outstandingProbeInterval is how often an unreachable target is polled by an instance a start of which may still be carried out
+	// there: from the first poll of the next incarnation on, that incarnation refuses the start.
+	outstandingProbeInterval = 25 * time.Millisecond
+	maxProbeInterval         = 3200 * time.Millisecond
+	maxProbeDoublings        = 3
 	// withholdPeriod is how long the acknowledgement of an end is withheld if the run's owner is unknown or
 	// unreachable. Within it, owners repeat their claims, or poll the target themselves after readerTimeout. After a
 	// loss of all instances, each one reads all targets until it has discovered the others. When it acknowledged such
@@ -152,7 +155,7 @@
 	sincePoll := now.Sub(poller.lastPoll)
 	acknowledged := poller.mayAcknowledge(state, now)
 	switch {
-	case poller.awaitsPeers && !state.Occupied && !state.Awaited && poller.failures == 0:
+	case poller.awaitsPeers && !state.Occupied && !state.Awaited && !state.Unguarded && poller.failures == 0:
 		return PollRequest{}, idleInterval
 	case state.Fenced && poller.failures == 0:
 		return PollRequest{}, fencedPollInterval - sincePoll
@@ -161,6 +164,8 @@
 	case poller.isReader.Load() && state.IncarnationSince.After(poller.incarnationSince):
 		// The target has restarted. The poll makes it refuse what was sent to its former incarnation.
 		return PollRequest{}, 0
+	case state.Outstanding:
+		return PollRequest{}, outstandingProbeInterval - sincePoll
 	case state.Unreachable || poller.failures >= unreachableThreshold:
 		return PollRequest{}, poller.probePause(state) - sincePoll
 	case poller.failures > 0:
--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -84,6 +84,11 @@
 // OutstandingStarts returns the number of starts that got no answer and may still be carried out.
 func (scheduler *Scheduler) OutstandingStarts() int { return len(scheduler.lateStarts) }
 
+// hasOutstanding reports whether a start on a target got no answer and may still be carried out.
+func (scheduler *Scheduler) hasOutstanding(targetID string) bool {
+	return slices.ContainsFunc(scheduler.lateStarts, func(late lateStart) bool { return late.target == targetID })
+}
+
 // outstandingFor returns how much longer a start of a run that got no answer may be carried out by a later incarnation of its target;
 // 0 if there is none.
 func (scheduler *Scheduler) outstandingFor(targetID string, run Run, now time.Time) time.Duration {
--- a/scheduler/repeat_start_test.go
+++ b/scheduler/repeat_start_test.go
@@ -127,3 +127,20 @@
 	scheduler.HandlePoll(start.Target, PollResult{Incarnation: 2, Named: 2, Sent: at(411), Answered: at(412)})
 	is.Equal(len(drain(scheduler).starts), 1)
 }
+
+// An instance a start of which may still be carried out on an unreachable target must know that, and that a restarted target has not
+// seen its present incarnation yet.
+func TestStateOfATargetNamesWhatItMayStillCarryOut(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	start := startOf(scheduler)
+	_, _ = scheduler.RepeatStart(&start, StartUnanswered, true, at(60))
+	is.True(!scheduler.TargetState(start.Target).Outstanding)
+	scheduler.MarkUnreachable(start.Target, true, at(70))
+	is.True(scheduler.TargetState(start.Target).Outstanding)
+	scheduler.HandlePeerRestart(start.Target, 2, at(100))
+	is.True(scheduler.TargetState(start.Target).Unguarded)
+	scheduler.HandlePoll(start.Target, PollResult{Incarnation: 2, Named: 2, Sent: at(110), Answered: at(111)})
+	state := scheduler.TargetState(start.Target)
+	is.True(!state.Outstanding && !state.Unguarded)
+}
--- a/scheduler/starvation_test.go
+++ b/scheduler/starvation_test.go
@@ -528,7 +528,7 @@
 	restarted := reads && state.IncarnationSince.After(at(poller.polledAt))
 	if starvation.causes.restartOfAll {
 		restarted = restarted || reads && state.ReadSince.After(at(poller.polledAt)) && !state.Unreachable && poller.failures == 0
-		if starvation.state(instance).awaitsPeers && !state.Occupied && !state.Awaited && poller.failures == 0 {
+		if starvation.state(instance).awaitsPeers && !state.Occupied && !state.Awaited && !state.Unguarded && poller.failures == 0 {
 			return
 		}
 	}
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -204,6 +204,11 @@
 	UnrenewedUntil time.Time
 	// Unverified means that the target has restarted, and that it is not known whether a run of this instance goes on.
 	Unverified bool
+	// Unguarded means that the target is known to have restarted and has not answered a request of this instance that names its
+	// present incarnation.
+	Unguarded bool
+	// Outstanding means that the target does not respond, and that its next incarnation may carry out a start of this instance.
+	Outstanding bool
 	// Awaited means that a task of this instance waits for the end of a run there that no live instance owns.
 	Awaited bool
 	// Contradicted means that an entry contradicts what the target has answered, so that it has to answer again.
@@ -246,6 +251,8 @@
 		Contradicted: target.pending != nil, Fenced: !target.fencedAt.IsZero(), ReadByOther: target.readerContact != nil, ReadSince: target.readSince,
 		Resumed: scheduler.hasHeardNoneSince(scheduler.resumedAt), Awaited: scheduler.awaitsEndOn(targetID),
 	}
+	state.Unguarded = !target.restartedAt.IsZero() && target.guarded != target.Incarnation
+	state.Outstanding = (target.unreachable || target.unreachableByReader) && scheduler.hasOutstanding(targetID)
 	for _, allocation := range target.allocations {
 		if allocation.owner == scheduler.self {
 			state.HasOwnRuns = true
