Count stopping and earlier runs against the bound per target

The bound of a step per target was checked by the latest runs of tasks that count as running. When an earlier run of a task succeeds, its latest run is asked to stop and the task is done at once, so that a sibling started beside the run that was being stopped. The same held for runs of earlier submissions and of other instances that this one knows of.

A task now counts on a target as long as any run of it occupies capacity there, is being stopped, or is one whose owner is in question. Two things depended on the same state: the capacity of a done task's run was kept until its job ended if neither the start nor the stop was answered, and would keep siblings away; and the stop of such a run was not taken over as one that nobody waits for when the job ended, so that an unstoppable run did not lapse.

Ruled out: leaving the task in its stopping state until the run has ended, which would hold up the steps that depend on it.

--- a/scheduler/isolate.go
+++ b/scheduler/isolate.go
@@ -74,7 +74,7 @@
 	}
 	for _, sibling := range task.job.tasks {
 		target := sibling.runTarget
-		if target != nil && target.isolatedJob == task.job.ID && !target.isCold(now) && target.usable(now) && target.fitsIsolated(task) && scheduler.mayRunOn(task, target) {
+		if target != nil && target.isolatedJob == task.job.ID && !target.isCold(now) && target.usable(now) && target.fitsIsolated(task) && scheduler.mayRunOn(task, target, now) {
 			return target
 		}
 	}
@@ -83,7 +83,7 @@
 	for i := range candidates {
 		candidate := candidates[i].target
 		if len(candidate.allocations) > 0 || candidates[i].free != candidate.Capacity || !step.Resources.Fits(candidate.Capacity) ||
-			!scheduler.mayRunOn(task, candidate) {
+			!scheduler.mayRunOn(task, candidate, now) {
 			continue
 		}
 		cost := candidate.predict(step.Estimate) + candidate.coldCost(now)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -120,7 +120,7 @@
 	bestCost := time.Duration(0)
 	for i := range candidates {
 		candidate := &candidates[i]
-		if !step.Resources.Fits(candidate.free) || candidate.probation && len(candidate.allocations) > 0 || !scheduler.mayRunOn(task, candidate.target) {
+		if !step.Resources.Fits(candidate.free) || candidate.probation && len(candidate.allocations) > 0 || !scheduler.mayRunOn(task, candidate.target, now) {
 			continue
 		}
 		cost := candidate.predict(step.Estimate)
@@ -164,23 +164,12 @@
 
 // mayRunOn reports whether a task may run on a target at all: by its service and label, by what the target has answered to the
 // task before, and by the runs of its step there.
-func (scheduler *Scheduler) mayRunOn(task *task, target *target) bool {
+func (scheduler *Scheduler) mayRunOn(task *task, target *target, now time.Time) bool {
 	step := task.spec()
 	if target.Service != task.job.Service || !target.hasLabel(step.Label) || task.avoided[target.ID] {
 		return false
 	}
-	return step.MaxPerTarget <= 0 || task.siblingRuns(target) < step.MaxPerTarget
-}
-
-// siblingRuns counts the runs on the target that belong to the same step as the task.
-func (task *task) siblingRuns(target *target) int {
-	count := 0
-	for _, sibling := range task.job.tasks {
-		if sibling.step == task.step && sibling.runTarget == target && sibling.mayBeRunning() {
-			count++
-		}
-	}
-	return count
+	return step.MaxPerTarget <= 0 || scheduler.siblingsOn(task, target, now) < step.MaxPerTarget
 }
 
 // startTask claims capacity on the target and issues the start request.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -321,7 +321,7 @@
 func (scheduler *Scheduler) finish(job *job, outcome dispatcher.Outcome, reason string, now time.Time) {
 	neverStarted := job.neverStarted()
 	for _, task := range job.tasks {
-		if task.mayBeRunning() {
+		if task.mayBeRunning() || scheduler.endsLatestRun(task) {
 			scheduler.requestStop(task.runTarget, task.run(), reason, true, now)
 		}
 		delete(scheduler.tasks, task.name)
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -167,7 +167,7 @@
 func (scheduler *Scheduler) dropStaleAllocations(target *target, now time.Time) {
 	for run, allocation := range target.allocations {
 		if allocation.owner == scheduler.self {
-			if task := scheduler.tasks[run.Task]; task != nil && task.latest(target.ID, run) {
+			if task := scheduler.tasks[run.Task]; task != nil && task.latest(target.ID, run) && (task.state != done || scheduler.endsLatestRun(task)) {
 				continue
 			}
 		}
