Say what the loss of an instance rests on

Cause: the line "instance is unresponsive" named only the incarnation.

Change: the line has the instance's name, the ages of the last message that was handled and of the last frame that was read, how long the present frame has been handled, an unanswered ping, a blocked write, the send queue, when and why the last link ended, the time since the former check, and by which roles the two are in contact. "instance responds again" shows a loss that was wrong. Metrics hyssoplift_instances_lost_total and hyssoplift_instances_returned_total.

No logic changes.

The receiver in gossiper's and executor's tests follows the wider interface.

--- a/executor/meter.go
+++ b/executor/meter.go
@@ -2,11 +2,13 @@
 
 import (
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/hyssoplift/hyssoplift/dispatcher"
+	"github.com/hyssoplift/hyssoplift/gossiper"
 	"github.com/hyssoplift/hyssoplift/reserver"
 	"github.com/hyssoplift/hyssoplift/scheduler"
 )
@@ -23,8 +25,10 @@
 	roleChanges     *metrics.Counter
 	polls           *metrics.Counter
 	unansweredPolls *metrics.Counter
-	wait            *metrics.Histogram
-	startDurations  *metrics.Histogram
+	// returnedInstances counts the instances that sent a message after they were considered lost.
+	returnedInstances *metrics.Counter
+	wait              *metrics.Histogram
+	startDurations    *metrics.Histogram
 	// undescribedSeconds is how long restarted targets were not used because their entries had not been read.
 	undescribedSeconds *metrics.FloatCounter
 }
@@ -37,6 +41,10 @@
 	for _, answer := range []reserver.Answer{reserver.Granted, reserver.Denied, reserver.Unanswered} {
 		set.NewCounter(reservationsMetric(answer))
 	}
+	for _, link := range []gossiper.Link{gossiper.LinkOpen, gossiper.LinkGone} {
+		set.NewCounter(lostInstancesMetric(link, false))
+		set.NewCounter(lostInstancesMetric(link, true))
+	}
 	return &meter{
 		set:                set,
 		stops:              set.NewCounter("hyssoplift_stops_total"),
@@ -48,6 +56,7 @@
 		roleChanges:        set.NewCounter("hyssoplift_role_changes_total"),
 		polls:              set.NewCounter("hyssoplift_looks_total"),
 		unansweredPolls:    set.NewCounter("hyssoplift_looks_unanswered_total"),
+		returnedInstances:  set.NewCounter("hyssoplift_instances_returned_total"),
 		wait:               set.NewHistogram("hyssoplift_start_wait_seconds"),
 		startDurations:     set.NewHistogram("hyssoplift_start_order_seconds"),
 		undescribedSeconds: set.NewFloatCounter("hyssoplift_target_undescribed_seconds_total"),
@@ -87,6 +96,15 @@
 	meter.set.GetOrCreateCounter(`hyssoplift_runs_lost_total{reason="` + string(lost.Reason) + `"}`).Inc()
 }
 
+// countLostInstance counts an instance that is considered lost.
+func (meter *meter) countLostInstance(evidence *gossiper.LossEvidence) {
+	meter.set.GetOrCreateCounter(lostInstancesMetric(evidence.Link(), evidence.PeerLeaving())).Inc()
+}
+
+func lostInstancesMetric(link gossiper.Link, leaving bool) string {
+	return `hyssoplift_instances_lost_total{link="` + string(link) + `",leaving="` + strconv.FormatBool(leaving) + `"}`
+}
+
 // countReservation counts the answer to a reservation of this instance.
 func (meter *meter) countReservation(answer reserver.Answer) {
 	meter.set.GetOrCreateCounter(reservationsMetric(answer)).Inc()
--- a/executor/peers.go
+++ b/executor/peers.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/hyssoplift/hyssoplift/gossiper"
 	"github.com/hyssoplift/hyssoplift/isolator"
 	"github.com/hyssoplift/hyssoplift/linker"
 	"github.com/hyssoplift/hyssoplift/scheduler"
@@ -206,8 +207,9 @@
 }
 
 // PeerLost handles the loss of another instance.
-func (executor *Executor) PeerLost(from string) {
-	executor.logger.Warn("instance is unresponsive", "peer", from)
+func (executor *Executor) PeerLost(from string, evidence *gossiper.LossEvidence) {
+	executor.logger.Warn("instance is unresponsive", append([]any{"peer", from}, evidence.Fields()...)...)
+	executor.meter.countLostInstance(evidence)
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
 	executor.scheduler.RemovePeer(from)
@@ -216,6 +218,12 @@
 	executor.runActions()
 }
 
+// PeerResponds logs that an instance was considered lost although it was running.
+func (executor *Executor) PeerResponds(from string, lostFor time.Duration) {
+	executor.logger.Warn("instance responds again", "peer", from, "lost-ms", lostFor.Milliseconds())
+	executor.meter.returnedInstances.Inc()
+}
+
 // reader returns the incarnation of a target's reader; the caller holds the lock.
 func (executor *Executor) reader(target string) string {
 	if poller, ok := executor.pollers[target]; ok {
--- a/executor/reserve_test.go
+++ b/executor/reserve_test.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
+	"github.com/hyssoplift/hyssoplift/gossiper"
 	"github.com/hyssoplift/hyssoplift/linker"
 	"github.com/hyssoplift/hyssoplift/reserver"
 	"github.com/hyssoplift/hyssoplift/scheduler"
@@ -78,7 +79,7 @@
 		{"granted late", linker.RevisionReservations, 0, 11 * time.Millisecond, granted, true, true, "unanswered"},
 		{"denied late", linker.RevisionReservations, 0, 11 * time.Millisecond, denied, true, true, "unanswered"},
 		{"denied by another instance", linker.RevisionReservations, 0, time.Millisecond, func(reserving *reservingExecutor) { reserving.answer("other", false) }, false, true, "unanswered"},
-		{"reader lost", linker.RevisionReservations, 0, time.Millisecond, func(reserving *reservingExecutor) { reserving.PeerLost("reader") }, false, true, "unanswered"},
+		{"reader lost", linker.RevisionReservations, 0, time.Millisecond, func(reserving *reservingExecutor) { reserving.PeerLost("reader", &gossiper.LossEvidence{}) }, false, true, "unanswered"},
 		{"another reader", linker.RevisionReservations, 0, time.Millisecond, func(reserving *reservingExecutor) {
 			reserving.mu.Lock()
 			defer reserving.mu.Unlock()
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -43,7 +43,9 @@
 	// HandleStateUpdate handles a state update from another instance.
 	HandleStateUpdate(from string, update linker.StateUpdate)
 	// PeerLost is called when an instance is considered lost.
-	PeerLost(from string)
+	PeerLost(from string, evidence *LossEvidence)
+	// PeerResponds is called when an instance that was considered lost for the given time has sent a message.
+	PeerResponds(from string, lostFor time.Duration)
 	// HandleDelegation runs a job for another instance. delay is how long the message was under way, for example because
 	// this process was paused. It must not block.
 	HandleDelegation(from string, delegation linker.Delegation, delay time.Duration)
@@ -56,8 +58,17 @@
 
 // peer is the state of another instance.
 type peer struct {
-	hello     linker.Hello
+	hello linker.Hello
+	// lastHeard is when the last message was handled, or later if silence until then is no evidence of a loss.
 	lastHeard time.Time
+	// handledAt is when the last message was handled,.
+	handledAt time.Time
+	// contactSince is when the present contact began; zero before the first one.
+	contactSince time.Time
+	lostAt       time.Time
+	// endedAt is when the last link to the instance ended, and endCause why; zero if none has ended.
+	endedAt  time.Time
+	endCause string
 	// startedAt is when the instance started, or zero if unknown.
 	startedAt time.Time
 	leaving   bool
@@ -582,9 +593,10 @@
 // detectLostPeers reports the peers that have sent nothing for longer than PeerTimeout to the receiver.
 func (gossiper *Gossiper) detectLostPeers() {
 	now := gossiper.now()
-	var lost []string
+	lost := make(map[string]*LossEvidence)
 	links := gossiper.currentLinks()
 	gossiper.mu.Lock()
+	previousCheck := gossiper.checkedAt
 	if now.Sub(gossiper.checkedAt) > heartbeatInterval+pauseThreshold {
 		// This process was paused, so missing messages do not indicate lost peers until what has waited has been read.
 		for _, peer := range gossiper.peers {
@@ -600,8 +612,8 @@
 			continue
 		}
 		if !peer.lost && now.Sub(peer.lastHeard) > PeerTimeout {
-			peer.lost = true
-			lost = append(lost, incarnation)
+			lost[incarnation] = gossiper.lossEvidence(peer, links, previousCheck, now)
+			peer.lost, peer.lostAt = true, now
 		}
 		if now.Sub(peer.lastHeard) > forgetTimeout {
 			delete(gossiper.peers, incarnation)
@@ -611,8 +623,8 @@
 		gossiper.updateRoles()
 	}
 	gossiper.mu.Unlock()
-	for _, incarnation := range lost {
-		gossiper.receiver.PeerLost(incarnation)
+	for incarnation, evidence := range lost {
+		gossiper.receiver.PeerLost(incarnation, evidence)
 	}
 }
 
@@ -620,7 +632,7 @@
 func (gossiper *Gossiper) Receive(from linker.Hello, message linker.Message) {
 	switch message := message.(type) {
 	case linker.LinkEnded:
-		gossiper.recordLinkEnd(from.Incarnation)
+		gossiper.recordLinkEnd(from.Incarnation, message.Cause)
 		gossiper.receiver.LinkEnded(from.Incarnation)
 	case linker.StateUpdate:
 		gossiper.recordContact(from, message)
@@ -637,22 +649,28 @@
 // recordContact records that a message from an instance has arrived. Only broadcasts carry the state of the sender;
 // they are recognized by their Waiting field, which is never empty.
 func (gossiper *Gossiper) recordContact(from linker.Hello, update linker.StateUpdate) {
-	if gossiper.updatePeer(from, update) {
+	mayHaveMissed, lostFor := gossiper.updatePeer(from, update)
+	if lostFor > 0 {
+		gossiper.receiver.PeerResponds(from.Incarnation, lostFor)
+	}
+	if mayHaveMissed {
 		gossiper.receiver.PeerConnected(from.Incarnation)
 	}
 }
 
 // recordLinkEnd records that messages to an instance may have been lost with a link.
-func (gossiper *Gossiper) recordLinkEnd(incarnation string) {
+func (gossiper *Gossiper) recordLinkEnd(incarnation, cause string) {
+	now := gossiper.now()
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
 	if peer, ok := gossiper.peers[incarnation]; ok {
-		peer.linkEnded = true
+		peer.linkEnded, peer.endedAt, peer.endCause = true, now, cause
 	}
 }
 
-// updatePeer updates the state of an instance, and reports whether it may have missed messages.
-func (gossiper *Gossiper) updatePeer(from linker.Hello, update linker.StateUpdate) bool {
+// updatePeer updates the state of an instance, and reports whether it may have missed messages and for how long it was
+// considered lost until now.
+func (gossiper *Gossiper) updatePeer(from linker.Hello, update linker.StateUpdate) (mayHaveMissed bool, lostFor time.Duration) {
 	now := gossiper.now()
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
@@ -668,13 +686,16 @@
 	}
 	// A delegating instance gets no reports while it owns no jobs.
 	becameBusy := known.busy && !wasBusy && known.delegating
-	mayHaveMissed := !ok || known.lost || known.linkEnded || becameBusy
+	mayHaveMissed = !ok || known.lost || known.linkEnded || becameBusy
 	changed := !ok || known.lost || leaving != known.leaving
-	known.lastHeard, known.lost, known.leaving, known.linkEnded = now, false, leaving, false
+	if known.lost {
+		lostFor = max(1, now.Sub(known.lostAt))
+	}
+	known.lastHeard, known.handledAt, known.lost, known.leaving, known.linkEnded = now, now, false, leaving, false
 	if changed {
 		gossiper.updateRoles()
 	}
-	return mayHaveMissed
+	return mayHaveMissed, lostFor
 }
 
 // DelayOf returns how much longer than usual a message of an instance was under way; 0 if unknown.
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -11,15 +11,23 @@
 	"github.com/hyssoplift/hyssoplift/scheduler"
 )
 
-// recorder is a Receiver that records the lost peers and the delays of delegations.
+// recorder is a Receiver that records the lost peers, the last evidence, the peers that respond again and the delays of delegations.
 type recorder struct {
-	lost []string
+	lost       []string
+	evidence   *LossEvidence
+	responding []string
 	// delays holds the delays of delegations.
 	delays []time.Duration
 }
 
 func (*recorder) HandleStateUpdate(string, linker.StateUpdate) {}
-func (recorder *recorder) PeerLost(from string)                { recorder.lost = append(recorder.lost, from) }
+func (recorder *recorder) PeerLost(from string, evidence *LossEvidence) {
+	recorder.lost, recorder.evidence = append(recorder.lost, from), evidence
+}
+
+func (recorder *recorder) PeerResponds(from string, _ time.Duration) {
+	recorder.responding = append(recorder.responding, from)
+}
 
 func (recorder *recorder) HandleDelegation(_ string, _ linker.Delegation, delay time.Duration) {
 	recorder.delays = append(recorder.delays, delay)
@@ -400,3 +408,38 @@
 	is.Equal(len(gossiper.EligiblePeers()), 2)
 	is.True(gossiper.PeersVersion() > version)
 }
+
+// The log must tell why an instance counts as lost, and that one that counted as lost was running.
+func TestLossIsExplained(t *testing.T) {
+	is := is.New(t)
+	gossiper, recorder, now := newTestGossiper(0.4)
+	gossiper.contact("peer", 0.4)
+	*now = now.Add(100 * time.Millisecond)
+	gossiper.Receive(linker.Hello{Incarnation: "peer"}, linker.LinkEnded{Cause: "connection reset"})
+	for range 4 {
+		*now = now.Add(150 * time.Millisecond)
+		gossiper.detectLostPeers()
+	}
+	is.Equal(recorder.lost, []string{"peer"})
+	is.Equal(recorder.evidence.Link(), LinkGone)
+	is.True(!recorder.evidence.PeerLeaving())
+	fields := recorder.evidence.Fields()
+	for _, expected := range []struct {
+		key   string
+		value any
+	}{
+		{"silent-ms", int64(550)},
+		{"handled-ms", int64(550)},
+		{"checked-ms", int64(150)},
+		{"ended-ms", int64(450)},
+		{"error", "connection reset"},
+		{"in-contact", true},
+	} {
+		i := slices.Index(fields, any(expected.key))
+		is.True(i >= 0)
+		is.Equal(fields[i+1], expected.value) // the field's value
+	}
+	is.Equal(len(recorder.responding), 0)
+	gossiper.contact("peer", 0.4)
+	is.Equal(recorder.responding, []string{"peer"})
+}
--- a/gossiper/roles.go
+++ b/gossiper/roles.go
@@ -190,7 +190,7 @@
 // evidence of a loss. The caller holds the lock.
 func (gossiper *Gossiper) beginContact(peer *peer, before bool, now time.Time) {
 	if !before && gossiper.inContact(peer, now) {
-		peer.lastHeard = now
+		peer.lastHeard, peer.contactSince = now, now
 		gossiper.heartbeatSentAt = time.Time{}
 		notify(gossiper.changed)
 	}
--- a/linker/link.go
+++ b/linker/link.go
@@ -35,6 +35,12 @@
 	lastReceived atomic.Int64
 	lastSent     atomic.Int64
 	lastUsed     atomic.Int64
+	// handlingSince, pingedAt and writingSince are Unix times in nanoseconds, and zero while no frame is being handled, no
+	// ping is unanswered and no frame is being sent.
+	handlingSince atomic.Int64
+	pingedAt      atomic.Int64
+	writingSince  atomic.Int64
+	openedAt      time.Time
 
 	mu          sync.Mutex
 	queue       [][]byte
@@ -53,7 +59,8 @@
 		wake:    make(chan struct{}, 1),
 		done:    make(chan struct{}),
 	}
-	now := time.Now().UnixNano()
+	link.openedAt = time.Now()
+	now := link.openedAt.UnixNano()
 	link.lastReceived.Store(now)
 	link.lastSent.Store(now)
 	link.lastUsed.Store(now)
@@ -171,7 +178,10 @@
 func (link *link) write(ctx context.Context, frame []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, link.limits.IOTimeout)
 	defer cancel()
-	link.lastSent.Store(time.Now().UnixNano())
+	now := time.Now().UnixNano()
+	link.lastSent.Store(now)
+	link.writingSince.Store(now)
+	defer link.writingSince.Store(0)
 	link.traffic.framesSent.Add(1)
 	link.traffic.bytesSent.Add(int64(len(frame)))
 	return eris.Wrap(link.conn.Write(ctx, websocket.MessageBinary, frame), "sending a frame")
@@ -186,7 +196,9 @@
 		if err := readFrame(ctx, link.conn, &buffer); err != nil {
 			return err
 		}
-		link.lastReceived.Store(time.Now().UnixNano())
+		now := time.Now().UnixNano()
+		link.lastReceived.Store(now)
+		link.handlingSince.Store(now)
 		link.traffic.bytesReceived.Add(int64(buffer.Len()))
 		for rest := buffer.Bytes(); len(rest) > 0; {
 			message, after, err := decode(rest)
@@ -205,6 +217,7 @@
 				deliver(link, message)
 			}
 		}
+		link.handlingSince.Store(0)
 		if buffer.Cap() > maxKeptBufferBytes {
 			buffer = bytes.Buffer{}
 		}
@@ -265,5 +278,7 @@
 	ctx, cancel := context.WithTimeout(ctx, link.limits.IOTimeout)
 	defer cancel()
 	link.traffic.pingsSent.Add(1)
+	link.pingedAt.Store(time.Now().UnixNano())
+	defer link.pingedAt.Store(0)
 	return eris.Wrapf(link.conn.Ping(ctx), "pinging %s", link.remote.Name)
 }
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -378,7 +378,7 @@
 	linker.remove(established)
 	// Whoever waits for the end of the link must not find it again.
 	close(established.done)
-	linker.receive(established.remote, LinkEnded{})
+	linker.receive(established.remote, LinkEnded{Cause: eris.ToString(err, false)})
 	return err
 }
 
--- a/linker/message.go
+++ b/linker/message.go
@@ -429,8 +429,8 @@
 	Outcome Outcome `cbor:"outcome"`
 }
 
-// LinkEnded reports that a link to the instance has ended. It is passed to the receiver and never sent.
-type LinkEnded struct{}
+// LinkEnded reports that a link to the instance has ended, and why. It is passed to the receiver and never sent.
+type LinkEnded struct{ Cause string }
 
 // part is one part of a message that is too large for one frame.
 type part struct {
