Send heartbeats for a delegated job whatever the own role is

Cause: instances compute who delegates from the instances that they know, and disagree while some stop or start. An origin saw a small instance as starting and sent it a job; that one counted both as delegating, ran the job and sent nothing but its answers. After 500 ms the origin took it for lost and answered its callers 504.

Change: two instances are in contact while one runs a job for the other, also if both delegate by the view of one of them.

Test: TestDelegateThatDelegatesItselfIsNotTakenForLost fails before (no heartbeat to the origin).

--- a/gossiper/roles.go
+++ b/gossiper/roles.go
@@ -206,13 +206,16 @@
 // inContact reports whether this instance and the peer send each other heartbeats at now. Larger instances do so among
 // themselves, and with the delegating ones of their failure domain, which choose their delegates there. Across failure
 // domains, a delegating instance and a larger one are in contact only while one of them runs a job for the other one or
-// the delegating one owns jobs, so that an instance does not exchange heartbeats with every other one. The caller holds
-// the lock.
+// the delegating one owns jobs, so that an instance does not exchange heartbeats with every other one. Two delegating
+// instances are in contact only while one of them runs a job for the other one. The caller holds the lock.
 func (gossiper *Gossiper) inContact(peer *peer, now time.Time) bool {
 	switch {
+	case peer.sharedJobs > 0:
+		// The other one may see the roles differently.
+		return true
 	case gossiper.delegating && peer.delegating:
 		return false
-	case gossiper.delegating == peer.delegating, peer.hello.Domain == gossiper.self.Domain, peer.sharedJobs > 0:
+	case gossiper.delegating == peer.delegating, peer.hello.Domain == gossiper.self.Domain:
 		return true
 	case gossiper.delegating:
 		return gossiper.busy || now.Before(gossiper.busyAnnouncedUntil)
