Count the answers of an instance as signs of life

Cause: links pass answers to the call that waits, and not on as messages, so that the gossiper did not notice them. An instance whose heartbeats were missing was taken for lost milliseconds after its last answer.

Change: an answered call counts as contact.

Test: TestDelegateThatAnswersIsNotTakenForLost fails before (one loss instead of none).

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -355,7 +355,25 @@
 	}
 	gossiper.countSharedJob(incarnation, 1)
 	defer gossiper.countSharedJob(incarnation, -1)
-	return links.Call(ctx, incarnation, request)
+	response, err := links.Call(ctx, incarnation, request)
+	if err == nil {
+		gossiper.recordAnswer(incarnation)
+	}
+	return response, err
+}
+
+// recordAnswer records that an instance has answered a request. Links do not pass answers on as messages.
+func (gossiper *Gossiper) recordAnswer(incarnation string) {
+	gossiper.mu.Lock()
+	peer, ok := gossiper.peers[incarnation]
+	var from linker.Hello
+	if ok {
+		from = peer.hello
+	}
+	gossiper.mu.Unlock()
+	if ok {
+		gossiper.recordContact(from, linker.StateUpdate{})
+	}
 }
 
 // countSharedJob counts a job that this instance runs for another one, or the other way round.
