--- a/gossiper/roles.go
+++ b/gossiper/roles.go
@@ -77,9 +77,11 @@
 	}
 	gossiper.apportionment = apportioner.New(members, apportioner.Limits{Connections: gossiper.targetConnections})
 	gossiper.changeContacts(func() {
-		gossiper.delegating = !gossiper.apportionment.Starts(nameOf(&gossiper.self))
+		// A lost or leaving instance keeps its role until it is back, and so does this one.
+		if !gossiper.leaving {
+			gossiper.delegating = !gossiper.apportionment.Starts(nameOf(&gossiper.self))
+		}
 		for _, peer := range gossiper.peers {
-			// A lost or leaving instance keeps its role until it is back.
 			if peer.isMember() {
 				peer.delegating = !gossiper.apportionment.Starts(nameOf(&peer.hello))
 			}
@@ -190,7 +192,7 @@
 // evidence of a loss. The caller holds the lock.
 func (gossiper *Gossiper) beginContact(peer *peer, before bool, now time.Time) {
 	if !before && gossiper.inContact(peer, now) {
-		peer.lastHeard = now
+		peer.lastHeard, peer.contactSince = now, now
 		gossiper.heartbeatSentAt = time.Time{}
 		notify(gossiper.changed)
 	}
@@ -206,13 +208,16 @@
 // inContact reports whether this instance and the peer send each other heartbeats at now. Larger instances do so among
 // themselves, and with the delegating ones of their failure domain, which choose their delegates there. Across failure
 // domains, a delegating instance and a larger one are in contact only while one of them runs a job for the other one or
-// the delegating one owns jobs, so that an instance does not exchange heartbeats with every other one. The caller holds
-// the lock.
+// the delegating one owns jobs, so that an instance does not exchange heartbeats with every other one. Two delegating
+// instances are in contact only while one of them runs a job for the other one. The caller holds the lock.
 func (gossiper *Gossiper) inContact(peer *peer, now time.Time) bool {
 	switch {
+	case peer.sharedJobs > 0:
+		// The other one may see the roles differently.
+		return true
 	case gossiper.delegating && peer.delegating:
 		return false
-	case gossiper.delegating == peer.delegating, peer.hello.Domain == gossiper.self.Domain, peer.sharedJobs > 0:
+	case gossiper.delegating == peer.delegating, peer.hello.Domain == gossiper.self.Domain:
 		return true
 	case gossiper.delegating:
 		return gossiper.busy || now.Before(gossiper.busyAnnouncedUntil)
