Refuse delegated jobs that waited during a pause of the delegate

A delegate refuses a job that was under way for more than 400 ms, measured against earlier messages of its origin. An origin of another failure domain sends nothing before its first job, so that the delay of that job counted as 0: after a pause of 2.4 s the delegate started jobs whose origin had answered 504, beside the runs of the same jobs sent again.

An instance now sends each at least as large instance of another failure domain one empty stamped message when a link begins, and all stamped messages are compared. A delegate that was paused for more than 400 ms and has no message of the origin from before the pause refuses its jobs while what arrived meanwhile may be unread. Delegations let a pause be noticed, as other messages do.

Ruled out: heartbeats across failure domains, for their processor time, and a new field of the hello, which earlier revisions refuse. Not changed: a start that was decided is sent although its job has been abandoned since.

What the messages cost on large deployments was not measured.

--- a/executor/delegation.go
+++ b/executor/delegation.go
@@ -204,7 +204,7 @@
 // way for longer than maxDelegationDelay, because this process was paused or the network was cut: its origin has given
 // it up, and it may already run elsewhere.
 func (executor *Executor) HandleDelegation(from string, request linker.Delegation, delay time.Duration) {
-	if delay > maxDelegationDelay {
+	if delay > maxDelegationDelay || executor.mayHaveWaited(from) {
 		executor.logger.Warn("delegated job refused", "job", request.Job, "origin", from, "delay-ms", delay.Milliseconds())
 		executor.answerDelegation(from, &request, dispatcher.NewRefused(dispatcher.ReasonUnavailable, "the instance that should run the job was paused or cut off", "", executor.now().Add(time.Second)))
 		return
@@ -242,6 +242,17 @@
 	})
 }
 
+// mayHaveWaited reports whether a message that is read now may have waited for longer than maxDelegationDelay during a pause of
+// this process, while the delay of the sender's messages was not known before the pause.
+func (executor *Executor) mayHaveWaited(from string) bool {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	now := executor.now()
+	executor.noticePause(now)
+	paused := executor.pauseNoticedAt.Sub(executor.pausedSince)
+	return paused > maxDelegationDelay && executor.scheduler.Resuming(now) && !executor.peers.KnewDelayOf(from, executor.pausedSince)
+}
+
 // answerDelegation sends the outcome of a delegated job to its origin.
 func (executor *Executor) answerDelegation(origin string, request *linker.Delegation, outcome dispatcher.Outcome) {
 	message := linker.DelegationAnswer{ID: request.ID, Job: request.Job, Outcome: linker.EncodeOutcome(outcome, executor.now())}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -135,9 +135,11 @@
 	bytesSent  int64
 	// tickDelay is the longest time by which a tick was late since the load was last reported.
 	tickDelay time.Duration
-	// lastTick is when time-based events were last handled, and pauseNoticedAt when a pause was last noticed.
+	// lastTick is when time-based events were last handled, pauseNoticedAt when a pause was last noticed, and pausedSince the
+	// last tick before the pauses that followed each other until then.
 	lastTick       time.Time
 	pauseNoticedAt time.Time
+	pausedSince    time.Time
 	// readsTargets means that this instance is the reader of some target.
 	readsTargets bool
 	// peersKnown means that the other instances, if any, are known, so that it is certain which targets this one reads.
@@ -587,6 +589,9 @@
 	paused := now.Sub(executor.lastTick)
 	if paused > pauseThreshold && executor.pauseNoticedAt.Before(executor.lastTick) {
 		executor.logger.Warn("instance was paused", "for-ms", paused.Milliseconds())
+		if !executor.scheduler.Resuming(now) {
+			executor.pausedSince = executor.lastTick
+		}
 		executor.scheduler.RecordPause(now)
 		executor.holdStartsAfter(paused, now)
 		executor.pauseNoticedAt = now
--- a/executor/pause_test.go
+++ b/executor/pause_test.go
@@ -97,3 +97,56 @@
 		is.Equal(len(client.started), test.sent)
 	}
 }
+
+// A job whose origin had given it up during a pause of this instance was started after the pause, as long as the delay of the
+// origin's messages was not known.
+func TestDelegationThatMayHaveWaitedDuringAPauseIsRefused(t *testing.T) {
+	origin := linker.Hello{Domain: "b", Name: "n2", Incarnation: "peer", Weight: 0.144}
+	tests := []struct {
+		name     string
+		known    bool
+		pause    time.Duration
+		since    time.Duration
+		accepted bool
+	}{
+		{"delay unknown", false, 2400 * time.Millisecond, 0, false},
+		{"delay known before", true, 2400 * time.Millisecond, 0, true},
+		{"short pause", false, 300 * time.Millisecond, 0, true},
+		{"no pause", false, 0, 0, true},
+		{"long after the pause", false, 2400 * time.Millisecond, time.Second, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var passed atomic.Int64
+			begin := time.Now()
+			clock := func() time.Time { return begin.Add(time.Duration(passed.Load())) }
+			executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self", Weight: 0.8}, 0, silentClient{}, clock, hclog.NewNullLogger())
+			t.Cleanup(executor.Close)
+			executor.SetTargets(infosOf(1))
+			pass := func(duration time.Duration) time.Time { return begin.Add(time.Duration(passed.Add(int64(duration)))) }
+			executor.mu.Lock()
+			executor.lastTick = pass(time.Millisecond)
+			executor.mu.Unlock()
+			stamped := linker.StateUpdate{SentUS: 1}
+			if test.known {
+				executor.peers.Receive(origin, stamped)
+			}
+			executor.mu.Lock()
+			executor.lastTick = pass(time.Millisecond)
+			// No tick can be handled while the lock is held.
+			now := pass(test.pause)
+			executor.noticePause(now)
+			executor.lastTick = now
+			executor.mu.Unlock()
+			// What is read first after the pause tells nothing about the delay.
+			executor.peers.Receive(origin, stamped)
+			executor.mu.Lock()
+			executor.lastTick = pass(test.since)
+			executor.mu.Unlock()
+			job := memoryJob("j", 1)
+			executor.HandleDelegation("peer", encodeJob(&job, clock()), 0)
+			is.Equal(executor.Has("j"), test.accepted)
+		})
+	}
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -619,6 +619,9 @@
 // Receive handles a message from a link.
 func (gossiper *Gossiper) Receive(from linker.Hello, message linker.Message) {
 	switch message := message.(type) {
+	case linker.Hello:
+		gossiper.recordContact(from, linker.StateUpdate{})
+		gossiper.sendClock(from)
 	case linker.LinkEnded:
 		gossiper.recordLinkEnd(from.Incarnation)
 		gossiper.receiver.LinkEnded(from.Incarnation)
@@ -634,6 +637,17 @@
 	}
 }
 
+// sendClock sends an instance of another failure domain, to which this one may delegate jobs, a message from which it learns how
+// the clocks differ. Without contact, nothing else would tell it that the first delegated job was held up.
+func (gossiper *Gossiper) sendClock(to linker.Hello) {
+	if to.Domain == gossiper.self.Domain || to.EffectiveWeight() < gossiper.self.EffectiveWeight() {
+		return
+	}
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	gossiper.updateFor(to.Incarnation, false)
+}
+
 // recordContact records that a message from an instance has arrived. Only broadcasts carry the state of the sender;
 // they are recognized by their Waiting field, which is never empty.
 func (gossiper *Gossiper) recordContact(from linker.Hello, update linker.StateUpdate) {
@@ -664,8 +678,8 @@
 	leaving, wasBusy := known.leaving, known.busy
 	if len(update.Waiting) > 0 {
 		leaving, known.busy = update.Leaving, update.Busy
-		known.transit.record(update.SentUS, now)
 	}
+	known.transit.record(update.SentUS, now)
 	// A delegating instance gets no reports while it owns no jobs.
 	becameBusy := known.busy && !wasBusy && known.delegating
 	mayHaveMissed := !ok || known.lost || known.linkEnded || becameBusy
@@ -688,6 +702,14 @@
 	return 0
 }
 
+// KnewDelayOf reports whether the delay of an instance's messages has been measured since before the given time.
+func (gossiper *Gossiper) KnewDelayOf(incarnation string, at time.Time) bool {
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	peer, ok := gossiper.peers[incarnation]
+	return ok && peer.transit.knownAt(at)
+}
+
 // UnresponsiveDomains returns, for each failure domain with peers that are not leaving, whether none of them has sent
 // anything for longer than duration. Peers that are not in contact with this instance are left out.
 func (gossiper *Gossiper) UnresponsiveDomains(duration time.Duration) map[string]bool {
--- a/gossiper/transit.go
+++ b/gossiper/transit.go
@@ -13,6 +13,8 @@
 	// previous window; zero if unknown.
 	current, previous time.Duration
 	windowStart       time.Time
+	// since is when the first message was received.
+	since time.Time
 }
 
 // record records a message that was sent at sentUS on the sender's clock, or 0 if unknown, and received at now. A window
@@ -25,7 +27,7 @@
 	difference := now.Sub(time.UnixMicro(sentUS))
 	switch {
 	case transit.windowStart.IsZero():
-		transit.current, transit.previous, transit.windowStart = difference, difference, now
+		transit.current, transit.previous, transit.windowStart, transit.since = difference, difference, now, now
 	case now.Sub(transit.windowStart) > transitWindow:
 		transit.current, transit.previous, transit.windowStart = difference, transit.current, now
 	default:
@@ -40,3 +42,8 @@
 	}
 	return max(0, now.Sub(time.UnixMicro(sentUS))-min(transit.current, transit.previous))
 }
+
+// knownAt reports whether a message was received before the given time.
+func (transit *transit) knownAt(at time.Time) bool {
+	return !transit.since.IsZero() && transit.since.Before(at)
+}
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -31,6 +31,11 @@
 	return now.Before(scheduler.lossDetectionFrom) && job.Arrived.Before(scheduler.resumedAt)
 }
 
+// Resuming reports whether a pause of this instance has ended so recently that what arrived during it may still be unread.
+func (scheduler *Scheduler) Resuming(now time.Time) bool {
+	return now.Before(scheduler.lossDetectionFrom)
+}
+
 // SetDomainSuspended blocks or allows new work on the targets of a failure domain; a domain is suspended while all of
 // its instances are unresponsive.
 func (scheduler *Scheduler) SetDomainSuspended(domain string, suspended bool) {
