Join a job that is handed in again at another instance

Cause: an instance that gets a job knew its own jobs and the runs on targets that it reads. A client that moves to another failure domain while its job is at work hands it in again there, on a new connection, while the first one stays open; the second instance started all tasks beside the first runs.

Change: a job that is 800 ms old is announced to all instances that start work, in the broadcasts that are sent anyway, and again every 500 ms; it cannot be handed in again before 1,300 ms. An instance that gets an announced job delegates it to the instance that has it, which adds a waiter: one execution, and the outcome on both connections. If the instance of the job is lost while its runs may go on, the answer is 504 at once. An instance that was paused while its job started elsewhere gives way when it resumes. New messages are sent from revision 6 on.

--- a/executor/delegation.go
+++ b/executor/delegation.go
@@ -34,6 +34,8 @@
 	job      scheduler.Job
 	delegate string
 	cancel   context.CancelFunc
+	// joined means that the delegate had the job before.
+	joined bool
 }
 
 // abandonment is a job whose delegate is repeatedly asked to abandon it.
@@ -92,14 +94,20 @@
 }
 
 // delegate sends a job to another instance; the caller holds the lock.
-func (executor *Executor) delegate(job scheduler.Job, to string) {
+func (executor *Executor) delegate(job scheduler.Job, to string) { executor.handOver(job, to, false) }
+
+// handOver sends a job to another instance and passes its answer on. joined means that the other instance has announced the job. The
+// caller holds the lock.
+func (executor *Executor) handOver(job scheduler.Job, to string, joined bool) {
 	now := executor.now()
 	ctx, cancel := context.WithTimeout(executor.ctx, job.Deadline.Sub(now)+delegationMargin)
-	entry := &delegation{job: job, delegate: to, cancel: cancel}
+	entry := &delegation{job: job, delegate: to, cancel: cancel, joined: joined}
 	executor.delegated[job.ID] = entry
 	executor.group.Go(func() {
 		defer cancel()
-		response, err := executor.peers.Call(ctx, to, encodeJob(&job, now))
+		request := encodeJob(&job, now)
+		request.Joined = joined
+		response, err := executor.peers.Call(ctx, to, request)
 		executor.mu.Lock()
 		defer executor.mu.Unlock()
 		if executor.delegated[job.ID] != entry {
@@ -116,14 +124,20 @@
 			executor.logger.Error("cannot decode the delegate's answer", "job", job.ID, "delegate", to, "error", eris.ToString(err, false))
 			outcome = dispatcher.NewUnknown("the answer of the instance that ran the job cannot be read")
 		}
+		if entry.declined(outcome) {
+			executor.logger.Info("joined job declined", "job", job.ID, "instance", to)
+			executor.scheduler.Submit(job, executor.now())
+			executor.runActions()
+			return
+		}
 		executor.answerDelegated(entry, outcome)
 	})
 }
 
-// delegationFailed runs the job locally if it was never sent. Otherwise the delegate may be running it, so the outcome
-// is unknown. The caller holds the lock.
+// delegationFailed runs the job locally if it was never sent and the delegate did not have it before. Otherwise the delegate may be
+// running it, so the outcome is unknown. The caller holds the lock.
 func (executor *Executor) delegationFailed(entry *delegation, err error) {
-	if eris.Is(err, linker.ErrNoLink) || eris.Is(err, linker.ErrQueueFull) {
+	if !entry.joined && (eris.Is(err, linker.ErrNoLink) || eris.Is(err, linker.ErrQueueFull)) {
 		executor.logger.Info("job not delegated", "job", entry.job.ID, "delegate", entry.delegate, "error", eris.ToString(err, false))
 		executor.scheduler.Submit(entry.job, executor.now())
 		executor.runActions()
@@ -204,27 +218,37 @@
 // way for longer than maxDelegationDelay, because this process was paused or the network was cut: its origin has given
 // it up, and it may already run elsewhere.
 func (executor *Executor) HandleDelegation(from string, request linker.Delegation, delay time.Duration) {
-	if delay > maxDelegationDelay {
+	if delay > maxDelegationDelay && !(request.Joined && executor.Has(request.Job)) {
 		executor.logger.Warn("delegated job refused", "job", request.Job, "origin", from, "delay-ms", delay.Milliseconds())
-		executor.answerDelegation(from, &request, dispatcher.NewRefused(dispatcher.ReasonUnavailable, "the instance that should run the job was paused or cut off", "", executor.now().Add(time.Second)))
+		executor.refuseDelegation(from, &request, "the instance that should run the job was paused or cut off", executor.now().Add(time.Second))
 		return
 	}
 	job, err := decodeJob(&request, executor.now().Add(-delay))
 	if err != nil {
 		executor.logger.Error("delegated job refused", "job", request.Job, "origin", from, "error", eris.ToString(err, false))
-		executor.answerDelegation(from, &request, dispatcher.NewRefused(dispatcher.ReasonUnavailable, "the job cannot be read by the instance that should run it", "", time.Time{}))
+		executor.refuseDelegation(from, &request, "the job cannot be read by the instance that should run it", time.Time{})
 		return
 	}
 	key := foreignJob{from, job.ID}
 	ctx, cancel := context.WithCancel(executor.ctx)
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
+	if request.Joined && executor.declines(job) {
+		cancel()
+		executor.logger.Info("joined job declined", "job", job.ID, "origin", from)
+		executor.answerDelegation(from, &request, dispatcher.NewRefused(dispatcher.ReasonUnavailable, "the job is not active on the instance", "", time.Time{}))
+		return
+	}
 	if cancelFormer, ok := executor.foreignJobs[key]; ok {
 		cancelFormer()
 	}
 	executor.foreignJobs[key] = cancel
 	executor.logger.Info("delegated job accepted", "job", job.ID, "origin", from, "age-ms", request.AgeUS/1000, "remaining-ms", request.RemainingUS/1000)
-	answer := executor.runLocally(job)
+	run := executor.runOrJoin
+	if request.Joined {
+		run = executor.runLocally
+	}
+	answer := run(job)
 	executor.group.Go(func() {
 		defer cancel()
 		outcome := executor.await(ctx, job.ID, answer)
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -14,6 +14,7 @@
 	"github.com/hyssoplift/hyssoplift/evacuator"
 	"github.com/hyssoplift/hyssoplift/gossiper"
 	"github.com/hyssoplift/hyssoplift/linker"
+	"github.com/hyssoplift/hyssoplift/locator"
 	"github.com/hyssoplift/hyssoplift/scheduler"
 	"github.com/hyssoplift/hyssoplift/sleeper"
 )
@@ -128,6 +129,8 @@
 	foreignJobs map[foreignJob]context.CancelFunc
 	// cancelQueries holds the jobs of cancellations that other instances have not answered.
 	cancelQueries map[*cancelQuery]string
+	// locator holds the jobs that other instances have announced.
+	locator *locator.Locator
 	// reservations holds the reservations that starts wait for.
 	reservations map[reservedRun]*reservation
 	// framesSent and bytesSent are what was sent to other instances until the last tick.
@@ -180,6 +183,7 @@
 		delegated:     make(map[string]*delegation),
 		foreignJobs:   make(map[foreignJob]context.CancelFunc),
 		cancelQueries: make(map[*cancelQuery]string),
+		locator:       locator.New(),
 		reservations:  make(map[reservedRun]*reservation),
 	}
 	executor.scheduler.SetLink(executor.uplink)
@@ -256,6 +260,7 @@
 // Submit runs a job and returns its outcome, or nil if the caller left first. A job that is submitted again while it
 // runs gets the same outcome.
 func (executor *Executor) Submit(ctx context.Context, job scheduler.Job) dispatcher.Outcome {
+	executor.awaitAnnouncements(ctx)
 	return executor.await(ctx, job.ID, executor.accept(job))
 }
 
@@ -271,7 +276,7 @@
 		executor.delegate(job, to)
 		return answer
 	}
-	return executor.runLocally(job)
+	return executor.runOrJoin(job)
 }
 
 // runLocally runs a job on this instance unless it is running already, and returns the channel for its outcome; the
@@ -378,6 +383,8 @@
 		}
 	case scheduler.AwaitRunEnd:
 		executor.wake(action.Target)
+	case scheduler.AnnounceJob:
+		executor.peers.AnnounceJob(locator.KeyOf(action.Job))
 	case scheduler.AnnounceLeaseEnd:
 		for _, peer := range action.To {
 			executor.peers.AnnounceLeaseEnd(peer, action.Target, action.End)
@@ -534,6 +541,7 @@
 		if now.Sub(lastSweep) >= sweepInterval {
 			lastSweep = now
 			executor.scheduler.Sweep(now)
+			executor.locator.Expire(now)
 			executor.assignReaders(now)
 			executor.updateConnectionLimits()
 			peers := executor.peers.Answering()
--- a/executor/peers.go
+++ b/executor/peers.go
@@ -74,6 +74,7 @@
 		executor.wake(verified.Target)
 	}
 	executor.handleCancellations(from, &update, now)
+	executor.handleActiveJobs(from, &update, now.Add(-delay))
 	for _, job := range update.Abandoned {
 		executor.abandonForeign(from, job)
 	}
@@ -180,7 +181,7 @@
 	return min(max(0, time.Duration(min(count, int64(time.Hour/time.Millisecond)))*time.Millisecond), time.Hour)
 }
 
-// PeerConnected sends the known losses, reports, suspensions and cancellations to an instance that may have missed some.
+// PeerConnected sends the known losses, reports, suspensions, cancellations and active jobs to an instance that may have missed some.
 func (executor *Executor) PeerConnected(from string) {
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
@@ -199,6 +200,7 @@
 	for _, cancellation := range executor.scheduler.Cancellations() {
 		executor.peers.SendCancellation(from, cancellation)
 	}
+	executor.sendActiveJobs(from)
 }
 
 func runOf(id linker.RunID) scheduler.Run {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -106,8 +106,10 @@
 	// unreachable holds the targets that were last reported as unreachable.
 	reachabilityReports map[string]scheduler.CapacityReport
 	unreachable         map[string]bool
-	demand              scheduler.Demand
-	busy                bool
+	// activeJobs and remoteActiveJobs go into the next broadcasts to the own failure domain and to others.
+	activeJobs, remoteActiveJobs []uint64
+	demand                       scheduler.Demand
+	busy                         bool
 	// busyAnnouncedUntil is until when the end of busy is announced to all peers.
 	busyAnnouncedUntil time.Time
 	leaving            bool
@@ -553,11 +555,14 @@
 	}
 	if remoteDue := now.Sub(gossiper.remoteSentAt) >= (remoteIntervalFactor-1)*pause; remoteDue || heartbeatDue {
 		gossiper.remoteSentAt = now
+		remoteUpdate := update
+		remoteUpdate.ActiveJobs, gossiper.remoteActiveJobs = firstActiveJobs(gossiper.remoteActiveJobs)
 		if len(otherDomains) > 0 {
-			plan.broadcasts = append(plan.broadcasts, broadcast{otherDomains, withReports(update, gossiper.remoteReports)})
+			plan.broadcasts = append(plan.broadcasts, broadcast{otherDomains, withReports(remoteUpdate, gossiper.remoteReports)})
 		}
 		clear(gossiper.remoteReports)
 	}
+	update.ActiveJobs, gossiper.activeJobs = firstActiveJobs(gossiper.activeJobs)
 	if len(sameDomain) > 0 {
 		plan.broadcasts = append(plan.broadcasts, broadcast{sameDomain, withReports(update, gossiper.reports)})
 	}
--- a/gossiper/revisions.go
+++ b/gossiper/revisions.go
@@ -21,6 +21,9 @@
 
 // reduced returns a broadcast update without the fields that are newer than a revision.
 func reduced(update linker.StateUpdate, revision int) linker.StateUpdate {
+	if revision < linker.RevisionActiveJobs {
+		update.ActiveJobs = nil
+	}
 	if revision < linker.RevisionReports {
 		update.ReportedIncarnations = nil
 	}
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -132,11 +132,11 @@
 			Verified:    []TargetIncarnation{{Target: "t", Incarnation: 3}},
 			Cancelled:   []CancelledJob{{Job: "j", AgeMS: 2}}, CancelAnswers: []CancelledAnswer{{Job: "j", Active: true}},
 			EndOrigins:        []EndOrigin{{Incarnation: 2, AgeMS: 3}},
-			EvacuationVersion: 7, Evacuations: []Evacuation{{Domain: "d", Version: 7, Evacuated: true}},
+			EvacuationVersion: 7, Evacuations: []Evacuation{{Domain: "d", Version: 7, Evacuated: true}}, ActiveJobs: []uint64{1, 1 << 63},
 			FreeCapacity: []FreeCapacity{{Target: "t", MilliCores: 1, Unreachable: true}}, ReportedIncarnations: []int64{4}, Abandoned: []string{"j"}, Waiting: []int64{1, 0}, Leaving: true, Busy: true, SentUS: 6,
 		},
 		Delegation{
-			ID: 1, Job: "j", Route: "r", Service: "s", Body: "b", Priority: 1, MaxFailures: 2, AgeUS: 3, RemainingUS: 4, ObjectiveUS: 5, SentUS: 6,
+			ID: 1, Job: "j", Route: "r", Service: "s", Body: "b", Priority: 1, MaxFailures: 2, AgeUS: 3, RemainingUS: 4, ObjectiveUS: 5, SentUS: 6, Joined: true,
 			Steps: []JobStep{{Tasks: []string{"k"}, MilliCores: 1, EstimateUS: 2, Label: "l"}, {Tasks: []string{"m"}, DependsOn: []int{0}, MaxPerTarget: 3}},
 		},
 		DelegationAnswer{ID: 1, Job: "j", Outcome: outcome},
--- a/linker/message.go
+++ b/linker/message.go
@@ -21,8 +21,10 @@
 	RevisionReservations = 4
 	// RevisionReports adds the incarnations of targets to reports of their free capacity.
 	RevisionReports = 5
+	// RevisionActiveJobs adds announcements of active jobs, and delegations of jobs that their receiver has announced.
+	RevisionActiveJobs = 6
 	// Revision is the revision of this instance.
-	Revision = RevisionReports
+	Revision = RevisionActiveJobs
 )
 
 // Hello identifies an instance. It is the first frame in each direction.
@@ -377,6 +379,8 @@
 	// none. An instance that knows a higher one answers with all records that it knows in Evacuations.
 	EvacuationVersion int64        `cbor:"evacuation-version,omitempty"`
 	Evacuations       []Evacuation `cbor:"evacuations,omitempty"`
+	// ActiveJobs holds the keys of jobs that have been active on the sender for some time; see locator.KeyOf.
+	ActiveJobs []uint64 `cbor:"active-jobs,omitempty"`
 	// Waiting is the number of tasks waiting at the sender, by priority. It is empty in an update for a single
 	// instance.
 	Waiting []int64 `cbor:"waiting,omitempty"`
@@ -420,6 +424,8 @@
 	ObjectiveUS int64 `cbor:"objective-us"`
 	// SentUS is when the message was sent, in microseconds on the sender's clock; 0 if unknown.
 	SentUS int64 `cbor:"sent-us,omitempty"`
+	// Joined means that the receiver has announced the job as active. It declines the job if it knows nothing of it.
+	Joined bool `cbor:"joined,omitempty"`
 }
 
 // DelegationAnswer carries the outcome of a delegated job.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/hyssoplift/hyssoplift/locator"
 )
 
 // taskState is the state of a task of this instance.
@@ -109,10 +111,12 @@
 	limited bool
 	// startDeadline is when the job is refused if no task has started.
 	startDeadline time.Time
+	// announceAt is when the job is announced to the other instances next.
+	announceAt time.Time
 }
 
 func newJob(info Job) *job {
-	job := &job{Job: info, unfinished: make([]int, len(info.Steps))}
+	job := &job{Job: info, unfinished: make([]int, len(info.Steps)), announceAt: info.Arrived.Add(locator.AnnounceAfter)}
 	for number, step := range info.Steps {
 		job.unfinished[number] = len(step.Tasks)
 		state := blocked
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -283,7 +283,7 @@
 }
 
 // Action is something that the caller of the scheduler has to do: StartTask, StopRun, RelayStop, SuspendRenewals, QueryOwner,
-// AnnounceLeaseEnd, AwaitRunEnd, WithdrawClaim, OfferCapacity, AnswerJob, LossRecorded, LossWithdrawn or TargetVerified, or to record: RunLost, RunsOverlapped,
+// AnnounceLeaseEnd, AnnounceJob, AwaitRunEnd, WithdrawClaim, OfferCapacity, AnswerJob, LossRecorded, LossWithdrawn or TargetVerified, or to record: RunLost, RunsOverlapped,
 // TaskGivenUp, TargetRestarted, TargetCold or TargetWarm.
 type Action interface{ isAction() }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -8,6 +8,7 @@
 	"github.com/hyssoplift/hyssoplift/arbiter"
 	"github.com/hyssoplift/hyssoplift/dispatcher"
 	"github.com/hyssoplift/hyssoplift/isolator"
+	"github.com/hyssoplift/hyssoplift/locator"
 )
 
 const (
@@ -80,6 +81,8 @@
 	byService   map[string][]*target
 	groupSpeeds map[string]*learnedSpeed
 	jobs        map[string]*job
+	// jobsByKey holds the same jobs by the keys of their announcements.
+	jobsByKey map[locator.Key]*job
 	// tasks holds the tasks of this instance's jobs by name.
 	tasks map[string]*task
 	// queue holds the waiting tasks, the most urgent first; a task that cannot start yet does not hold up later ones.
@@ -165,6 +168,7 @@
 		byService:      make(map[string][]*target),
 		groupSpeeds:    make(map[string]*learnedSpeed),
 		jobs:           make(map[string]*job),
+		jobsByKey:      make(map[locator.Key]*job),
 		tasks:          make(map[string]*task),
 		cancelledAt:    make(map[string]time.Time),
 		contacts:       make(map[string]*contact),
@@ -299,7 +303,7 @@
 		scheduler.emit(AnswerJob{Job: info.ID, Outcome: refusal, Arrived: job.Arrived, Objective: job.Objective, Load: job.load})
 		return
 	}
-	scheduler.jobs[job.ID] = job
+	scheduler.jobs[job.ID], scheduler.jobsByKey[locator.KeyOf(job.ID)] = job, job
 	for _, task := range job.tasks {
 		scheduler.tasks[task.name] = task
 		if task.state == waiting {
@@ -328,6 +332,7 @@
 	}
 	scheduler.queue = slices.DeleteFunc(scheduler.queue, func(task *task) bool { return task.job == job })
 	delete(scheduler.jobs, job.ID)
+	delete(scheduler.jobsByKey, locator.KeyOf(job.ID))
 	if _, ok := outcome.(dispatcher.Complete); ok {
 		scheduler.completedAt[job.ID] = now
 	}
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -12,7 +12,9 @@
 	scheduler.repeatStops(now)
 	scheduler.endColdPeriods(now)
 	for _, id := range slices.Sorted(maps.Keys(scheduler.jobs)) {
-		scheduler.checkJob(scheduler.jobs[id], now)
+		job := scheduler.jobs[id]
+		scheduler.checkJob(job, now)
+		scheduler.announceJob(job, now)
 	}
 	scheduler.place(now)
 }
