Divide state updates so that receivers can decode them

Cause: an instance that connects is sent all cancellations of the last minute, up to 8,192, in one state update, and receivers refuse arrays of over 4,096 elements and end the link; the next link began with the same message. Limits were checked by receivers only, for all lists and texts of a state update and for delegated jobs: one of over 130 steps, or with a label of over 256 bytes, ended the link to its delegate.

Change: the linker divides a state update into messages of at most 4,096 elements, in the order in which receivers process the lists, and leaves out elements that they would refuse, with a log line. Senders and receivers use one description of the lists. Any other message is checked before it is sent; a job that cannot be sent runs on the instance of its caller. Broadcasts are cut into frames like other messages.

--- a/executor/delegation.go
+++ b/executor/delegation.go
@@ -123,7 +123,7 @@
 // delegationFailed runs the job locally if it was never sent. Otherwise the delegate may be running it, so the outcome
 // is unknown. The caller holds the lock.
 func (executor *Executor) delegationFailed(entry *delegation, err error) {
-	if eris.Is(err, linker.ErrNoLink) || eris.Is(err, linker.ErrQueueFull) {
+	if eris.Is(err, linker.ErrNoLink) || eris.Is(err, linker.ErrQueueFull) || eris.Is(err, linker.ErrUnsendable) {
 		executor.logger.Info("job not delegated", "job", entry.job.ID, "delegate", entry.delegate, "error", eris.ToString(err, false))
 		executor.scheduler.Submit(entry.job, executor.now())
 		executor.runActions()
--- a/executor/delegation_test.go
+++ b/executor/delegation_test.go
@@ -255,6 +255,40 @@
 	is.Equal(target.readLocked(func() int { return target.startsBy["small"] }), 2)
 }
 
+// A job that its delegate would refuse to decode, for its many steps or a long label, must run locally. It ended the link between the two
+// instances and with it all jobs that one ran for the other.
+func TestJobThatTheDelegateCannotDecodeRunsLocally(t *testing.T) {
+	tests := []struct {
+		name  string
+		steps int
+		label string
+	}{
+		{"many steps", dispatcher.MaxTasks + 1, ""},
+		{"long label", 1, strings.Repeat("l", 300)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			target := newMemoryTarget(10 * time.Millisecond)
+			small, large := newPair(t, target)
+			targets := []scheduler.Target{{ID: "t", Service: "work", Domain: "a", Labels: []string{test.label}, Capacity: scheduler.Resources{MilliCores: 320000, MemoryMB: 1 << 20}}}
+			small.SetTargets(targets)
+			large.SetTargets(targets)
+			job := memoryJob("j", 1)
+			first := job.Steps[0]
+			job.Steps = nil
+			for number := range test.steps {
+				step := first
+				step.Tasks, step.Label = []string{fmt.Sprintf("j.0.%d.0", number)}, test.label
+				job.Steps = append(job.Steps, step)
+			}
+			_, complete := (<-small.submit(t.Context(), job)).(dispatcher.Complete)
+			is.True(complete)
+			is.Equal(target.readLocked(func() int { return target.startsBy["small"] }), test.steps)
+		})
+	}
+}
+
 // A planned stop must wait for the jobs that the instance runs for others.
 func TestDrainWaitsForDelegatedJobs(t *testing.T) {
 	is := is.New(t)
--- a/linker/call.go
+++ b/linker/call.go
@@ -62,7 +62,7 @@
 }
 
 // Call sends request to the instance and returns its response. After an error the request may have taken effect, unless
-// the error is ErrNoLink or ErrQueueFull.
+// the error is ErrNoLink, ErrQueueFull or ErrUnsendable.
 func (linker *Linker) Call(ctx context.Context, incarnation string, request Request) (Response, error) {
 	link := linker.link(incarnation)
 	if link == nil {
--- a/linker/codec.go
+++ b/linker/codec.go
@@ -1,6 +1,8 @@
 package linker
 
 import (
+	"unicode/utf8"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
@@ -201,11 +203,14 @@
 	return hello, checkLengths(hello)
 }
 
-// checkLengths returns an error if a length exceeds the limits of the protocol. The decoder limits arrays and frames.
+// checkLengths returns an error if a text or a list exceeds the limits of the protocol. Receivers check each message that they have decoded,
+// and senders each message before they send it. The decoder limits arrays and frames.
 func checkLengths(message Message) error {
 	switch message := message.(type) {
 	case Hello:
 		return checkTexts(message.Domain, message.Name, message.Incarnation, message.Address)
+	case KeeperMessage:
+		return checkKeeperMessage(message.Message)
 	case Heartbeat:
 		return checkTexts(message.Suspects...)
 	case Forward:
@@ -239,12 +244,18 @@
 	if len(delegation.Body) > maxBodyBytes {
 		return eris.Errorf("delegated job has too long a body: %d bytes", len(delegation.Body))
 	}
+	if !utf8.ValidString(delegation.Body) {
+		return eris.New("delegated job has a body that is not valid UTF-8")
+	}
 	if len(delegation.Steps) > dispatcher.MaxTasks {
 		return eris.Errorf("delegated job has too many steps: %d", len(delegation.Steps))
 	}
 	texts := []string{delegation.Job, delegation.Route, delegation.Service}
 	for i := range delegation.Steps {
 		step := &delegation.Steps[i]
+		if len(step.Tasks) > MaxElements || len(step.DependsOn) > MaxElements {
+			return eris.Errorf("step %d of a delegated job has %d tasks and %d dependencies, maximum is %d", i, len(step.Tasks), len(step.DependsOn), MaxElements)
+		}
 		for _, earlier := range step.DependsOn {
 			if earlier < 0 || earlier >= i {
 				return eris.Errorf("step %d of a delegated job depends on step %d, which is not an earlier step", i, earlier)
@@ -255,68 +266,6 @@
 	return checkTexts(texts...)
 }
 
-func checkStateUpdate(update *StateUpdate) error {
-	texts := make([]string, 0, 2*(len(update.Claims)+len(update.Ends)+len(update.Withdrawn)+len(update.Stops))+len(update.FreeCapacity))
-	for _, claims := range [][]Claim{update.Claims, update.Reservations} {
-		for i := range claims {
-			texts = append(texts, claims[i].Target, claims[i].Task)
-		}
-	}
-	for i := range update.ReservationAnswers {
-		texts = append(texts, update.ReservationAnswers[i].Target, update.ReservationAnswers[i].Task)
-	}
-	for i := range update.Ends {
-		texts = append(texts, update.Ends[i].Target, update.Ends[i].Task)
-	}
-	for _, names := range [][]RunID{update.Withdrawn, update.Stops} {
-		for i := range names {
-			texts = append(texts, names[i].Target, names[i].Task)
-		}
-	}
-	for _, runs := range [][]OwnedRun{update.Queries, update.Disowned} {
-		for i := range runs {
-			texts = append(texts, runs[i].Target, runs[i].Task)
-		}
-	}
-	for i := range update.Suspensions {
-		texts = append(texts, update.Suspensions[i].Target, update.Suspensions[i].Task)
-	}
-	for i := range update.Cancelled {
-		texts = append(texts, update.Cancelled[i].Job)
-	}
-	for i := range update.CancelAnswers {
-		texts = append(texts, update.CancelAnswers[i].Job)
-	}
-	for i := range update.LeaseEnds {
-		texts = append(texts, update.LeaseEnds[i].Target)
-	}
-	for i := range update.FreeCapacity {
-		texts = append(texts, update.FreeCapacity[i].Target)
-	}
-	for i := range update.Losses {
-		texts = append(texts, update.Losses[i].Target, update.Losses[i].Address, update.Losses[i].Observer)
-		for run := range update.Losses[i].Runs {
-			texts = append(texts, update.Losses[i].Runs[run].Task, update.Losses[i].Runs[run].Route)
-		}
-	}
-	for _, incarnations := range [][]TargetIncarnation{update.Responding, update.Restarts, update.Verified} {
-		for i := range incarnations {
-			texts = append(texts, incarnations[i].Target)
-		}
-	}
-	if update.EvacuationVersion < 0 {
-		return eris.Errorf("version of evacuations is negative: %d", update.EvacuationVersion)
-	}
-	for i := range update.Evacuations {
-		if update.Evacuations[i].Domain == "" || update.Evacuations[i].Version <= 0 {
-			return eris.New("evacuation has no failure domain or no version")
-		}
-		texts = append(texts, update.Evacuations[i].Domain)
-	}
-	texts = append(texts, update.Abandoned...)
-	return checkTexts(texts...)
-}
-
 func checkOutcome(key string, outcome *Outcome) error {
 	if outcome == nil {
 		return checkTexts(key)
@@ -335,6 +284,9 @@
 		if len(text) > maxTextBytes {
 			return eris.Errorf("text has %d bytes, maximum is %d", len(text), maxTextBytes)
 		}
+		if !utf8.ValidString(text) {
+			return eris.New("text is not valid UTF-8")
+		}
 	}
 	return nil
 }
--- a/linker/link.go
+++ b/linker/link.go
@@ -20,6 +20,8 @@
 	ErrNoLink = eris.New("no link to the instance")
 	// ErrQueueFull means that the send queue of the link is full. The message was not sent.
 	ErrQueueFull = eris.New("send queue of the link is full")
+	// ErrUnsendable means that other instances would refuse the message. The message was not sent.
+	ErrUnsendable = eris.New("message exceeds the limits of the protocol")
 )
 
 // link is one established connection.
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -71,6 +71,7 @@
 	bytesReceived atomic.Int64
 	pingsSent     atomic.Int64
 	dropped       atomic.Int64
+	refused       atomic.Int64
 	strayAnswers  atomic.Int64
 }
 
@@ -92,6 +93,9 @@
 // Dropped returns the number of messages rejected because the queue was full.
 func (traffic *Traffic) Dropped() int64 { return traffic.dropped.Load() }
 
+// Refused returns the number of elements of state updates that were not sent, since other instances would refuse them.
+func (traffic *Traffic) Refused() int64 { return traffic.refused.Load() }
+
 // StrayAnswers returns the number of responses that matched no pending request.
 func (traffic *Traffic) StrayAnswers() int64 { return traffic.strayAnswers.Load() }
 
@@ -114,9 +118,11 @@
 	receive   func(from Hello, message Message)
 	calls     *calls
 	traffic   Traffic
-	ctx       context.Context
-	cancel    context.CancelFunc
-	group     sync.WaitGroup
+	// refusalLoggedAt is the Unix time in nanoseconds of the last log line about elements that were not sent.
+	refusalLoggedAt atomic.Int64
+	ctx             context.Context
+	cancel          context.CancelFunc
+	group           sync.WaitGroup
 
 	mu      sync.RWMutex
 	closed  bool
@@ -264,15 +270,14 @@
 // Broadcast encodes message once and queues it for each of the instances. It returns the number of instances for which
 // it was queued.
 func (linker *Linker) Broadcast(incarnations []string, message Message) int {
-	encoded, err := encode(message)
+	messages, err := linker.encodeToSend(message)
 	if err != nil {
 		linker.logger.Error("message not sent", "error", eris.ToString(err, false))
 		return 0
 	}
 	sent := 0
 	for _, incarnation := range incarnations {
-		if link := linker.link(incarnation); link != nil && link.enqueue(encoded) == nil {
-			linker.traffic.messagesSent.Add(1)
+		if link := linker.link(incarnation); link != nil && linker.enqueue(link, messages) == nil {
 			sent++
 		}
 	}
@@ -281,21 +286,72 @@
 
 // sendOn queues message on link.
 func (linker *Linker) sendOn(link *link, message Message) error {
-	encoded, err := encode(message)
-	if err != nil {
-		return err
-	}
-	parts, err := splitMessage(encoded)
+	messages, err := linker.encodeToSend(message)
 	if err != nil {
 		return err
 	}
-	if err := link.enqueue(parts...); err != nil {
-		return err
+	return linker.enqueue(link, messages)
+}
+
+// encodedMessage holds the parts of one message.
+type encodedMessage [][]byte
+
+// enqueue queues messages on link.
+func (linker *Linker) enqueue(link *link, messages []encodedMessage) error {
+	for _, parts := range messages {
+		if err := link.enqueue(parts...); err != nil {
+			return err
+		}
+		linker.traffic.messagesSent.Add(1)
 	}
-	linker.traffic.messagesSent.Add(1)
 	return nil
 }
 
+// encodeToSend encodes a message so that receivers can decode it: a state update as several messages if it is too large for one. It
+// returns ErrUnsendable for any other message that receivers would refuse.
+func (linker *Linker) encodeToSend(message Message) ([]encodedMessage, error) {
+	messages := []Message{message}
+	if update, ok := message.(StateUpdate); ok {
+		divided, refused := divide(&update)
+		linker.recordRefusals(&refused)
+		messages = messages[:0]
+		for _, next := range divided {
+			messages = append(messages, next)
+		}
+	} else if err := checkLengths(message); err != nil {
+		return nil, eris.Wrap(ErrUnsendable, eris.ToString(err, false))
+	}
+	encodedMessages := make([]encodedMessage, len(messages))
+	for i, message := range messages {
+		encoded, err := encode(message)
+		if err != nil {
+			return nil, eris.Wrap(ErrUnsendable, eris.ToString(err, false))
+		}
+		if encodedMessages[i], err = splitMessage(encoded); err != nil {
+			return nil, err
+		}
+	}
+	return encodedMessages, nil
+}
+
+// refusalLogInterval is the minimum time between two log lines about elements that were not sent.
+const refusalLogInterval = time.Second
+
+// recordRefusals counts and logs elements of a state update that were not sent.
+func (linker *Linker) recordRefusals(refused *refusals) {
+	if refused.count == 0 {
+		return
+	}
+	total := linker.traffic.refused.Add(refused.count)
+	now := time.Now().UnixNano()
+	last := linker.refusalLoggedAt.Load()
+	if now-last < refusalLogInterval.Nanoseconds() || !linker.refusalLoggedAt.CompareAndSwap(last, now) {
+		return
+	}
+	linker.logger.Error("elements of a state update not sent, since other instances would refuse them",
+		"list", refused.list, "count", refused.count, "total", total, "error", eris.ToString(refused.err, false))
+}
+
 // link returns the link used for sending to the instance, or nil.
 func (linker *Linker) link(incarnation string) *link {
 	linker.mu.RLock()
--- a/linker/remote.go
+++ b/linker/remote.go
@@ -19,7 +19,7 @@
 
 // CallRemote sends request to the instance at address in another failure domain and returns its response. The link is
 // opened on demand and closed when idle. After an error the request may have taken effect, unless the error is
-// ErrNoLink, ErrQueueFull or ErrTooManyLinks.
+// ErrNoLink, ErrQueueFull, ErrUnsendable or ErrTooManyLinks.
 func (linker *Linker) CallRemote(ctx context.Context, address string, request Request) (Response, error) {
 	remote, err := linker.openRemote(address)
 	if err != nil {
