--- a/executor/delegation.go
+++ b/executor/delegation.go
@@ -137,7 +137,7 @@
 // delegationFailed runs the job locally if it was never sent and the delegate did not have it before. Otherwise the delegate may be
 // running it, so the outcome is unknown. The caller holds the lock.
 func (executor *Executor) delegationFailed(entry *delegation, err error) {
-	if !entry.joined && (eris.Is(err, linker.ErrNoLink) || eris.Is(err, linker.ErrQueueFull)) {
+	if !entry.joined && (eris.Is(err, linker.ErrNoLink) || eris.Is(err, linker.ErrQueueFull) || eris.Is(err, linker.ErrUnsendable)) {
 		executor.logger.Info("job not delegated", "job", entry.job.ID, "delegate", entry.delegate, "error", eris.ToString(err, false))
 		executor.scheduler.Submit(entry.job, executor.now())
 		executor.runActions()
