--- a/gossiper/losses.go
+++ b/gossiper/losses.go
@@ -53,13 +53,14 @@
 	})
 }
 
+// encodeLoss returns the message for a loss. Routes and host names have longer names than a message carries; both may be unknown.
 func encodeLoss(loss *isolator.Loss, now time.Time) linker.Loss {
 	encoded := linker.Loss{
-		Target: loss.Target, Incarnation: loss.Incarnation, Address: loss.Address, Evidence: int64(loss.Evidence), AgeMS: now.Sub(loss.At).Milliseconds(), Observer: loss.Observer,
+		Target: loss.Target, Incarnation: loss.Incarnation, Address: linker.OptionalText(loss.Address), Evidence: int64(loss.Evidence), AgeMS: now.Sub(loss.At).Milliseconds(), Observer: loss.Observer,
 	}
 	for _, suspect := range loss.Suspects {
 		encoded.Runs = append(encoded.Runs, linker.LostRun{
-			Task: suspect.Task, Attempt: suspect.Attempt, Route: suspect.Route, AgeMS: suspect.Age.Milliseconds(), Cleared: suspect.Cleared, Fate: int64(suspect.Fate),
+			Task: suspect.Task, Attempt: suspect.Attempt, Route: linker.OptionalText(suspect.Route), AgeMS: suspect.Age.Milliseconds(), Cleared: suspect.Cleared, Fate: int64(suspect.Fate),
 		})
 	}
 	return encoded
--- a/linker/codec.go
+++ b/linker/codec.go
@@ -279,6 +279,14 @@
 	return checkTexts(key, outcome.Class, outcome.Reason, outcome.Field)
 }
 
+// OptionalText returns a text that may be left out of a message, or the empty text if receivers would refuse it.
+func OptionalText(text string) string {
+	if checkTexts(text) != nil {
+		return ""
+	}
+	return text
+}
+
 func checkTexts(texts ...string) error {
 	for _, text := range texts {
 		if len(text) > maxTextBytes {
--- a/linker/link.go
+++ b/linker/link.go
@@ -37,6 +37,8 @@
 	lastReceived atomic.Int64
 	lastSent     atomic.Int64
 	lastUsed     atomic.Int64
+	// undecodable means that the link ends because one side has sent a frame that the other one cannot decode.
+	undecodable atomic.Bool
 
 	mu          sync.Mutex
 	queue       [][]byte
@@ -186,22 +188,24 @@
 	for {
 		buffer.Reset()
 		if err := readFrame(ctx, link.conn, &buffer); err != nil {
+			if websocket.CloseStatus(err) == websocket.StatusInvalidFramePayloadData {
+				link.undecodable.Store(true)
+			}
 			return err
 		}
 		link.lastReceived.Store(time.Now().UnixNano())
 		link.traffic.bytesReceived.Add(int64(buffer.Len()))
 		for rest := buffer.Bytes(); len(rest) > 0; {
 			message, after, err := decode(rest)
+			if next, ok := message.(part); ok && err == nil {
+				message, err = reassembler.add(next)
+			}
 			if err != nil {
+				link.undecodable.Store(true)
 				_ = link.conn.Close(websocket.StatusInvalidFramePayloadData, "frame cannot be decoded")
 				return err
 			}
 			rest = after
-			if next, ok := message.(part); ok {
-				if message, err = reassembler.add(next); err != nil {
-					return err
-				}
-			}
 			if message != nil {
 				link.lastUsed.Store(time.Now().UnixNano())
 				deliver(link, message)
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -396,8 +396,11 @@
 		link, err := linker.dial(ctx, peer.Address, peer.Incarnation, linker.memberLimits())
 		linker.setAbsent(member, err)
 		if err == nil {
-			delay = minRedialDelay
+			began := time.Now()
 			err = linker.serve(ctx, link)
+			if !endsAgain(link, time.Since(began)) {
+				delay = minRedialDelay
+			}
 		}
 		if ctx.Err() == nil {
 			linker.logLinkDown(peer, err, delay == minRedialDelay)
@@ -407,6 +410,12 @@
 	}
 }
 
+// endsAgain reports whether the next link to the same peer would probably end at once like this one, which lasted for the given time: the
+// peers tell each other the same when they are linked, and one of them cannot decode it.
+func endsAgain(ended *link, lasted time.Duration) bool {
+	return ended.undecodable.Load() && lasted < maxRedialDelay
+}
+
 // logLinkDown logs a warning for the first of a series of failures, and the others at debug level.
 func (linker *Linker) logLinkDown(peer Peer, err error, first bool) {
 	level := hclog.Debug
@@ -431,6 +440,9 @@
 	linker.mu.Unlock()
 	linker.receive(established.remote, established.remote)
 	err := established.run(ctx, linker.deliver)
+	if established.undecodable.Load() {
+		linker.logger.Warn("link ended by a message that cannot be decoded", "peer", established.remote.Name, "error", eris.ToString(err, false))
+	}
 	linker.remove(established)
 	// Whoever waits for the end of the link must not find it again.
 	close(established.done)
--- a/linker/update_test.go
+++ b/linker/update_test.go
@@ -199,3 +199,67 @@
 		})
 	}
 }
+
+// The loss of a target with an address of 258 bytes ended each new link, 20 times a second, and nothing else arrived. What receivers would
+// refuse must be left out.
+func TestElementsThatReceiversRefuseAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	from, to := startNode(t, "local", "a", testLimits()), startNode(t, "local", "b", testLimits())
+	join(t, from, to)
+	long := strings.Repeat("0", maxTextBytes+1)
+	update := StateUpdate{
+		Losses:      []Loss{{Target: "s"}, {Target: "t", Address: long}, {Target: "u", Runs: []LostRun{{Route: long}}}, {Target: "v"}},
+		Cancelled:   []CancelledJob{{Job: "j"}, {Job: "\xff"}},
+		Evacuations: []Evacuation{{Domain: "d"}, {Version: 2}, {Domain: "d", Version: 2}},
+		Abandoned:   []string{long}, Waiting: []int64{0},
+	}
+	want := StateUpdate{
+		Losses: []Loss{{Target: "s"}, {Target: "v"}}, Cancelled: []CancelledJob{{Job: "j"}}, Evacuations: []Evacuation{{Domain: "d", Version: 2}}, Waiting: []int64{0},
+	}
+	is.NoErr(from.Send("b-1", update))
+	is.Equal(from.Broadcast([]string{"b-1"}, update), 1)
+	for range 2 {
+		select {
+		case message := <-to.messages:
+			is.Equal(message, want)
+		case <-time.After(20 * time.Second):
+			t.Fatal("no message was received")
+		}
+	}
+	is.Equal(from.ended.Load()+to.ended.Load(), int64(0))
+	is.Equal(from.Traffic().Refused(), int64(12))
+}
+
+// A link that ends at once because one side sends what the other one cannot decode must not be restored at the full rate, since the next one
+// ends in the same way.
+func TestLinksThatEndAgainAreRestoredLessOften(t *testing.T) {
+	undecodable := []byte{0xff}
+	tests := []struct {
+		name      string
+		end       func(dialed, accepted *link) error
+		endsAgain bool
+	}{
+		{"by the accepting side", func(dialed, _ *link) error { return dialed.enqueue(undecodable) }, true},
+		{"by the dialing side", func(_, accepted *link) error { return accepted.enqueue(undecodable) }, true},
+		{"in a part", func(dialed, _ *link) error { return dialed.enqueue(mustEncode(part{Last: true, Data: undecodable})) }, true},
+		{"closed", func(dialed, _ *link) error { return dialed.conn.CloseNow() }, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			from, to := startNode(t, "local", "a", testLimits()), startNode(t, "local", "b", testLimits())
+			dialed, err := from.dial(t.Context(), to.address(), "b-1", testLimits())
+			is.NoErr(err)
+			from.group.Go(func() { _ = from.serve(t.Context(), dialed) })
+			waitFor(t, "both sides are linked", func() bool { return from.Connected("b-1") && to.Connected("a-1") })
+			accepted := to.link("a-1")
+			is.NoErr(test.end(dialed, accepted))
+			<-dialed.done
+			<-accepted.done
+			for _, ended := range []*link{dialed, accepted} {
+				is.Equal(endsAgain(ended, 0), test.endsAgain)
+				is.True(!endsAgain(ended, maxRedialDelay))
+			}
+		})
+	}
+}
