Write the record of an instance again when it is missing

Cause: an instance wrote its record once and ignored that it was gone. The store may carry out a call without an answer seconds later, so that the deletion of a planned stop could hit the record of the next process. The other instances then dropped this one until its next restart, and a cancel got 410 from one instance while the job ran at the other.

Change: a publisher compares what is read under the own name with the own incarnation, and writes the record again 300 ms after it was found missing, unreadable or of another incarnation. The delay doubles up to 20 s, so that two processes with one name do not replace each other's record at a high rate; while the record is there, the store is not called. A planned stop ends this before it deletes the record, and leaves that of another incarnation alone.

Before the change, TestLateDeletionsOfInstanceRecords timed out waiting for the record. TestLostRecordIsWrittenAgain, TestRecordIsNotWrittenWithoutNeed and TestUnregister hold the rest.

Tests of supervisor and platform pass, also with -race -short.

--- a/supervisor/registry.go
+++ b/supervisor/registry.go
@@ -1,7 +1,6 @@
 package supervisor
 
 import (
-	"context"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -15,7 +14,6 @@
 	"github.com/hyssoplift/hyssoplift/linker"
 	"github.com/hyssoplift/hyssoplift/platform"
 	"github.com/hyssoplift/hyssoplift/scheduler"
-	"github.com/hyssoplift/hyssoplift/sleeper"
 )
 
 // targetRegistry holds the targets listed in the store. Only the goroutine that follows the target topic uses it.
@@ -118,13 +116,6 @@
 	return slices.Collect(maps.Values(registry.targets))
 }
 
-const (
-	// registerRetryDelay is the delay between attempts to register.
-	registerRetryDelay = 300 * time.Millisecond
-	// registerTimeout bounds one attempt to register or unregister.
-	registerTimeout = 700 * time.Millisecond
-)
-
 // instanceRecord is what an instance publishes in the store so that other instances can connect to it.
 type instanceRecord struct {
 	Domain      string `json:"domain"`
@@ -132,60 +123,40 @@
 	Address     string `json:"address"`
 }
 
-// peerRegistry holds the other instances listed in the store and publishes the record of this one. Only the goroutine
-// that follows the instance topic uses the field peers.
+// peerRegistry holds the other instances listed in the store. Only the goroutine that follows the instance topic uses it.
 type peerRegistry struct {
-	self  linker.Hello
-	peers map[string]linker.Peer
+	self      linker.Hello
+	peers     map[string]linker.Peer
+	publisher *publisher
 }
 
-func newPeerRegistry(self linker.Hello) *peerRegistry {
-	return &peerRegistry{self: self, peers: make(map[string]linker.Peer)}
+func newPeerRegistry(self linker.Hello, publisher *publisher) *peerRegistry {
+	return &peerRegistry{self: self, peers: make(map[string]linker.Peer), publisher: publisher}
 }
 
 // update applies records of instances and returns all other instances.
 func (registry *peerRegistry) update(update follower.Update) []linker.Peer {
+	own := registry.publisher.stored()
 	if update.Snapshot {
 		clear(registry.peers)
+		own = recordMissing
 	}
 	for _, record := range update.Records {
 		var instance instanceRecord
-		if len(record.Value) == 0 || json.Unmarshal(record.Value, &instance) != nil || record.Key == registry.self.Name {
+		readable := len(record.Value) > 0 && json.Unmarshal(record.Value, &instance) == nil
+		switch {
+		case record.Key != registry.self.Name && readable:
+			registry.peers[record.Key] = linker.Peer{Name: record.Key, Incarnation: instance.Incarnation, Address: instance.Address}
+		case record.Key != registry.self.Name:
 			delete(registry.peers, record.Key)
-			continue
+		case !readable:
+			own = recordMissing
+		case instance.Incarnation == registry.self.Incarnation:
+			own = recordOwn
+		default:
+			own = recordOther
 		}
-		registry.peers[record.Key] = linker.Peer{Name: record.Key, Incarnation: instance.Incarnation, Address: instance.Address}
 	}
+	registry.publisher.setStored(own)
 	return slices.Collect(maps.Values(registry.peers))
 }
-
-// register publishes the record of this instance and retries until the store accepts it.
-func (registry *peerRegistry) register(ctx context.Context, store *platform.Store, logger hclog.Logger) {
-	value, err := json.Marshal(instanceRecord{registry.self.Domain, registry.self.Incarnation, registry.self.Address})
-	if err != nil {
-		panic(eris.Wrap(err, "encoding an instance record"))
-	}
-	for failures := 0; ctx.Err() == nil; failures++ {
-		if err := registry.put(ctx, store, value); err == nil {
-			logger.Info("instance registered", "address", registry.self.Address, "failures", failures)
-			return
-		} else if failures == 0 {
-			logger.Warn("cannot register instance, retrying", "error", eris.ToString(err, false))
-		}
-		sleeper.For(ctx, registerRetryDelay)
-	}
-}
-
-// unregister deletes the record of this instance, unless ctx is done first. If the store is unavailable, the record stays, and the other
-// instances detect from their closed links that this one has ended.
-func (registry *peerRegistry) unregister(ctx context.Context, store *platform.Store, logger hclog.Logger) {
-	if err := registry.put(ctx, store, nil); err != nil {
-		logger.Warn("cannot delete instance record", "error", eris.ToString(err, false))
-	}
-}
-
-func (registry *peerRegistry) put(ctx context.Context, store *platform.Store, value []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
-	defer cancel()
-	return store.Put(ctx, platform.InstanceTopic, registry.self.Name, value)
-}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -77,6 +77,7 @@
 	links              *linker.Linker
 	targets            *targetRegistry
 	peers              *peerRegistry
+	publisher          *publisher
 	ctx                context.Context
 	cancel             context.CancelFunc
 	group              sync.WaitGroup
@@ -151,7 +152,6 @@
 		api:          platform.NewAPI(jobExecutor, clocker.Now, logger),
 		links:        links,
 		targets:      newTargetRegistry(logger),
-		peers:        newPeerRegistry(hello),
 		ctx:          ctx,
 		cancel:       cancel,
 		serveErrors:  make(chan error, 4),
@@ -170,6 +170,8 @@
 			return nil, err
 		}
 	}
+	supervisor.publisher = newPublisher(ctx, hello, supervisor.store, clocker.Now, logger)
+	supervisor.peers = newPeerRegistry(hello, supervisor.publisher)
 	supervisor.followTopics()
 	supervisor.group.Go(supervisor.logLoad)
 	return supervisor, nil
@@ -221,7 +223,7 @@
 	}
 }
 
-// followTopics starts to follow the configuration, the targets and the other instances, and registers this instance.
+// followTopics starts to follow the configuration, the targets and the other instances.
 func (supervisor *Supervisor) followTopics() {
 	supervisor.group.Go(func() {
 		follower.Follow(supervisor.ctx, supervisor.store, platform.ConfigurationTopic, configurationPolling, supervisor.logger, supervisor.applyOperatorRecords)
@@ -238,7 +240,6 @@
 			supervisor.links.SetMembers(supervisor.peers.update(update))
 		})
 	})
-	supervisor.group.Go(func() { supervisor.peers.register(supervisor.ctx, supervisor.store, supervisor.logger) })
 }
 
 // applyConfiguration puts the configuration with the highest version in force. It never reverts to a lower version.
@@ -313,7 +314,7 @@
 	supervisor.links.Flush(ctx)
 	exit, cancelExit := context.WithTimeout(context.Background(), stopsAt.Add(exitReserve-exitMargin).Sub(clocker.Now()))
 	defer cancelExit()
-	supervisor.peers.unregister(exit, supervisor.store, supervisor.logger)
+	supervisor.publisher.unregister(exit)
 	supervisor.logger.Info("instance stopped", "instance", supervisor.settings.Name, "after-ms", clocker.Now().Sub(began).Milliseconds())
 	supervisor.closeUntil(exit)
 }
