--- a/linker/link.go
+++ b/linker/link.go
@@ -43,6 +43,8 @@
 	pingedAt      atomic.Int64
 	writingSince  atomic.Int64
 	openedAt      time.Time
+	// undecodable means that the link ends because one side has sent a frame that the other one cannot decode.
+	undecodable atomic.Bool
 
 	mu          sync.Mutex
 	queue       [][]byte
@@ -196,6 +198,9 @@
 	for {
 		buffer.Reset()
 		if err := readFrame(ctx, link.conn, &buffer); err != nil {
+			if websocket.CloseStatus(err) == websocket.StatusInvalidFramePayloadData {
+				link.undecodable.Store(true)
+			}
 			return err
 		}
 		now := time.Now().UnixNano()
@@ -204,16 +209,15 @@
 		link.traffic.bytesReceived.Add(int64(buffer.Len()))
 		for rest := buffer.Bytes(); len(rest) > 0; {
 			message, after, err := decode(rest)
+			if next, ok := message.(part); ok && err == nil {
+				message, err = reassembler.add(next)
+			}
 			if err != nil {
+				link.undecodable.Store(true)
 				_ = link.conn.Close(websocket.StatusInvalidFramePayloadData, "frame cannot be decoded")
 				return err
 			}
 			rest = after
-			if next, ok := message.(part); ok {
-				if message, err = reassembler.add(next); err != nil {
-					return err
-				}
-			}
 			if message != nil {
 				link.lastUsed.Store(time.Now().UnixNano())
 				deliver(link, message)
