--- a/locator/locator.go
+++ b/locator/locator.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// ResubmitInterval is the shortest time after which a caller hands a job in again, by the platform's retransmitMs.
+	// ResubmitInterval is the shortest time after which a caller of the platform hands a job in again.
 	ResubmitInterval = 1300 * time.Millisecond
 	// AnnounceAfter is the age at which a job is first announced. The rest of ResubmitInterval is the time after which an
 	// instance that has sent nothing counts as lost: an instance in contact has the announcement before the repetition.
