--- a/executor/poller.go
+++ b/executor/poller.go
@@ -165,7 +165,7 @@
 		// The target has restarted. The poll makes it refuse what was sent to its former incarnation.
 		return PollRequest{}, 0
 	case state.Outstanding > 0:
-		return PollRequest{}, time.Duration(state.Outstanding)*outstandingProbeInterval - sincePoll
+		return PollRequest{}, min(time.Duration(state.Outstanding)*outstandingProbeInterval, poller.probePause(state)) - sincePoll
 	case state.Unreachable || poller.failures >= unreachableThreshold:
 		return PollRequest{}, poller.probePause(state) - sincePoll
 	case poller.failures > 0:
