Revert "Keep the role of an instance that stops"

Without it, a small instance that stops counts itself as starting for 0.3 to 0.5 s and then as delegating again; with it, as delegating all the time. In both cases others, which have heard that the larger ones stop and not that this one does, count it as starting and miss its heartbeats: it announces its stop only to those in contact.

--- a/gossiper/roles.go
+++ b/gossiper/roles.go
@@ -77,11 +77,9 @@
 	}
 	gossiper.apportionment = apportioner.New(members, apportioner.Limits{Connections: gossiper.targetConnections})
 	gossiper.changeContacts(func() {
-		// A lost or leaving instance keeps its role until it is back, and so does this one.
-		if !gossiper.leaving {
-			gossiper.delegating = !gossiper.apportionment.Starts(nameOf(&gossiper.self))
-		}
+		gossiper.delegating = !gossiper.apportionment.Starts(nameOf(&gossiper.self))
 		for _, peer := range gossiper.peers {
+			// A lost or leaving instance keeps its role until it is back.
 			if peer.isMember() {
 				peer.delegating = !gossiper.apportionment.Starts(nameOf(&peer.hello))
 			}
