Do not take what has not been read for silence

Cause: an instance with too little processor time runs its timers, among them the check of its peers, and does not read its connections. The messages that wait there were taken for the silence of those who had sent them. The check for a pause does not see this, since the checks come in time.

Change: package sounder writes to a pipe at each check and reads from it again, twice, by the same poller as all connections. Silence of a peer counts up to the start of the last sounding that has finished, or after 900 ms: 330 ms later its runs have ended, before callers send again after 1,300 ms. The check is repeated when a sounding ends, so that an instance with processor time notices a loss as early as before. The line "instance is unresponsive" has unread-ms.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -184,7 +184,7 @@
 	}
 	executor.scheduler.SetLink(executor.uplink)
 	executor.meter.registerGauges(executor)
-	executor.peers = gossiper.New(self, executor, now)
+	executor.peers = gossiper.New(self, executor, now, logger)
 	executor.group.Go(executor.tick)
 	return executor
 }
--- a/gossiper/delegate_test.go
+++ b/gossiper/delegate_test.go
@@ -39,10 +39,11 @@
 	gossiper, recorder, _ := newTestGossiper(0.144)
 	var clock atomic.Int64
 	gossiper.now = func() time.Time { return time.Unix(1_000_000, clock.Load()) }
+	gossiper.readUntil = gossiper.now
 	limits := linker.DefaultLimits()
 	links := linker.New(gossiper.self, limits, hclog.NewNullLogger(), gossiper.Receive)
 	defer links.Close()
-	gossiper.SetLinks(links)
+	gossiper.links = links
 	var delegate *linker.Linker
 	hello := linker.Hello{Domain: "a", Name: "large", Incarnation: "large", Weight: 0.8}
 	delegate = linker.New(hello, limits, hclog.NewNullLogger(), func(from linker.Hello, message linker.Message) {
--- a/gossiper/doc.go
+++ b/gossiper/doc.go
@@ -5,5 +5,6 @@
 //
 // A peer is unresponsive while it has sent nothing for a period that the caller of UnresponsiveDomains chooses; the
 // gossiper keeps no state for this. After PeerTimeout the peer is lost: the receiver is called once, and the peer stays
-// lost until it sends again or is forgotten.
+// lost until it sends again or is forgotten. Time for which this process has not read what has arrived does not count,
+// up to a bound.
 package gossiper
--- a/gossiper/evidence.go
+++ b/gossiper/evidence.go
@@ -23,6 +23,7 @@
 	peer          peer
 	links         []linker.LinkState
 	previousCheck time.Time
+	readUntil     time.Time
 	inContact     bool
 	delegating    bool
 	busy          bool
@@ -30,9 +31,9 @@
 }
 
 // lossEvidence returns the evidence for the loss of an instance; the caller holds the lock.
-func (gossiper *Gossiper) lossEvidence(peer *peer, links *linker.Linker, previousCheck, now time.Time) *LossEvidence {
+func (gossiper *Gossiper) lossEvidence(peer *peer, links *linker.Linker, previousCheck, readUntil, now time.Time) *LossEvidence {
 	evidence := &LossEvidence{
-		now: now, peer: *peer, previousCheck: previousCheck, inContact: gossiper.inContact(peer, now),
+		now: now, peer: *peer, previousCheck: previousCheck, readUntil: readUntil, inContact: gossiper.inContact(peer, now),
 		delegating: gossiper.delegating, busy: gossiper.busy, leaving: gossiper.leaving,
 	}
 	if links != nil {
@@ -58,6 +59,7 @@
 	fields := []any{
 		"instance", peer.hello.Name, "domain", peer.hello.Domain, "peer-leaving", peer.leaving, "leaving", evidence.leaving,
 		"silent-ms", evidence.age(peer.lastHeard), "handled-ms", evidence.age(peer.handledAt), "checked-ms", evidence.age(evidence.previousCheck),
+		"unread-ms", evidence.age(evidence.readUntil),
 		"in-contact", evidence.inContact, "delegating", evidence.delegating, "busy", evidence.busy,
 		"peer-delegating", peer.delegating, "peer-busy", peer.busy, "shared-jobs", peer.sharedJobs, "link", string(evidence.Link()),
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -5,9 +5,13 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
 	"github.com/hyssoplift/hyssoplift/apportioner"
 	"github.com/hyssoplift/hyssoplift/linker"
 	"github.com/hyssoplift/hyssoplift/scheduler"
+	"github.com/hyssoplift/hyssoplift/sounder"
 )
 
 const (
@@ -30,6 +34,9 @@
 	// PeerTimeout is how long an instance may send nothing before it is considered lost: four heartbeats. Its runs are
 	// then stopped, well before its callers send their jobs again.
 	PeerTimeout = 500 * time.Millisecond
+	// unreadTimeout is how long an instance may be silent if this one has not read what has arrived since. Runs of a lost
+	// instance must have ended when its callers send their jobs again, after 1,300 ms, and it takes 330 ms to stop them.
+	unreadTimeout = 900 * time.Millisecond
 	// resumeTimeout is how long an instance may send nothing after a pause of this process: two heartbeats.
 	resumeTimeout = 250 * time.Millisecond
 	// pauseThreshold is the delay of a heartbeat that indicates that this process was paused.
@@ -92,6 +99,7 @@
 	links    *linker.Linker
 	receiver Receiver
 	now      func() time.Time
+	logger   hclog.Logger
 	traffic  traffic
 	group    sync.WaitGroup
 	cancel   context.CancelFunc
@@ -103,6 +111,10 @@
 	startedAt time.Time
 
 	mu sync.Mutex
+	// sounder is nil without links, or if it could not be created.
+	sounder *sounder.Sounder
+	// readUntil returns the time up to which this instance has read everything that had arrived.
+	readUntil func() time.Time
 	// joining counts the live instances, including this one, that are joining.
 	joining int
 	// outbox holds the pending state updates to single instances; urgent means that they are sent without flushDelay.
@@ -139,12 +151,14 @@
 }
 
 // New returns a gossiper for the instance self that passes messages to receiver; now returns the current time.
-func New(self linker.Hello, receiver Receiver, now func() time.Time) *Gossiper {
+func New(self linker.Hello, receiver Receiver, now func() time.Time, logger hclog.Logger) *Gossiper {
 	ctx, cancel := context.WithCancel(context.Background())
 	gossiper := &Gossiper{
 		self:                self,
 		receiver:            receiver,
 		now:                 now,
+		readUntil:           now,
+		logger:              logger,
 		traffic:             newTraffic(),
 		startedAt:           now(),
 		cancel:              cancel,
@@ -166,15 +180,31 @@
 
 // SetLinks sets the links to send on. It is called once, before any peer is known.
 func (gossiper *Gossiper) SetLinks(links *linker.Linker) {
+	created, err := sounder.New(gossiper.now, gossiper.detectLostPeers)
+	if err != nil {
+		gossiper.logger.Error("cannot measure how late messages are read", "error", eris.ToString(err, false))
+	}
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
 	gossiper.links = links
+	if err == nil {
+		gossiper.sounder, gossiper.readUntil = created, created.ReadUntil
+	}
 }
 
 // Close stops sending.
 func (gossiper *Gossiper) Close() {
 	gossiper.cancel()
 	gossiper.group.Wait()
+	if sounder := gossiper.currentSounder(); sounder != nil {
+		sounder.Close()
+	}
+}
+
+func (gossiper *Gossiper) currentSounder() *sounder.Sounder {
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	return gossiper.sounder
 }
 
 // Leave announces to the other instances that this one has begun a planned stop.
@@ -512,6 +542,9 @@
 		case <-gossiper.changed:
 		}
 		pause := gossiper.sendDueBroadcasts()
+		if sounder := gossiper.currentSounder(); sounder != nil {
+			sounder.Start()
+		}
 		gossiper.detectLostPeers()
 		timer.Reset(heartbeatInterval)
 		time.Sleep(pause)
@@ -608,12 +641,14 @@
 	return update
 }
 
-// detectLostPeers reports the peers that have sent nothing for longer than PeerTimeout to the receiver.
+// detectLostPeers reports the peers that have sent nothing for longer than PeerTimeout to the receiver. What this instance has
+// not read yet may hold their messages.
 func (gossiper *Gossiper) detectLostPeers() {
 	now := gossiper.now()
 	lost := make(map[string]*LossEvidence)
 	links := gossiper.currentLinks()
 	gossiper.mu.Lock()
+	readUntil := gossiper.readUntil()
 	previousCheck := gossiper.checkedAt
 	if now.Sub(gossiper.checkedAt) > heartbeatInterval+pauseThreshold {
 		// This process was paused, so missing messages do not indicate lost peers until what has waited has been read.
@@ -629,8 +664,8 @@
 			// The peer sends nothing to this instance, and nothing depends on detecting its loss quickly.
 			continue
 		}
-		if !peer.lost && now.Sub(peer.lastHeard) > PeerTimeout {
-			lost[incarnation] = gossiper.lossEvidence(peer, links, previousCheck, now)
+		if !peer.lost && (readUntil.Sub(peer.lastHeard) > PeerTimeout || now.Sub(peer.lastHeard) > unreadTimeout) {
+			lost[incarnation] = gossiper.lossEvidence(peer, links, previousCheck, readUntil, now)
 			peer.lost, peer.lostAt = true, now
 		}
 		if now.Sub(peer.lastHeard) > forgetTimeout {
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -40,7 +40,7 @@
 	now := time.Unix(1_000_000, 0)
 	receiver := &recorder{}
 	return &Gossiper{
-		self: linker.Hello{Domain: "a", Incarnation: "self", Weight: weight}, receiver: receiver, now: func() time.Time { return now },
+		self: linker.Hello{Domain: "a", Incarnation: "self", Weight: weight}, receiver: receiver, now: func() time.Time { return now }, readUntil: func() time.Time { return now },
 		wake: make(chan struct{}, 1), changed: make(chan struct{}, 1), outbox: make(map[string]*linker.StateUpdate), peers: make(map[string]*peer), checkedAt: now,
 		reports: make(map[string]scheduler.CapacityReport), remoteReports: make(map[string]scheduler.CapacityReport),
 		reachabilityReports: make(map[string]scheduler.CapacityReport), unreachable: make(map[string]bool),
