--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -68,7 +68,7 @@
 	hello linker.Hello
 	// lastHeard is when the last message was handled, or later if silence until then is no evidence of a loss.
 	lastHeard time.Time
-	// handledAt is when the last message was handled,.
+	// handledAt is when the last message was handled.
 	handledAt time.Time
 	// contactSince is when the present contact began; zero before the first one.
 	contactSince time.Time
