--- a/scheduler/outstanding_start_test.go
+++ b/scheduler/outstanding_start_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/hyssoplift/hyssoplift/isolator"
 )
 
 // startAgain submits a job of one task, whose start gets no answer and is requested again. Another instance reads its target unless
@@ -372,3 +374,35 @@
 	_, again := scheduler.RepeatStart(&start, StartUnanswered, false, at(293))
 	is.True(again)
 }
+
+// Probes for the outstanding starts on targets behind a cut kept a narrow link so busy that nothing was started on the others. Only a
+// target whose host refuses connections has ended; one that is silent is probed as usual.
+func TestSilentTargetsAreNotProbedForOutstandingStarts(t *testing.T) {
+	tests := []struct {
+		name        string
+		learn       func(scheduler *Scheduler, targetID string)
+		outstanding int
+	}{
+		{"silent", func(scheduler *Scheduler, targetID string) { scheduler.MarkUnreachable(targetID, false, at(100)) }, 0},
+		{"silent to its reader", func(scheduler *Scheduler, targetID string) {
+			scheduler.HandlePeerReport(CapacityReport{Target: targetID, Incarnation: 1, Reporter: "peer", Unreachable: true}, at(100))
+		}, 0},
+		{"refusing", func(scheduler *Scheduler, targetID string) { scheduler.MarkUnreachable(targetID, true, at(100)) }, 1},
+		{"refusing another instance", func(scheduler *Scheduler, targetID string) {
+			scheduler.HandlePeerLoss(isolator.Loss{Target: targetID, Incarnation: 1, Evidence: isolator.Refused, At: at(100), Observer: "peer"}, at(101))
+		}, 1},
+		{"refusing, then silent", func(scheduler *Scheduler, targetID string) {
+			scheduler.MarkUnreachable(targetID, true, at(100))
+			scheduler.MarkUnreachable(targetID, false, at(200))
+		}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			scheduler := newTestScheduler(2)
+			start := startAgain(scheduler, false)
+			test.learn(scheduler, start.Target)
+			is.Equal(scheduler.TargetState(start.Target).Outstanding, test.outstanding)
+		})
+	}
+}
