Log how many requests for a start are outstanding, and where else

A start that was requested more than once leaves the earlier requests outstanding, and a task may start while a request of it is outstanding on another target; neither could be seen. "task started" now says both: unanswered, outstanding-on and outstanding-ms.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -463,6 +463,9 @@
 	}
 	for isFirst := true; ; isFirst = false {
 		pause, again := executor.handleStartResult(&start, result, isFirst)
+		if result == scheduler.StartUnanswered {
+			start.Unanswered++
+		}
 		if !again || pause > 0 && (!sleeper.For(executor.ctx, pause) || !executor.mayRequestStart(&start)) {
 			return
 		}
--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -100,6 +100,17 @@
 	return len(refusing)
 }
 
+// outstandingElsewhere returns a target other than the given one on which a start of a task got no answer, and how much longer that may
+// be carried out there; an empty ID if there is none.
+func (scheduler *Scheduler) outstandingElsewhere(task, targetID string, now time.Time) (string, time.Duration) {
+	for i := range scheduler.lateStarts {
+		if late := &scheduler.lateStarts[i]; late.run.Task == task && late.target != targetID && now.Before(late.until) {
+			return late.target, late.until.Sub(now)
+		}
+	}
+	return "", 0
+}
+
 // outstandingFor returns how much longer a start of a run that got no answer may be carried out by a later incarnation of its target;
 // 0 if there is none.
 func (scheduler *Scheduler) outstandingFor(targetID string, run Run, now time.Time) time.Duration {
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -313,6 +313,11 @@
 	Predicted time.Duration
 	// TransmittedAt is when this instance's link will have sent the request.
 	TransmittedAt time.Time
+	// Unanswered counts the earlier requests for this start that got no answer.
+	Unanswered int
+	// OutstandingOn is another target that may still carry out a start of the task for OutstandingFor; empty if there is none.
+	OutstandingOn  string
+	OutstandingFor time.Duration
 }
 
 // StopRun asks to stop a run on a target.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -190,6 +190,7 @@
 	if runTarget.readBySelf {
 		scheduler.changedTargets[runTarget.ID] = true
 	}
+	outstandingOn, outstandingFor := scheduler.outstandingElsewhere(task.name, runTarget.ID, now)
 	scheduler.emit(StartTask{
 		Claim:                Claim{Target: runTarget.ID, Run: task.run(), Resources: claimed, Estimate: step.Estimate, Incarnation: task.incarnation},
 		RunTarget:            runTarget.Target,
@@ -204,6 +205,8 @@
 		Reserve:              scheduler.reserves(runTarget, now),
 		Predicted:            task.predicted,
 		TransmittedAt:        now.Add(scheduler.link.Send(len(task.job.Body), now)),
+		OutstandingOn:        outstandingOn,
+		OutstandingFor:       outstandingFor,
 	})
 }
 
