Keep a task on the target that may still carry out a start of it

Callers saw tasks run twice at once: a start got no answer and was requested again, the second request was taken, the target ended, and the task started elsewhere 60 ms later. A copy of the first request was then carried out by the next incarnation of the target. What is outstanding is each request, for 12 s after it was sent; it was taken for settled with the run.

A task now starts on no other target while a start of it is outstanding, whatever has ended its run, and also when its job is sent again here: until the next incarnation has answered a request that names it (a poll, or the stop that voids the start), or 12 s have passed. On that target it may start again, although it was avoided there, unless one more failed run would fail the job.

--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -22,6 +23,8 @@
 	targetRun
 	// startedAt is when the start was decided, which distinguishes it from a start of the same run in a later submission.
 	startedAt time.Time
+	// orderedFor is the incarnation of the target that the start was meant for; 0 if unknown.
+	orderedFor int64
 	// incarnation and address are those of the target that was last asked to stop the run.
 	incarnation int64
 	address     string
@@ -38,12 +41,25 @@
 		}
 	}
 	if len(scheduler.lateStarts) >= maxLateStarts {
+		scheduler.countLateStart(&scheduler.lateStarts[0], -1)
 		scheduler.lateStarts = slices.Delete(scheduler.lateStarts, 0, 1)
 	}
-	scheduler.lateStarts = append(scheduler.lateStarts, lateStart{
-		targetRun: targetRun{target.ID, run}, startedAt: started,
+	late := lateStart{
+		targetRun: targetRun{target.ID, run}, startedAt: started, orderedFor: target.Incarnation,
 		incarnation: target.Incarnation, address: target.Address, until: now.Add(maxRequestDelay),
-	})
+	}
+	if allocation, ok := target.allocations[run]; ok {
+		late.orderedFor = allocation.incarnation
+	}
+	scheduler.lateStarts = append(scheduler.lateStarts, late)
+	scheduler.countLateStart(&late, 1)
+}
+
+// countLateStart adds to the number of recorded starts of a task.
+func (scheduler *Scheduler) countLateStart(late *lateStart, change int) {
+	if scheduler.lateStartsOf[late.run.Task] += change; scheduler.lateStartsOf[late.run.Task] <= 0 {
+		delete(scheduler.lateStartsOf, late.run.Task)
+	}
 }
 
 // voidLateStarts requests the stop of starts without an answer again if the target has another incarnation or address than
@@ -59,7 +75,21 @@
 
 // expireLateStarts forgets starts that are not carried out any longer.
 func (scheduler *Scheduler) expireLateStarts(now time.Time) {
-	scheduler.lateStarts = slices.DeleteFunc(scheduler.lateStarts, func(late lateStart) bool { return !now.Before(late.until) })
+	scheduler.lateStarts = slices.DeleteFunc(scheduler.lateStarts, func(late lateStart) bool {
+		expired := !now.Before(late.until)
+		if expired {
+			scheduler.countLateStart(&late, -1)
+		}
+		return expired
+	})
+}
+
+// isOutstanding reports whether a start without an answer may still be carried out. Its own incarnation of the target knows the run or
+// refuses it; a later one refuses it once it has answered a request that names it, until it ends itself.
+func (scheduler *Scheduler) isOutstanding(late *lateStart, now time.Time) bool {
+	target, ok := scheduler.targets[late.target]
+	isRefused := ok && target.guarded == target.Incarnation && target.Incarnation > late.orderedFor
+	return now.Before(late.until) && !isRefused
 }
 
 // void requests the stop of a start without an answer on the present incarnation of its target.
@@ -103,14 +133,39 @@
 // outstandingElsewhere returns a target other than the given one on which a start of a task got no answer, and how much longer that may
 // be carried out there; an empty ID if there is none.
 func (scheduler *Scheduler) outstandingElsewhere(task, targetID string, now time.Time) (string, time.Duration) {
-	for i := range scheduler.lateStarts {
-		if late := &scheduler.lateStarts[i]; late.run.Task == task && late.target != targetID && now.Before(late.until) {
+	for late := range scheduler.outstandingOf(task, now) {
+		if late.target != targetID {
 			return late.target, late.until.Sub(now)
 		}
 	}
 	return "", 0
 }
 
+// outstandingOf returns the starts of a task that got no answer and may still be carried out.
+func (scheduler *Scheduler) outstandingOf(task string, now time.Time) iter.Seq[*lateStart] {
+	return func(yield func(*lateStart) bool) {
+		if scheduler.lateStartsOf[task] == 0 {
+			return
+		}
+		for i := range scheduler.lateStarts {
+			if late := &scheduler.lateStarts[i]; late.run.Task == task && scheduler.isOutstanding(late, now) && !yield(late) {
+				return
+			}
+		}
+	}
+}
+
+// mustStayOn reports whether a task may start on no other target than the given one, which may still carry out a start of it. What the
+// target has answered to the task before does not count then, unless one more failed run would fail the job.
+func (scheduler *Scheduler) mustStayOn(task *task, target *target, now time.Time) bool {
+	for late := range scheduler.outstandingOf(task.name, now) {
+		if late.target == target.ID {
+			return task.failures == 0 || task.failures+1 < task.job.MaxFailures
+		}
+	}
+	return false
+}
+
 // outstandingFor returns how much longer a start of a run that got no answer may be carried out by a later incarnation of its target;
 // 0 if there is none.
 func (scheduler *Scheduler) outstandingFor(targetID string, run Run, now time.Time) time.Duration {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -163,10 +163,13 @@
 }
 
 // mayRunOn reports whether a task may run on a target at all: by its service and label, by what the target has answered to the
-// task before, and by the runs of its step there.
+// task before, by the starts of it that others may still carry out, and by the runs of its step there.
 func (scheduler *Scheduler) mayRunOn(task *task, target *target, now time.Time) bool {
 	step := task.spec()
-	if target.Service != task.job.Service || !target.hasLabel(step.Label) || task.avoided[target.ID] {
+	if target.Service != task.job.Service || !target.hasLabel(step.Label) || task.avoided[target.ID] && !scheduler.mustStayOn(task, target, now) {
+		return false
+	}
+	if on, _ := scheduler.outstandingElsewhere(task.name, target.ID, now); on != "" {
 		return false
 	}
 	return step.MaxPerTarget <= 0 || scheduler.siblingsOn(task, target, now) < step.MaxPerTarget
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -106,6 +106,8 @@
 	suspensions map[suspensionKey]Suspension
 	// lateStarts holds the starts that got no answer and may still be carried out, the earliest first.
 	lateStarts []lateStart
+	// lateStartsOf counts them by task.
+	lateStartsOf map[string]int
 	// foreignEnds holds recent ends of other instances' runs on the targets that this instance reads.
 	foreignEnds map[targetRun]recordedEnd
 	// changedTargets holds the targets that this instance reads and whose free capacity may have changed since the last
@@ -176,6 +178,7 @@
 		ownerless:      make(map[string]map[Run]ownerlessRun),
 		pendingStops:   make(map[targetRun]*pendingStop),
 		suspensions:    make(map[suspensionKey]Suspension),
+		lateStartsOf:   make(map[string]int),
 		foreignEnds:    make(map[targetRun]recordedEnd),
 		changedTargets: make(map[string]bool),
 		offered:        make(map[string]bool),
