Record the copy of a start that was sent over a broken connection

If a connection breaks after a start was sent, the client sends it again on another one; a start taken then counted as one without a copy, although the first one may be carried out for 12 s, by the next incarnation of the target too. The result is taken-again now, and the copy is outstanding.

--- a/executor/log.go
+++ b/executor/log.go
@@ -35,12 +35,15 @@
 
 // logStart logs the result of a start; deniedBy is the reader that denied the reservation, or empty.
 func (executor *Executor) logStart(start scheduler.StartTask, result scheduler.StartResult, deniedBy string, took time.Duration) {
-	if result == scheduler.StartTaken {
+	if result.IsTaken() {
 		fields := []any{
 			"job", start.Job, "task", start.Run.Task, "attempt", start.Run.Attempt, "target", start.Target,
 			"room", start.FreeCapacity.MilliCores, "room-age-ms", start.FreeCapacityAge.Milliseconds(), "room-evidence", string(start.FreeCapacityEvidence),
 			"predicted-ms", start.Predicted.Milliseconds(), "took-ms", took.Milliseconds(),
 		}
+		if result == scheduler.StartTakenAgain {
+			start.Unanswered++
+		}
 		if start.Unanswered > 0 {
 			fields = append(fields, "unanswered", start.Unanswered)
 		}
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -23,7 +23,10 @@
 		scheduler.recordContention(target, run, result)
 	}
 	switch result {
-	case StartTaken:
+	case StartTaken, StartTakenAgain:
+		if result == StartTakenAgain && target != nil {
+			scheduler.recordLateStart(target, run, now)
+		}
 		scheduler.handleStartTaken(target, task, current, run, now)
 	case StartUnanswered:
 		if target != nil {
@@ -124,7 +127,7 @@
 		scheduler.handleNoRoom(target, now)
 	case StartNoConnection:
 		target.unconnectedUntil = now.Add(noConnectionBackoff)
-	case StartTaken, StartStale, StartLate, StartImpossible, StartUnanswered, StartWithheld:
+	case StartTaken, StartTakenAgain, StartStale, StartLate, StartImpossible, StartUnanswered, StartWithheld:
 	}
 }
 
@@ -165,7 +168,7 @@
 		}
 	case StartStale, StartRefused, StartUnsent, StartUnconnected:
 		task.avoid(task.runTarget)
-	case StartTaken, StartNoRoom, StartLate, StartUnanswered, StartFenced, StartWithheld, StartNoConnection, StartDenied:
+	case StartTaken, StartTakenAgain, StartNoRoom, StartLate, StartUnanswered, StartFenced, StartWithheld, StartNoConnection, StartDenied:
 	}
 	task.lossReason = ""
 	scheduler.enqueue(task)
--- a/scheduler/outstanding_start_test.go
+++ b/scheduler/outstanding_start_test.go
@@ -283,6 +283,40 @@
 	}
 }
 
+// A start that was sent again after its connection broke, and was taken then, leaves the first copy outstanding: the task must not start
+// elsewhere before the next incarnation of the target refuses it.
+func TestCopySentOverABrokenConnectionIsOutstanding(t *testing.T) {
+	tests := []struct {
+		name   string
+		result StartResult
+		moves  bool
+	}{
+		{"sent once", StartTaken, true},
+		{"sent twice", StartTakenAgain, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			scheduler := newTestScheduler(2)
+			scheduler.Submit(longJob(20000), at(0))
+			start := drain(scheduler).starts[0]
+			scheduler.HandleStartResult(start.Target, start.Run, test.result, at(5))
+			is.Equal(scheduler.tasks[start.Run.Task].state, running)
+			scheduler.HandleEnd(start.Target, End{Seq: 1, Run: start.Run, Cause: Failed, Incarnation: 1}, at(200))
+			starts := drain(scheduler).starts
+			is.Equal(len(starts) == 1 && starts[0].Target != start.Target, test.moves)
+			if test.moves {
+				return
+			}
+			scheduler.HandlePoll(start.Target, PollResult{Incarnation: 2, Named: 2, Sent: at(500), Answered: at(501)})
+			scheduler.Tick(at(502))
+			starts = drain(scheduler).starts
+			is.Equal(len(starts), 1)
+			is.True(starts[0].Target != start.Target)
+		})
+	}
+}
+
 // The clock that names incarnations may have been set back: a poll that named the former incarnation then named a higher number, and
 // does not make the present one refuse former orders either.
 func TestRunOfARestartedTargetIsNotLostByAPollThatNamedAHigherFormerIncarnation(t *testing.T) {
--- a/scheduler/repeat_start.go
+++ b/scheduler/repeat_start.go
@@ -85,8 +85,8 @@
 		return
 	}
 	switch {
-	case result == StartTaken:
-		scheduler.HandleStartResult(start.Target, start.Run, StartTaken, now)
+	case result.IsTaken():
+		scheduler.HandleStartResult(start.Target, start.Run, result, now)
 		return
 	case !ok:
 	case result == StartStale:
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -53,7 +53,7 @@
 // recordContention records the result of a start on a target that another instance reads.
 func (scheduler *Scheduler) recordContention(target *target, run Run, result StartResult) {
 	switch result {
-	case StartTaken, StartNoRoom:
+	case StartTaken, StartTakenAgain, StartNoRoom:
 		scheduler.contention.record(result == StartNoRoom)
 	case StartDenied:
 		scheduler.contention.recordDenial()
@@ -61,7 +61,7 @@
 		return
 	}
 	if allocation, ok := target.allocations[run]; ok {
-		scheduler.reserver.Record(reportAge(allocation.reportedAt, allocation.claimedAt), result != StartTaken)
+		scheduler.reserver.Record(reportAge(allocation.reportedAt, allocation.claimedAt), !result.IsTaken())
 	}
 }
 
