Announce jobs that were given up while a start of them is outstanding

The instance that gives a job up alone knows that a target may still carry out a start of it; the caller hands the job in again elsewhere 1.3 s later, and it started there on another target. Such a job is announced like an active one until nothing is outstanding, so that it is joined at the instance that knows. TestJobWithAnOutstandingStartIsAnnouncedAfterItIsGivenUp failed before.

--- a/scheduler/announce.go
+++ b/scheduler/announce.go
@@ -1,8 +1,12 @@
 package scheduler
 
 import (
+	"iter"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/hyssoplift/hyssoplift/isolator"
 	"github.com/hyssoplift/hyssoplift/locator"
 )
 
@@ -19,9 +23,41 @@
 	}
 }
 
-// ActiveJobIDs returns the IDs of the active jobs for an instance that may have missed announcements.
+// announceOutstanding announces the jobs that were given up here while a start of them is outstanding. Only this instance knows where
+// their tasks must not start, so that a job that is handed in again elsewhere is joined here.
+func (scheduler *Scheduler) announceOutstanding(now time.Time) {
+	outstanding := make(map[string]bool)
+	for id := range scheduler.outstandingJobs(now) {
+		outstanding[id] = true
+		if !now.Before(scheduler.outstandingAnnouncedUntil[id]) {
+			scheduler.outstandingAnnouncedUntil[id] = now.Add(locator.AnnounceInterval)
+			scheduler.emit(AnnounceJob{id})
+		}
+	}
+	maps.DeleteFunc(scheduler.outstandingAnnouncedUntil, func(id string, _ time.Time) bool { return !outstanding[id] })
+}
+
+// outstandingJobs returns the IDs of the jobs without an outcome that are not active, and of which a start is outstanding. A job may be
+// returned more than once.
+func (scheduler *Scheduler) outstandingJobs(now time.Time) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for i := range scheduler.lateStarts {
+			late := &scheduler.lateStarts[i]
+			id := isolator.JobOf(late.run.Task)
+			if _, completed := scheduler.completedAt[id]; completed || scheduler.Has(id) || scheduler.Cancelled(id) || !scheduler.isOutstanding(late, now) {
+				continue
+			}
+			if !yield(id) {
+				return
+			}
+		}
+	}
+}
+
+// ActiveJobIDs returns the IDs of the active jobs, and of those given up with outstanding starts, for an instance that may have missed
+// announcements.
 func (scheduler *Scheduler) ActiveJobIDs(now time.Time) []string {
-	var active []string
+	active := slices.Compact(slices.Sorted(scheduler.outstandingJobs(now)))
 	for id, job := range scheduler.jobs {
 		if !scheduler.mayBeAbandoned(job, now) {
 			active = append(active, id)
@@ -52,7 +88,8 @@
 	return false
 }
 
-// Concerns reports whether this instance has a job, has completed it recently, or knows of earlier runs of it that may go on.
+// Concerns reports whether this instance has a job, has completed it recently, or knows of earlier runs of it that may go on or of starts
+// that may be carried out.
 func (scheduler *Scheduler) Concerns(info Job, now time.Time) bool {
 	if at, ok := scheduler.completedAt[info.ID]; ok && now.Sub(at) < completedRetention {
 		return true
@@ -63,6 +100,9 @@
 		if scheduler.earlierRunGoesOn(task, now) {
 			return true
 		}
+		for range scheduler.outstandingOf(task.name, now) {
+			return true
+		}
 	}
 	return scheduler.Has(info.ID)
 }
--- a/scheduler/announce_test.go
+++ b/scheduler/announce_test.go
@@ -109,3 +109,32 @@
 		})
 	}
 }
+
+// A job that was given up with an outstanding start must be announced until nothing can be carried out: an instance that knows nothing of
+// it would run it on another target beside the late run.
+func TestJobWithAnOutstandingStartIsAnnouncedAfterItIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(1)
+	start := startAgain(scheduler, true)
+	scheduler.Abandon("j", "the caller left", at(61))
+	scheduler.HandleStopResult(start.Target, start.Run, true, at(63))
+	scheduler.HandlePoll(start.Target, PollResult{Incarnation: 1, Named: 1, Sent: at(64), Answered: at(65)})
+	_ = drain(scheduler)
+	announcedAt := make(map[int]bool)
+	for now := 100; now < 3000; now += 100 {
+		if now == 1500 {
+			scheduler.HandlePoll(start.Target, PollResult{Incarnation: 2, Named: 2, Sent: at(now - 1), Answered: at(now)})
+			is.Equal(len(drain(scheduler).stops), 1)
+			scheduler.HandleStopResult(start.Target, start.Run, true, at(now))
+			scheduler.HandlePoll(start.Target, PollResult{Incarnation: 2, Named: 2, Sent: at(now), Answered: at(now)})
+		}
+		scheduler.Sweep(at(now))
+		if len(announcements(scheduler, now)) > 0 {
+			announcedAt[now] = true
+		}
+		isOutstanding := now < 1500
+		is.Equal(scheduler.Concerns(testJob("j", 1, 400, now), at(now)), isOutstanding)
+		is.Equal(len(scheduler.ActiveJobIDs(at(now))) == 1, isOutstanding)
+	}
+	is.Equal(announcedAt, map[int]bool{100: true, 600: true, 1100: true})
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -108,6 +108,8 @@
 	lateStarts []lateStart
 	// lateStartsOf counts them by task.
 	lateStartsOf map[string]int
+	// outstandingAnnouncedUntil holds until when the last announcement of a job counts that was given up with an outstanding start.
+	outstandingAnnouncedUntil map[string]time.Time
 	// foreignEnds holds recent ends of other instances' runs on the targets that this instance reads.
 	foreignEnds map[targetRun]recordedEnd
 	// changedTargets holds the targets that this instance reads and whose free capacity may have changed since the last
@@ -164,35 +166,37 @@
 // New returns a scheduler for the instance with the incarnation self in the given failure domain.
 func New(self, domain string) *Scheduler {
 	return &Scheduler{
-		self:           self,
-		domain:         domain,
-		targets:        make(map[string]*target),
-		byService:      make(map[string][]*target),
-		groupSpeeds:    make(map[string]*learnedSpeed),
-		jobs:           make(map[string]*job),
-		jobsByKey:      make(map[locator.Key]*job),
-		tasks:          make(map[string]*task),
-		cancelledAt:    make(map[string]time.Time),
-		contacts:       make(map[string]*contact),
-		earlyReports:   make(map[string][]earlyReport),
-		ownerless:      make(map[string]map[Run]ownerlessRun),
-		pendingStops:   make(map[targetRun]*pendingStop),
-		suspensions:    make(map[suspensionKey]Suspension),
-		lateStartsOf:   make(map[string]int),
-		foreignEnds:    make(map[targetRun]recordedEnd),
-		changedTargets: make(map[string]bool),
-		offered:        make(map[string]bool),
-		suspended:      make(map[string]bool),
-		evacuated:      make(map[string]bool),
-		peerDemands:    make(map[string]Demand),
-		completedAt:    make(map[string]time.Time),
-		releaseRates:   make(map[string]releaseRate),
-		isolator:       isolator.New(),
-		lossSharing:    newLossSharing(),
-		coldTargets:    newColdTargets(),
-		link:           idleLink{},
-		reserver:       neverReserving{},
-		arbiters:       make(map[string]*arbiter.Arbiter),
+		self:         self,
+		domain:       domain,
+		targets:      make(map[string]*target),
+		byService:    make(map[string][]*target),
+		groupSpeeds:  make(map[string]*learnedSpeed),
+		jobs:         make(map[string]*job),
+		jobsByKey:    make(map[locator.Key]*job),
+		tasks:        make(map[string]*task),
+		cancelledAt:  make(map[string]time.Time),
+		contacts:     make(map[string]*contact),
+		earlyReports: make(map[string][]earlyReport),
+		ownerless:    make(map[string]map[Run]ownerlessRun),
+		pendingStops: make(map[targetRun]*pendingStop),
+		suspensions:  make(map[suspensionKey]Suspension),
+		lateStartsOf: make(map[string]int),
+
+		outstandingAnnouncedUntil: make(map[string]time.Time),
+		foreignEnds:               make(map[targetRun]recordedEnd),
+		changedTargets:            make(map[string]bool),
+		offered:                   make(map[string]bool),
+		suspended:                 make(map[string]bool),
+		evacuated:                 make(map[string]bool),
+		peerDemands:               make(map[string]Demand),
+		completedAt:               make(map[string]time.Time),
+		releaseRates:              make(map[string]releaseRate),
+		isolator:                  isolator.New(),
+		lossSharing:               newLossSharing(),
+		coldTargets:               newColdTargets(),
+		link:                      idleLink{},
+		reserver:                  neverReserving{},
+		arbiters:                  make(map[string]*arbiter.Arbiter),
 	}
 }
 
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -78,6 +78,7 @@
 	scheduler.isolator.Expire(now)
 	scheduler.shareLastingLosses(now)
 	scheduler.expireLateStarts(now)
+	scheduler.announceOutstanding(now)
 	scheduler.expireLostContacts(now)
 	scheduler.expireOwnerless(now)
 	scheduler.expireKeptReports(now)
