Tell how long after a target's start it refused former orders, and who asked

The line "restarted target refuses former orders" told the time since this instance had learned of the restart. The time in which a copy of a start can be carried out begins with the target, and who could have asked earlier did not show.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -425,7 +425,7 @@
 		executor.logger.Info("entry of a restarted target is read", "target", action.Target, "incarnation", action.Incarnation, "after-ms", action.After.Milliseconds())
 	case scheduler.TargetGuarded:
 		executor.meter.unguardedSeconds.Add(action.After.Seconds())
-		executor.logger.Info("restarted target refuses former orders", "target", action.Target, "incarnation", action.Incarnation, "after-ms", action.After.Milliseconds())
+		executor.logGuarded(action)
 	case scheduler.TargetRestarted:
 		executor.meter.targetRestarts.Inc()
 		executor.readersChanged = true // its address may have changed
--- a/executor/log.go
+++ b/executor/log.go
@@ -141,6 +141,17 @@
 		"evidence", string(restart.Evidence), "runs", formatRuns(restart.Runs))
 }
 
+func (executor *Executor) logGuarded(guarded scheduler.TargetGuarded) {
+	executor.logger.Info("restarted target refuses former orders", "target", guarded.Target, "incarnation", guarded.Incarnation,
+		"after-ms", guarded.After.Milliseconds(), "since-start-ms", sinceStart(&guarded, executor.now(), time.Now()).Milliseconds(), "asked-by", string(guarded.Asker), "outstanding", guarded.Outstanding)
+}
+
+// sinceStart returns the time from the start of a target to the answer that guards it. The target's clock of day tells the start, and now
+// and wall are the same moment on the executor's clock and on this host's clock of day.
+func sinceStart(guarded *scheduler.TargetGuarded, now, wall time.Time) time.Duration {
+	return wall.Sub(time.UnixMilli(guarded.Incarnation)) - now.Sub(guarded.At)
+}
+
 func (executor *Executor) logCold(cold scheduler.TargetCold) {
 	executor.logger.Info("target is cold", "target", cold.Target, "cause", string(cold.Cause), "for-ms", cold.Until.Sub(executor.now()).Milliseconds(), "taken-over", cold.TakenOver)
 }
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -109,10 +109,24 @@
 	}
 	target.guarded = incarnation
 	if !target.restartedAt.IsZero() {
-		scheduler.emit(TargetGuarded{Target: target.ID, Incarnation: incarnation, After: now.Sub(target.incarnationSince)})
+		scheduler.emit(TargetGuarded{
+			Target: target.ID, Incarnation: incarnation, After: now.Sub(target.incarnationSince), At: now,
+			Asker: scheduler.asker(target), Outstanding: scheduler.outstandingOn(target.ID),
+		})
 	}
 }
 
+// asker returns what this instance is to a target.
+func (scheduler *Scheduler) asker(target *target) GuardAsker {
+	switch {
+	case target.readBySelf:
+		return AskerReader
+	case scheduler.hasOutstanding(target.ID):
+		return AskerOwner
+	}
+	return AskerOther
+}
+
 // settleIncarnation records that an incarnation of a target has answered this instance or its reader.
 func (scheduler *Scheduler) settleIncarnation(target *target, incarnation int64, evidence RestartEvidence, now time.Time) {
 	switch {
--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -89,6 +89,17 @@
 	return slices.ContainsFunc(scheduler.lateStarts, func(late lateStart) bool { return late.target == targetID })
 }
 
+// outstandingOn returns the number of starts on a target that got no answer and may still be carried out.
+func (scheduler *Scheduler) outstandingOn(targetID string) int {
+	outstanding := 0
+	for i := range scheduler.lateStarts {
+		if scheduler.lateStarts[i].target == targetID {
+			outstanding++
+		}
+	}
+	return outstanding
+}
+
 // outstandingTargets returns the number of targets whose hosts refuse connections and that may carry out a start of this instance.
 func (scheduler *Scheduler) outstandingTargets() int {
 	refusing := make(map[string]bool)
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -526,8 +526,26 @@
 	Incarnation int64
 	// After is the time since this instance has known of the incarnation.
 	After time.Duration
+	// At is when the answer arrived.
+	At    time.Time
+	Asker GuardAsker
+	// Outstanding is the number of starts of this instance that got no answer and that the target may still carry out.
+	Outstanding int
 }
 
+// GuardAsker is what an instance was to a target when it sent the request. The values are used in logs.
+type GuardAsker string
+
+// Instances that ask a target, by what the target is to them.
+const (
+	// AskerReader is the instance that reads the target for all.
+	AskerReader GuardAsker = "reader"
+	// AskerOwner is another instance, a start of which may still be carried out there.
+	AskerOwner GuardAsker = "owner"
+	// AskerOther is any other instance.
+	AskerOther GuardAsker = "other"
+)
+
 func (StartTask) isAction()        {}
 func (StopRun) isAction()          {}
 func (AnswerJob) isAction()        {}
--- a/scheduler/outstanding_test.go
+++ b/scheduler/outstanding_test.go
@@ -58,7 +58,39 @@
 					guards = append(guards, action)
 				}
 			}
-			is.Equal(guards, []TargetGuarded{{Target: "t0", Incarnation: 2, After: 9 * time.Millisecond}})
+			is.Equal(guards, []TargetGuarded{{
+				Target: "t0", Incarnation: 2, After: 9 * time.Millisecond, At: at(1010), Asker: AskerOther,
+			}})
 		})
 	}
 }
+
+// Who sent the first answered request that names the new incarnation must be told.
+func TestGuardTellsWhoAsked(t *testing.T) {
+	tests := []struct {
+		reads, starts bool
+		asker         GuardAsker
+	}{{false, false, AskerOther}, {false, true, AskerOwner}, {true, false, AskerReader}, {true, true, AskerReader}}
+	for _, test := range tests {
+		is := is.New(t)
+		scheduler := New("self", "a")
+		scheduler.SetTargets([]Target{moved(1, "127.0.0.1:1")}, at(-1000))
+		scheduler.SetReader("t0", test.reads, at(-1000))
+		outstanding := 0
+		if test.starts {
+			scheduler.recordLateStart(scheduler.targets["t0"], Run{Task: "j.0.0.0", Attempt: 1}, at(900))
+			outstanding = 1
+		}
+		scheduler.HandlePeerRestart("t0", 2, at(1030))
+		scheduler.HandlePoll("t0", PollResult{Incarnation: 2, Named: 2, Sent: at(1035), Answered: at(1040)})
+		var guards []TargetGuarded
+		for _, action := range scheduler.TakeActions() {
+			if action, ok := action.(TargetGuarded); ok {
+				guards = append(guards, action)
+			}
+		}
+		is.Equal(guards, []TargetGuarded{{
+			Target: "t0", Incarnation: 2, After: 10 * time.Millisecond, At: at(1040), Asker: test.asker, Outstanding: outstanding,
+		}})
+	}
+}
