Probe a refusing target at the reader's shortest pause while starts may be under way

A task ran twice, or once more after its end was noted: a copy of its start was carried out by the next incarnation of its target before any request had named that one.

Now the reader probes targets whose hosts refuse connections every 12 ms, shared among all it reads, until nothing can arrive any more that was sent before it found them down. A refused connection is two packets; silent targets, whose requests stay in narrow links, are probed as before.

--- a/executor/poller.go
+++ b/executor/poller.go
@@ -39,7 +39,8 @@
 	// doubles with each poll that gets no answer, up to maxProbeInterval.
 	probeInterval = 400 * time.Millisecond
 	// minProbeInterval is the pause of the reader after the target has become unreachable, which doubles up to probeInterval: a
-	// target that is back carries out orders for its former incarnation until it is polled.
+	// target that is back carries out orders for its former incarnation until it is polled. Targets whose hosts refuse connections are
+	// probed at this interval, which all of them share, while such orders may be under way: a refused connection costs little.
 	minProbeInterval = 12 * time.Millisecond
 	// outstandingProbeInterval is how often an instance polls a target that refuses connections and on which a start of it may still be
 	// carried out: from the first poll of the next incarnation on, that incarnation refuses the start. All such targets share it.
@@ -205,7 +206,11 @@
 	switch {
 	case poller.isReader.Load():
 		// A pause as long as the outage had lasted at the last poll doubles each time.
-		return min(max(minProbeInterval, poller.lastPoll.Sub(state.UnreachableSince)), probeInterval)
+		pause := min(max(minProbeInterval, poller.lastPoll.Sub(state.UnreachableSince)), probeInterval)
+		if state.Refusing > 0 && poller.lastPoll.Before(state.DelayedUntil) {
+			pause = min(pause, time.Duration(state.Refusing)*minProbeInterval)
+		}
+		return pause
 	case state.HasOwnRuns:
 		return probeInterval
 	}
--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -111,6 +111,17 @@
 	return len(refusing)
 }
 
+// refusingTargets returns the number of targets that this instance reads and whose hosts refuse connections.
+func (scheduler *Scheduler) refusingTargets() int {
+	refusing := 0
+	for _, target := range scheduler.ordered {
+		if target.refusing && target.readBySelf {
+			refusing++
+		}
+	}
+	return refusing
+}
+
 // outstandingFor returns how much longer a start of a run that got no answer may be carried out by a later incarnation of its target;
 // 0 if there is none.
 func (scheduler *Scheduler) outstandingFor(targetID string, run Run, now time.Time) time.Duration {
--- a/scheduler/outstanding_start_test.go
+++ b/scheduler/outstanding_start_test.go
@@ -406,3 +406,24 @@
 		})
 	}
 }
+
+// Only the reader is told of a host that refuses connections, and how many more there are that it reads.
+func TestReaderIsToldOfTargetsWhoseHostsRefuseConnections(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(4)
+	for _, id := range []string{"t0", "t1", "t2"} {
+		scheduler.SetReader(id, true, at(-1000))
+	}
+	scheduler.SetReader("t3", false, at(-1000))
+	for _, id := range []string{"t0", "t1", "t3"} {
+		scheduler.MarkUnreachable(id, true, at(100))
+	}
+	scheduler.MarkUnreachable("t2", false, at(100))
+	for id, refusing := range map[string]int{"t0": 2, "t1": 2, "t2": 0, "t3": 0} {
+		is.Equal(scheduler.TargetState(id).Refusing, refusing)
+	}
+	is.Equal(scheduler.TargetState("t0").DelayedUntil, at(100).Add(maxRequestDelay))
+	scheduler.HandlePoll("t0", PollResult{Incarnation: 2, Named: 1, Sent: at(300), Answered: at(301)})
+	is.Equal(scheduler.TargetState("t0").Refusing, 0)
+	is.Equal(scheduler.TargetState("t1").Refusing, 1)
+}
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -217,6 +217,11 @@
 	// Outstanding is 0 unless the target's host refuses connections and its next incarnation may carry out a start of this instance.
 	// It is the number of such targets.
 	Outstanding int
+	// Refusing is 0 unless the target's host refuses connections and this instance reads the target. It is the number of such targets.
+	Refusing int
+	// DelayedUntil is until when the target's next incarnation may carry out starts that were sent before the target was found not to
+	// answer.
+	DelayedUntil time.Time
 	// Awaited means that a task of this instance waits for the end of a run there that no live instance owns.
 	Awaited bool
 	// Contradicted means that an entry contradicts what the target has answered, so that it has to answer again.
@@ -263,6 +268,9 @@
 	if target.refusing && scheduler.hasOutstanding(targetID) {
 		state.Outstanding = scheduler.outstandingTargets()
 	}
+	if target.refusing && target.readBySelf {
+		state.Refusing, state.DelayedUntil = scheduler.refusingTargets(), target.unreachableSince.Add(maxRequestDelay)
+	}
 	for _, allocation := range target.allocations {
 		if allocation.owner == scheduler.self {
 			state.HasOwnRuns = true
