Keep probing for outstanding starts after a start could not be sent

An owner that knows from another instance that a target's host refuses connections polls the target until it is back if a start of its own may still be carried out there. Its next start there found no connection, which set the host to not refusing: the owner went back to a poll every 0.4 to 3.2 s, and the refusal did not show again before the fourth of them.

The row of TestSilentTargetsAreNotProbedForOutstandingStarts fails before.

--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -115,7 +115,8 @@
 		target.exclude(now)
 		target.recordResponse(now)
 	case StartUnsent:
-		scheduler.setUnreachable(target, false, now)
+		// An unsent start does not tell why, and does not undo that the target's host is known to refuse connections.
+		scheduler.setUnreachable(target, target.refusing, now)
 	case StartUnconnected:
 		target.heldUntil = now.Add(unconnectedBackoff)
 	case StartFenced:
--- a/scheduler/outstanding_start_test.go
+++ b/scheduler/outstanding_start_test.go
@@ -391,6 +391,10 @@
 		{"refusing another instance", func(scheduler *Scheduler, targetID string) {
 			scheduler.HandlePeerLoss(isolator.Loss{Target: targetID, Incarnation: 1, Evidence: isolator.Refused, At: at(100), Observer: "peer"}, at(101))
 		}, 1},
+		{"refusing another instance, then a start that could not be sent", func(scheduler *Scheduler, targetID string) {
+			scheduler.HandlePeerLoss(isolator.Loss{Target: targetID, Incarnation: 1, Evidence: isolator.Refused, At: at(100), Observer: "peer"}, at(101))
+			scheduler.recordRejection(scheduler.targets[targetID], StartUnsent, at(102))
+		}, 1},
 		{"refusing, then silent", func(scheduler *Scheduler, targetID string) {
 			scheduler.MarkUnreachable(targetID, true, at(100))
 			scheduler.MarkUnreachable(targetID, false, at(200))
