Let the reader check at once whether a target's host refuses connections

A reader learned that a target had ended only by its own polls, which it does not send to an idle target. It knew from another instance that the host refused connections, or had not been able to send a start itself, and sent its first poll when something else woke it, or the four that confirm a refusal at doubling pauses, some 0.1 s: the owners of starts that may still be carried out waited for its news meanwhile.

It now polls in both cases at once, four times in a row at most.

The two rows of TestNextPoll fail before.

--- a/executor/poller.go
+++ b/executor/poller.go
@@ -165,6 +165,12 @@
 	case poller.isReader.Load() && state.IncarnationSince.After(poller.incarnationSince):
 		// The target has restarted. The poll makes it refuse what was sent to its former incarnation.
 		return PollRequest{}, 0
+	case poller.isReader.Load() && state.Refusing > 0 && !state.Unreachable && poller.failures == 0:
+		// Another instance has found that the target's host refuses connections.
+		return PollRequest{}, time.Duration(state.Refusing)*minProbeInterval - sincePoll
+	case poller.isReader.Load() && state.Unreachable && poller.failures < unreachableThreshold:
+		// A start could not be sent. If the host refuses connections, the target has probably ended.
+		return PollRequest{}, minPollInterval - sincePoll
 	case state.Outstanding > 0:
 		return PollRequest{}, min(time.Duration(state.Outstanding)*outstandingProbeInterval, poller.probePause(state)) - sincePoll
 	case state.Unreachable || poller.failures >= unreachableThreshold:
