Watch idle targets while starts get no answer

A task ran once more after its end was noted: its target was idle when it ended and came back, nobody polled it meanwhile, and a copy of the start was carried out before the next request, or an entry of discovery, showed the restart. The reader polls only targets that it knows runs on.

While any start of its own is without an answer, the reader now also keeps a poll waiting on its idle targets with a run claimed in the last 12 s. The target closes that connection at its end, and is then probed until it is back. These polls share 40 a second for each reader, and there are none while all starts are answered.

TestReaderWatchesAnIdleTargetWhileStartsAreUnderWay does not build before; the row of TestNextPoll fails without the change of the poller.

--- a/executor/poller.go
+++ b/executor/poller.go
@@ -45,8 +45,10 @@
 	// outstandingProbeInterval is how often an instance polls a target that refuses connections and on which a start of it may still be
 	// carried out: from the first poll of the next incarnation on, that incarnation refuses the start. All such targets share it.
 	outstandingProbeInterval = 50 * time.Millisecond
-	maxProbeInterval         = 3200 * time.Millisecond
-	maxProbeDoublings        = 3
+	// watchInterval is how often a reader polls its idle targets to notice their ends; all of them share it.
+	watchInterval     = 25 * time.Millisecond
+	maxProbeInterval  = 3200 * time.Millisecond
+	maxProbeDoublings = 3
 	// withholdPeriod is how long the acknowledgement of an end is withheld if the run's owner is unknown or
 	// unreachable. Within it, owners repeat their claims, or poll the target themselves after readerTimeout. After a
 	// loss of all instances, each one reads all targets until it has discovered the others. When it acknowledged such
@@ -191,6 +193,9 @@
 		return request, minPollInterval - sincePoll
 	case poller.isReader.Load() && (poller.acknowledgeable > poller.acknowledged || len(poller.withheld) > 0):
 		return PollRequest{Acknowledged: acknowledged}, acknowledgeDelay - now.Sub(poller.lastPoll)
+	case poller.isReader.Load() && state.Watched > 0 && now.Before(state.WatchedUntil):
+		// The target closes the connection at its end, which nobody would notice otherwise before it is back.
+		return PollRequest{Acknowledged: acknowledged, Wait: pollWait}, max(pollWait, time.Duration(state.Watched)*watchInterval) - sincePoll
 	case !poller.isReader.Load() && state.Unverified && poller.lastAnswer.After(state.IncarnationSince):
 		return PollRequest{}, unverifiedPollInterval - sincePoll
 	case !poller.isReader.Load() && state.Unverified:
--- a/executor/poller_test.go
+++ b/executor/poller_test.go
@@ -87,6 +87,9 @@
 		{"host refuses another instance, reader of an idle target", true, scheduler.TargetState{Refusing: 1, LastHeard: now}, 0, true},
 		{"host refuses another instance, not the reader", false, scheduler.TargetState{LastHeard: now}, 0, false},
 		{"start could not be sent, reader polled three times", true, scheduler.TargetState{Unreachable: true, UnreachableSince: now.Add(-time.Hour), LastHeard: now}, unreachableThreshold - 1, true},
+		{"idle target that may have a start under way", true, scheduler.TargetState{Watched: 4, WatchedUntil: now.Add(time.Millisecond), LastHeard: now}, 0, true},
+		{"idle target that may have a start under way, not the reader", false, scheduler.TargetState{WatchedUntil: now.Add(time.Millisecond), LastHeard: now}, 0, false},
+		{"idle target, nothing under way any more", true, scheduler.TargetState{Watched: 4, WatchedUntil: now, LastHeard: now}, 0, false},
 		{"own run, peers not known yet", true, scheduler.TargetState{Occupied: true, HasOwnRuns: true, LastHeard: now}, 0, true},
 		{"repeat after an unanswered poll", false, scheduler.TargetState{LastHeard: now}, 1, true},
 		{"unreachable target, just polled", true, scheduler.TargetState{Unreachable: true, LastHeard: now}, unreachableThreshold, false},
@@ -95,7 +98,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			poller := &poller{polled: true, failures: test.failures, lastPoll: now.Add(-probeInterval / 2)}
-			if test.name == "not the reader, old report" {
+			if test.name == "not the reader, old report" || test.state.WatchedUntil != (time.Time{}) {
 				poller.lastPoll = now.Add(-probeInterval)
 			}
 			if strings.HasSuffix(test.name, "peers not known yet") {
--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -122,6 +122,17 @@
 	return refusing
 }
 
+// readTargets returns the number of targets that this instance reads.
+func (scheduler *Scheduler) readTargets() int {
+	reads := 0
+	for _, target := range scheduler.ordered {
+		if target.readBySelf {
+			reads++
+		}
+	}
+	return reads
+}
+
 // outstandingFor returns how much longer a start of a run that got no answer may be carried out by a later incarnation of its target;
 // 0 if there is none.
 func (scheduler *Scheduler) outstandingFor(targetID string, run Run, now time.Time) time.Duration {
--- a/scheduler/outstanding_start_test.go
+++ b/scheduler/outstanding_start_test.go
@@ -431,3 +431,25 @@
 	is.Equal(scheduler.TargetState("t0").Refusing, 0)
 	is.Equal(scheduler.TargetState("t1").Refusing, 1)
 }
+
+// An idle target that ended was not asked before something else woke its reader, and carried out starts for its former incarnation.
+func TestReaderWatchesAnIdleTargetWhileStartsAreUnderWay(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(3)
+	scheduler.SetReader("t0", true, at(-1000))
+	scheduler.SetReader("t1", true, at(-1000))
+	scheduler.SetReader("t2", false, at(-1000))
+	scheduler.HandlePoll("t0", PollResult{Incarnation: 1, Named: 1, Sent: at(-2), Answered: at(-1)})
+	run := Run{Task: "j.0.0.0", Attempt: 1}
+	scheduler.HandlePeerClaim("peer", Claim{Target: "t0", Run: run, Incarnation: 1, Resources: Resources{MilliCores: 1000}}, at(100))
+	scheduler.HandlePeerWithdrawal("t0", run, at(500))
+	is.True(!scheduler.TargetState("t0").Occupied)
+	is.Equal(scheduler.TargetState("t0").Watched, 0) // no start is known to get no answer
+	scheduler.recordLateStart(scheduler.targets["t2"], Run{Task: "k.0.0.0", Attempt: 1}, at(600))
+	is.Equal(scheduler.TargetState("t0").Watched, 2)
+	is.Equal(scheduler.TargetState("t0").WatchedUntil, at(100).Add(maxRequestDelay))
+	is.True(scheduler.TargetState("t1").WatchedUntil.IsZero()) // nothing was started there
+	is.Equal(scheduler.TargetState("t2").Watched, 0)
+	scheduler.HandlePeerRestart("t0", 2, at(700))
+	is.True(scheduler.TargetState("t0").WatchedUntil.IsZero())
+}
