--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -118,7 +118,8 @@
 		target.exclude(now)
 		target.recordResponse(now)
 	case StartUnsent:
-		scheduler.setUnreachable(target, false, now)
+		// An unsent start does not tell why, and does not undo that the target's host is known to refuse connections.
+		scheduler.setUnreachable(target, target.refusing, now)
 	case StartUnconnected:
 		target.heldUntil = now.Add(unconnectedBackoff)
 	case StartFenced:
@@ -492,7 +493,7 @@
 		target.described = incarnation
 		return
 	}
-	target.restartedAt, target.refusing = now, false
+	target.restartedAt, target.refusing, target.delayedUntil = now, false, time.Time{}
 	scheduler.forgetReport(target, now)
 	defer scheduler.observeIncarnation(target.ID, target.Address, incarnation, now)
 	scheduler.recordUnnoticedEnd(target, previous, now)
