Start no task before all targets are looked at, after a restart of all instances

After a restart of all instances, nobody remembers any run, and work started on targets that had been looked at while others had not. A run that a late order had begun on one of those was found only after the caller had sent the job again, 1.3 s after the kill, and its second submission had started elsewhere.

An instance now starts no task until all targets that answer have been asked under their present incarnation, by itself or, as reported, by their readers, for at most 1,310 ms from the earliest start of the live instances: by then, the leases of runs that nobody has listed or renewed since have ended. Readers report a target only after all other instances have been asked for the owners of the runs found there, and send these queries to instances that connect later. A waiting task also waits for the end of a run of it that its own instance lists. Jobs with less time than the instances need until they look are refused at once. The log names what ended the wait, and how many targets had not been looked at then and at the first start.

--- a/executor/acknowledge_test.go
+++ b/executor/acknowledge_test.go
@@ -47,7 +47,7 @@
 // newAcknowledgingPoller returns an executor that knows incarnation 1 of the targets t and u, and a poller of t that has
 // acknowledged 57 of its ends.
 func newAcknowledgingPoller(t *testing.T, client *restartedClient, reads bool) (*Executor, *poller) {
-	executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, client, time.Now, hclog.NewNullLogger())
+	executor := newSettled(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, client, time.Now, hclog.NewNullLogger())
 	t.Cleanup(executor.Close)
 	poller := &poller{
 		id: "t", wake: make(chan struct{}, 1), withheld: make(map[int64]time.Time),
@@ -142,7 +142,7 @@
 // A sound task must not be given up because the ends of its runs were acknowledged unread.
 func TestUnreadEndsDoNotGiveAJobUp(t *testing.T) {
 	client := &restartedClient{incarnation: 2}
-	executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, client, time.Now, hclog.NewNullLogger())
+	executor := newSettled(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, client, time.Now, hclog.NewNullLogger())
 	t.Cleanup(executor.Close)
 	var infos []scheduler.Target
 	pollers := make(map[string]*poller)
--- a/executor/address_test.go
+++ b/executor/address_test.go
@@ -30,7 +30,7 @@
 	for _, err := range []error{eris.Wrap(ErrReplaced, "polling a target"), eris.New("no answer")} {
 		is := is.New(t)
 		client := &movedClient{err: err, move: func() {}}
-		executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, client, time.Now, hclog.NewNullLogger())
+		executor := newSettled(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, client, time.Now, hclog.NewNullLogger())
 		t.Cleanup(executor.Close)
 		poller := &poller{id: "t", wake: make(chan struct{}, 1), withheld: make(map[int64]time.Time), failures: unreachableThreshold - 1}
 		poller.isReader.Store(true)
--- a/executor/cold_bounds_test.go
+++ b/executor/cold_bounds_test.go
@@ -19,7 +19,7 @@
 	is := is.New(t)
 	var output logBuffer
 	now := time.Unix(1_000_000, 0)
-	executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, silentClient{}, func() time.Time { return now },
+	executor := newSettled(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, silentClient{}, func() time.Time { return now },
 		hclog.New(&hclog.LoggerOptions{Output: &output, JSONFormat: true}))
 	executor.Close() // ticks come from this test alone
 	metrics := func() string {
--- a/executor/evacuate_test.go
+++ b/executor/evacuate_test.go
@@ -19,7 +19,7 @@
 func newSteppedExecutor(t *testing.T) (*Executor, *lateClient, *atomic.Int64) {
 	client := &lateClient{started: make(chan string, 1000)}
 	began, elapsed := time.Now(), &atomic.Int64{}
-	executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, client, func() time.Time { return began.Add(time.Duration(elapsed.Load())) }, hclog.NewNullLogger())
+	executor := newSettled(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, client, func() time.Time { return began.Add(time.Duration(elapsed.Load())) }, hclog.NewNullLogger())
 	t.Cleanup(executor.Close)
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -145,6 +145,8 @@
 	pausedSince    time.Time
 	// readsTargets means that this instance is the reader of some target.
 	readsTargets bool
+	// hasStartedTask means that this instance has started a task.
+	hasStartedTask bool
 	// peersKnown means that the other instances, if any, are known, so that it is certain which targets this one reads.
 	peersKnown bool
 	// services is what the configuration in force says of the services.
@@ -189,6 +191,7 @@
 		reservations:  make(map[reservedRun]*reservation),
 	}
 	executor.scheduler.SetLink(executor.uplink)
+	executor.scheduler.AwaitFirstLook(executor.startedAt, executor.startedAt.Add(minStartupGrace))
 	executor.meter.registerGauges(executor)
 	executor.peers = gossiper.New(self, executor, now, logger)
 	executor.group.Go(executor.tick)
@@ -360,11 +363,14 @@
 func (executor *Executor) runAction(action scheduler.Action) {
 	switch action := action.(type) {
 	case scheduler.StartTask:
+		executor.logFirstStart(&action)
 		executor.announceStart(&action)
 		executor.wake(action.Target)
 		go executor.start(action)
 	case scheduler.StopRun:
 		go executor.stop(action)
+	case scheduler.FirstLookEnded:
+		executor.logFirstLookEnd(action)
 	case scheduler.AnswerJob:
 		executor.answer(action)
 	case scheduler.WithdrawClaim:
@@ -601,14 +607,13 @@
 			executor.locator.Expire(now)
 			executor.assignReaders(now)
 			executor.updateConnectionLimits()
-			peers := executor.peers.Answering()
-			executor.scheduler.SetPeers(peers)
-			if !executor.peersKnown && knowsPeers(peers, now.Sub(executor.startedAt)) {
-				executor.lookAtTargets(peers, now)
-			}
-			executor.stopOrphans(now)
+			executor.updatePeers(now)
 			executor.repeatAbandonments(now)
+		} else if executor.scheduler.AwaitsFirstLook(now) {
+			executor.assignReaders(now)
+			executor.updatePeers(now)
 		}
+		executor.scheduler.CheckFirstLook(executor.peers.OldestStart(), now)
 		if now.Sub(lastRepeat) >= scheduler.ClaimRepeatInterval {
 			lastRepeat = now
 			executor.repeatClaims()
@@ -626,6 +631,16 @@
 	}
 }
 
+// updatePeers passes the live instances on to the scheduler, and looks at the targets once they are known. The caller holds the lock.
+func (executor *Executor) updatePeers(now time.Time) {
+	peers := executor.peers.Answering()
+	executor.scheduler.SetPeers(peers)
+	if !executor.peersKnown && knowsPeers(peers, now.Sub(executor.startedAt)) {
+		executor.lookAtTargets(peers, now)
+	}
+	executor.stopOrphans(now)
+}
+
 // knowsPeers reports whether an instance that started the given time ago knows the other instances well enough to tell which
 // targets it reads.
 func knowsPeers(peers scheduler.Peers, sinceStart time.Duration) bool {
--- a/executor/join_test.go
+++ b/executor/join_test.go
@@ -79,7 +79,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, silentClient{}, time.Now, hclog.NewNullLogger())
+				executor := newSettled(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, silentClient{}, time.Now, hclog.NewNullLogger())
 				defer executor.Close()
 				hello := linker.Hello{Domain: "a", Incarnation: "other", Weight: 1, Revision: linker.Revision}
 				executor.peers.Receive(hello, linker.StateUpdate{ActiveJobs: []uint64{uint64(locator.KeyOf("j"))}})
@@ -172,7 +172,7 @@
 func TestRequestsAfterAPauseAwaitAnnouncements(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, silentClient{}, time.Now, hclog.NewNullLogger())
+		executor := newSettled(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, silentClient{}, time.Now, hclog.NewNullLogger())
 		defer executor.Close()
 		hello := linker.Hello{Domain: "a", Incarnation: "other", Weight: 1, Revision: linker.Revision}
 		executor.peers.Receive(hello, hello)
--- a/executor/log.go
+++ b/executor/log.go
@@ -149,6 +149,22 @@
 	executor.logger.Info("first look at targets", "targets", reads, "peers", peers, "since-start-ms", now.Sub(executor.startedAt).Milliseconds())
 }
 
+func (executor *Executor) logFirstLookEnd(ended scheduler.FirstLookEnded) {
+	executor.logger.Info("first look at targets ended", "end", string(ended.End), "targets", ended.Targets, "not-looked-at", ended.Unlooked,
+		"unreachable", ended.Unreachable, "waiting", ended.Waiting, "passes-on", executor.delegating, "since-start-ms", executor.now().Sub(executor.startedAt).Milliseconds())
+}
+
+// logFirstStart logs the first start of a task and how many targets had not been looked at by then. The caller holds the lock.
+func (executor *Executor) logFirstStart(start *scheduler.StartTask) {
+	if executor.hasStartedTask {
+		return
+	}
+	executor.hasStartedTask = true
+	progress := executor.scheduler.FirstLookProgress()
+	executor.logger.Info("first task started", "task", start.Run.Task, "target", start.Target, "targets", progress.Targets,
+		"not-looked-at", progress.Unlooked, "unreachable", progress.Unreachable, "since-start-ms", start.Issued.Sub(executor.startedAt).Milliseconds())
+}
+
 // logFirstList logs the first list of a target if it holds runs whose owners this instance does not know. The caller holds the lock.
 func (executor *Executor) logFirstList(poller *poller, poll scheduler.PollResult) {
 	var unknown []string
--- a/executor/outstanding_start_test.go
+++ b/executor/outstanding_start_test.go
@@ -41,7 +41,7 @@
 	is := is.New(t)
 	client := &pausedClient{}
 	clock := func() time.Time { return time.Now().Add(time.Duration(client.pause.Load())) }
-	executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, client, clock, hclog.NewNullLogger())
+	executor := newSettled(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, client, clock, hclog.NewNullLogger())
 	t.Cleanup(executor.Close)
 	executor.mu.Lock()
 	executor.scheduler.SetTargets(infosOf(1), clock())
--- a/executor/pause_test.go
+++ b/executor/pause_test.go
@@ -30,7 +30,7 @@
 	var pause atomic.Int64
 	client := &lateClient{started: make(chan string, 1000)}
 	clock := func() time.Time { return time.Now().Add(time.Duration(pause.Load())) }
-	executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, client, clock, hclog.NewNullLogger())
+	executor := newSettled(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, client, clock, hclog.NewNullLogger())
 	t.Cleanup(executor.Close)
 	now := clock()
 	executor.mu.Lock()
@@ -56,7 +56,7 @@
 	var pause atomic.Int64
 	client := &lateClient{started: make(chan string, 1000)}
 	clock := func() time.Time { return time.Now().Add(time.Duration(pause.Load())) }
-	executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, client, clock, hclog.NewNullLogger())
+	executor := newSettled(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, client, clock, hclog.NewNullLogger())
 	t.Cleanup(executor.Close)
 	executor.mu.Lock()
 	now := clock()
@@ -81,7 +81,7 @@
 func TestStartDecidedBeforeAPauseIsNotSentLate(t *testing.T) {
 	is := is.New(t)
 	client := &lateClient{started: make(chan string, 1000)}
-	executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, client, time.Now, hclog.NewNullLogger())
+	executor := newSettled(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, client, time.Now, hclog.NewNullLogger())
 	t.Cleanup(executor.Close)
 	now := time.Now()
 	for _, test := range []struct {
@@ -121,7 +121,7 @@
 			var passed atomic.Int64
 			begin := time.Now()
 			clock := func() time.Time { return begin.Add(time.Duration(passed.Load())) }
-			executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self", Weight: 0.8}, 0, silentClient{}, clock, hclog.NewNullLogger())
+			executor := newSettled(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self", Weight: 0.8}, silentClient{}, clock, hclog.NewNullLogger())
 			t.Cleanup(executor.Close)
 			executor.SetTargets(infosOf(1))
 			pass := func(duration time.Duration) time.Time { return begin.Add(time.Duration(passed.Add(int64(duration)))) }
--- a/executor/peers.go
+++ b/executor/peers.go
@@ -193,6 +193,10 @@
 	for _, loss := range executor.scheduler.Losses() {
 		executor.peers.SendLoss(from, &loss)
 	}
+	// Queries in a message are handled before its reports, which say that the targets have been looked at.
+	for _, run := range executor.scheduler.UnownedRuns() {
+		executor.peers.QueryOwner(from, run)
+	}
 	for _, report := range executor.scheduler.Reports(executor.now()) {
 		if startsRuns || report.Unreachable {
 			executor.peers.SendReport(from, report)
--- a/executor/poller_test.go
+++ b/executor/poller_test.go
@@ -36,9 +36,19 @@
 
 func newTestExecutor(t *testing.T) *Executor { return newTestExecutorOf(t, silentClient{}) }
 
+// newSettled returns an executor of an instance that has joined older ones, so that it awaits no first look at the targets.
+func newSettled(self linker.Hello, client TargetClient, now func() time.Time, logger hclog.Logger) *Executor {
+	executor := New(self, 0, client, now, logger)
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	executor.scheduler.CheckFirstLook(time.Time{}, now())
+	executor.runActions()
+	return executor
+}
+
 func newTestExecutorOf(t *testing.T, client TargetClient) *Executor {
 	self := linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}
-	executor := New(self, 0, client, time.Now, hclog.NewNullLogger())
+	executor := newSettled(self, client, time.Now, hclog.NewNullLogger())
 	t.Cleanup(executor.Close)
 	executor.SetTargets([]scheduler.Target{{ID: "t", Service: "work", Domain: "a", Capacity: scheduler.Resources{MilliCores: 32000}}})
 	return executor
--- a/executor/repeat_start_test.go
+++ b/executor/repeat_start_test.go
@@ -64,7 +64,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			client := &scriptedClient{results: test.results, done: make(chan struct{})}
-			executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, client, time.Now, hclog.NewNullLogger())
+			executor := newSettled(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, client, time.Now, hclog.NewNullLogger())
 			t.Cleanup(executor.Close)
 			executor.mu.Lock()
 			executor.scheduler.SetTargets(infosOf(3), time.Now())
--- a/executor/reserve_test.go
+++ b/executor/reserve_test.go
@@ -27,7 +27,7 @@
 func newReservingExecutor(readerRevision int) *reservingExecutor {
 	reserving := &reservingExecutor{client: &lateClient{started: make(chan string, 10)}}
 	logger := hclog.New(&hclog.LoggerOptions{Output: &reserving.logs, JSONFormat: true})
-	reserving.Executor = New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, reserving.client, time.Now, logger)
+	reserving.Executor = newSettled(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, reserving.client, time.Now, logger)
 	hello := linker.Hello{Domain: "a", Name: "n2", Incarnation: "reader", Revision: readerRevision}
 	reserving.peers.Receive(hello, hello)
 	reserving.mu.Lock()
--- a/executor/services_test.go
+++ b/executor/services_test.go
@@ -30,7 +30,7 @@
 			is := is.New(t)
 			now := time.Unix(1_000_000, 0)
 			self := linker.Hello{Domain: "a", Name: "self", Incarnation: "self", Weight: 0.1}
-			executor := New(self, 0, silentClient{}, func() time.Time { return now }, hclog.NewNullLogger())
+			executor := newSettled(self, silentClient{}, func() time.Time { return now }, hclog.NewNullLogger())
 			t.Cleanup(executor.Close)
 			for i := range 299 {
 				name := fmt.Sprintf("peer-%d", i)
@@ -59,7 +59,7 @@
 	var output logBuffer
 	now := time.Unix(1_000_000, 0)
 	self := linker.Hello{Domain: "a", Name: "self", Incarnation: "self", Weight: 0.144}
-	executor := New(self, 0, silentClient{}, func() time.Time { return now }, hclog.New(&hclog.LoggerOptions{Output: &output, JSONFormat: true}))
+	executor := newSettled(self, silentClient{}, func() time.Time { return now }, hclog.New(&hclog.LoggerOptions{Output: &output, JSONFormat: true}))
 	t.Cleanup(executor.Close)
 	hello := linker.Hello{Domain: "a", Name: "large", Incarnation: "large", Weight: 0.8}
 	executor.Peers().Receive(hello, hello)
--- a/executor/stop_list_test.go
+++ b/executor/stop_list_test.go
@@ -68,7 +68,7 @@
 func TestLostStartIsFoundOutAtOnce(t *testing.T) {
 	is := is.New(t)
 	client := &lostStartClient{restarted: make(chan time.Time, 10)}
-	executor := New(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, 0, client, time.Now, hclog.NewNullLogger())
+	executor := newSettled(linker.Hello{Domain: "a", Name: "n1", Incarnation: "self"}, client, time.Now, hclog.NewNullLogger())
 	t.Cleanup(executor.Close)
 	infos := make([]scheduler.Target, 2)
 	for number, id := range []string{"t", "u"} {
--- a/gossiper/roles.go
+++ b/gossiper/roles.go
@@ -33,13 +33,25 @@
 	if now.Sub(startedAt) >= joiningPeriod {
 		return false
 	}
+	return startedAt.Sub(gossiper.oldestStart()) > commonStartPeriod
+}
+
+// oldestStart returns the earliest start of the live instances that are known, including this one. The caller holds the lock.
+func (gossiper *Gossiper) oldestStart() time.Time {
 	oldest := gossiper.startedAt
 	for _, peer := range gossiper.peers {
 		if !peer.lost && peer.startedAt.Before(oldest) {
 			oldest = peer.startedAt
 		}
 	}
-	return startedAt.Sub(oldest) > commonStartPeriod
+	return oldest
+}
+
+// OldestStart returns the earliest start of the live instances that are known, including this one; zero if one does not state it.
+func (gossiper *Gossiper) OldestStart() time.Time {
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	return gossiper.oldestStart()
 }
 
 // countJoining counts the live instances, including this one, that are joining. The caller holds the lock.
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -51,6 +51,9 @@
 	if job.load.ExpectedWait > job.load.MaxWait {
 		return scheduler.refusal(job, dispatcher.ReasonOverload, "the job would wait longer than it has time", now), false
 	}
+	if scheduler.leastFirstLook(now) > job.load.MaxWait {
+		return scheduler.refusal(job, dispatcher.ReasonOverload, "no room in time", now), false
+	}
 	if !scheduler.admitShare(job, rate, now) {
 		return scheduler.refusal(job, dispatcher.ReasonOverload, "the caller uses more than its share", now), false
 	}
@@ -203,5 +206,5 @@
 // refusal returns a refusal whose retry time is when the tasks ahead are expected to have started.
 func (scheduler *Scheduler) refusal(job *job, reason dispatcher.Reason, detail string, now time.Time) dispatcher.Refused {
 	load := scheduler.load(job, scheduler.releaseRateOf(job.Service, now), now)
-	return dispatcher.NewRefused(reason, detail, "", now.Add(max(load.ExpectedWait, minRetryAfter)))
+	return dispatcher.NewRefused(reason, detail, "", now.Add(max(load.ExpectedWait, minRetryAfter, scheduler.mostFirstLook(now))))
 }
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -435,6 +435,7 @@
 		known = &allocation{resources: resources, claimedAt: now}
 		target.allocate(active.Run, known)
 		scheduler.changedTargets[target.ID] = true
+		scheduler.awaitListedRun(target, active.Run)
 	}
 	scheduler.clearSurvivor(target.ID, target.Incarnation, active.Run, known, now)
 	known.confirmedAt, known.missingSince, known.restarted = now, time.Time{}, false
@@ -738,7 +739,7 @@
 	var reports []CapacityReport
 	for _, id := range slices.Sorted(maps.Keys(scheduler.changedTargets)) {
 		target, ok := scheduler.targets[id]
-		if ok && scheduler.offered[id] {
+		if ok && (scheduler.offered[id] || target.readBySelf && scheduler.withholdsReport(target, now)) {
 			continue
 		}
 		delete(scheduler.changedTargets, id)
@@ -755,7 +756,7 @@
 // RenewalReport returns a report for a target whose lease was just renewed, if the last report is old.
 func (scheduler *Scheduler) RenewalReport(targetID string, now time.Time) (CapacityReport, bool) {
 	target, ok := scheduler.targets[targetID]
-	if !ok || !target.readBySelf || scheduler.offered[targetID] || now.Sub(target.lastReportAt) < reportInterval {
+	if !ok || !target.readBySelf || scheduler.offered[targetID] || now.Sub(target.lastReportAt) < reportInterval || scheduler.withholdsReport(target, now) {
 		return CapacityReport{}, false
 	}
 	target.lastReport, target.lastReportAt = target.report(now), now
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -58,6 +58,7 @@
 	}
 	scheduler.matchReport(target, &report, now)
 	// A reader that has not listed the runs on the target yet reports no free capacity.
+	target.recordPeerLook(&report)
 	if report.FreeCapacity != (Resources{}) {
 		scheduler.recordVouch(target, report.Reporter, now)
 	}
@@ -126,7 +127,7 @@
 func (scheduler *Scheduler) Reports(now time.Time) []CapacityReport {
 	var reports []CapacityReport
 	for _, target := range scheduler.ordered {
-		if target.readBySelf && (target.unreachable || target.listedByReader()) {
+		if target.readBySelf && (target.unreachable || target.listedByReader()) && !scheduler.withholdsReport(target, now) {
 			reports = append(reports, target.report(now))
 		}
 	}
--- a/scheduler/orphan.go
+++ b/scheduler/orphan.go
@@ -82,7 +82,11 @@
 // has claimed it since this one is the reader: the former reader may have known the owner, or have been the owner.
 func (scheduler *Scheduler) checkUnowned(target *target, run Run, allocation *allocation, now time.Time) {
 	scheduler.changedTargets[target.ID] = true // the free capacity is withheld from now on
-	listedFor := now.Sub(allocation.claimedAt)
+	listedFor, queryDelay := now.Sub(allocation.claimedAt), ownerQueryDelay
+	if scheduler.AwaitsFirstLook(now) {
+		// Nothing has started yet, so that no claim is under way.
+		queryDelay = 0
+	}
 	var unasked []string
 	for _, peer := range scheduler.peers.Answering {
 		if !allocation.disowned[peer] {
@@ -90,9 +94,9 @@
 		}
 	}
 	switch {
-	case listedFor >= orphanGrace, listedFor >= ownerQueryDelay && scheduler.peers.Complete && len(unasked) == 0:
+	case listedFor >= orphanGrace, listedFor >= queryDelay && scheduler.peers.Complete && len(unasked) == 0:
 		scheduler.stopOrphan(target, run, "no instance owns the run", now)
-	case listedFor >= ownerQueryDelay && len(unasked) > 0:
+	case listedFor >= queryDelay && len(unasked) > 0:
 		scheduler.queryOwner(target, run, allocation, unasked, now)
 	}
 }
--- a/scheduler/restart_simulation_test.go
+++ b/scheduler/restart_simulation_test.go
@@ -62,10 +62,21 @@
 	}
 }
 
+// drawRestartDelay returns after how long a killed instance is back.
+func (starvation *starvation) drawRestartDelay() int {
+	if starvation.causes.slowReturn {
+		return 750 + starvation.random.IntN(350)
+	}
+	return 300 + starvation.random.IntN(400)
+}
+
 // drawRequestDelay returns after how long a request without an answer is carried out.
 func (starvation *starvation) drawRequestDelay() int {
-	if starvation.causes.endAgain {
+	switch {
+	case starvation.causes.endAgain:
 		return 100 + starvation.random.IntN(3000)
+	case starvation.causes.slowReturn:
+		return 50 + starvation.random.IntN(2500)
 	}
 	return 2000 + starvation.random.IntN(2000)
 }
@@ -83,11 +94,12 @@
 			simulation.after(resendDelayMS, func() { simulation.crashing.resend(simulation, id) })
 		}
 	}
-	simulation.after(300+starvation.random.IntN(400), func() {
+	simulation.after(starvation.drawRestartDelay(), func() {
 		instance := simulation.newInstance(number, former.name+"'")
 		simulation.instances[number] = instance
 		state := starvation.state(instance)
 		state.startedAt, state.awaitsPeers = simulation.now, true
+		instance.scheduler.AwaitFirstLook(at(simulation.now), at(simulation.now+minStartupGraceMS))
 		simulation.acting = number
 		starvation.updateReaders(simulation, number, state)
 		simulation.spontaneous.trace(simulation, "%s starts", instance.name)
@@ -122,6 +134,25 @@
 	}
 }
 
+// checkFirstLook lets an instance look at the targets that it reads as soon as it knows the others, and start tasks once all are looked
+// at, as in the executor.
+func (starvation *starvation) checkFirstLook(simulation *simulation, number int, state *starvedInstance) {
+	instance := simulation.instances[number]
+	if !instance.scheduler.AwaitsFirstLook(at(simulation.now)) {
+		instance.scheduler.CheckFirstLook(at(state.startedAt), at(simulation.now))
+		return
+	}
+	starvation.updatePeers(simulation, number, state)
+	oldest := state.startedAt
+	for _, other := range simulation.instances {
+		if _, ok := state.heard[other.name]; ok {
+			oldest = min(oldest, starvation.state(other).startedAt)
+		}
+	}
+	simulation.spontaneous.stopOrphans(simulation, number)
+	instance.scheduler.CheckFirstLook(at(oldest), at(simulation.now))
+}
+
 func (starvation *starvation) hasLink(from, to string) bool {
 	return starvation.linked == nil || starvation.linked[[2]string{from, to}]
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -136,6 +136,7 @@
 	isolator *isolator.Isolator
 	lossSharing
 	coldTargets
+	firstLook  firstLook
 	link       Link
 	contention contention
 	reserver   reservationPolicy
--- a/scheduler/starvation_test.go
+++ b/scheduler/starvation_test.go
@@ -36,6 +36,9 @@
 	// endAgain means that some targets end in the seconds after such a restart, and that late requests are carried out at any
 	// time within seconds.
 	endAgain bool
+	// slowReturn means that the instances are back a second after such a restart, when callers are about to send their jobs again, and
+	// that many requests get no answer and are carried out at any time within seconds.
+	slowReturn bool
 }
 
 const (
@@ -398,6 +401,7 @@
 		starvation.synchronize(simulation, instance)
 	}
 	state.lastTick = simulation.now
+	starvation.checkFirstLook(simulation, number, state)
 	instance.scheduler.Tick(now)
 	instance.scheduler.ExpireOffers(now)
 	if simulation.now-state.lastSweep >= 100 {
@@ -437,6 +441,9 @@
 	for _, loss := range from.scheduler.Losses() {
 		simulation.send(to, func(peer *Scheduler) { peer.HandlePeerLoss(loss, at(simulation.now)) })
 	}
+	for _, run := range from.scheduler.UnownedRuns() {
+		simulation.send(to, func(peer *Scheduler) { simulation.answerQuery(from.name, to, run, peer) })
+	}
 	for _, report := range from.scheduler.Reports(at(simulation.now)) {
 		report.Reporter = from.name
 		simulation.send(to, func(peer *Scheduler) { peer.HandlePeerReport(report, at(simulation.now)) })
@@ -506,6 +513,9 @@
 func (starvation *starvation) losing(now int) bool {
 	for _, interval := range starvation.lossy {
 		if now >= interval[0] && now < interval[1] {
+			if starvation.causes.slowReturn {
+				return starvation.random.IntN(6) == 0
+			}
 			if starvation.causes.restartOfAll {
 				return starvation.random.IntN(20) == 0 // Requests are carried out at once or late with the same chance.
 			}
@@ -762,6 +772,9 @@
 		return
 	}
 	switch action := action.(type) {
+	case FirstLookEnded:
+		starvation.counts["first look "+string(action.End)]++
+		starvation.counts["first look, ms in total"] += simulation.now - starvation.state(simulation.instances[number]).startedAt
 	case RunLost:
 		starvation.lost[action.Run.Task] = fmt.Sprintf("%v by n%d at %d ms (%v on %s)", action.Reason, number, simulation.now, action.Run, action.Target)
 	case StopRun:
@@ -854,6 +867,7 @@
 		{"late orders", starvationCauses{lateOrders: true}},
 		{"restart of all", starvationCauses{restartOfAll: true}},
 		{"restart of all, targets end again", starvationCauses{restartOfAll: true, endAgain: true}},
+		{"restart of all, slow return", starvationCauses{restartOfAll: true, slowReturn: true}},
 		{"all", starvationCauses{pauses: true, readers: true, lateOrders: true}},
 	}
 	seeds := 10
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -203,6 +203,8 @@
 	// guarded is the incarnation that has answered a request of this instance that names it, and that refuses orders for former ones
 	// since; 0 if none.
 	guarded int64
+	// lookedAt is the incarnation that is known to have answered a poll of this instance or of its reader that names it; 0 if none.
+	lookedAt int64
 	// described is the incarnation that the entry in use describes.
 	described int64
 	// pending is an entry that contradicts what the target has answered, or nil, and pendingSince when it was read.
