Announce a planned stop once to all, and expect nothing of an idle stopping instance

Callers got 504 for jobs whose delegate was taken for lost while it ran.

Cause: a small instance that stops counts itself as delegating and sends heartbeats only to those that it is in contact with by its own view. Others, which begin to start work because the larger ones stop, count it as starting and expect heartbeats; some have not been told of its stop at all.

Change: a stopping instance that delegates its jobs announces its stop once on each link to those that it is not in contact with, and again when it begins or ceases to own jobs. While its link is up, nothing is expected of a leaving instance that owns no jobs and shares none with the observer. One that does, or whose link ends, is detected as before.

Tests: TestStoppingInstanceIsNotTakenForLost and TestStoppingInstanceThatSharesAJobIsDetected fail before (the stop is not announced; without the second part of the change, the instance is taken for lost).

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -91,6 +91,8 @@
 	transit transit
 	// sharedJobs counts the jobs that one of the two instances currently runs for the other one.
 	sharedJobs int
+	// stopAnnounced means that the instance has been sent the planned stop of this one on the present link.
+	stopAnnounced bool
 }
 
 // Gossiper sends and receives messages between instances.
@@ -217,6 +219,16 @@
 	notify(gossiper.changed)
 }
 
+// announceStop schedules the announcement of a planned stop, if one has begun, to an instance with a new link.
+func (gossiper *Gossiper) announceStop(incarnation string) {
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	if peer, ok := gossiper.peers[incarnation]; ok && gossiper.leaving {
+		peer.stopAnnounced = false
+		notify(gossiper.changed)
+	}
+}
+
 // updateFor returns the pending state update to an instance, to be extended by the caller, and schedules its sending;
 // the caller holds the lock.
 func (gossiper *Gossiper) updateFor(incarnation string, urgent bool) *linker.StateUpdate {
@@ -414,7 +426,7 @@
 	defer gossiper.mu.Unlock()
 	if peer, ok := gossiper.peers[incarnation]; ok {
 		now := gossiper.now()
-		before := gossiper.inContact(peer, now)
+		before := gossiper.expectsMessages(peer, now)
 		peer.sharedJobs = max(0, peer.sharedJobs+change)
 		gossiper.beginContact(peer, before, now)
 	}
@@ -476,6 +488,10 @@
 			gossiper.busy = busy
 			gossiper.busyAnnouncedUntil = gossiper.now().Add(busyAnnouncementPeriod)
 		})
+		for _, peer := range gossiper.peers {
+			// What others expect of a leaving instance depends on whether it is busy.
+			peer.stopAnnounced = false
+		}
 	}
 	if changed {
 		notify(gossiper.changed)
@@ -582,13 +598,17 @@
 // plan returns the broadcasts that are due at now: reports to the same failure domain, less often to other domains, and
 // only heartbeats to delegating instances. Busy delegating instances get the reports too, since the owner of a run
 // needs them to determine how long its lease may last. Instances that are not in contact receive only the announcement
-// of a planned stop. The caller holds the lock.
+// of a planned stop, from a delegating instance once on each link. The caller holds the lock.
 func (gossiper *Gossiper) plan(now time.Time) broadcastPlan {
 	heartbeatDue := now.Sub(gossiper.heartbeatSentAt) >= heartbeatInterval
 	var sameDomain, otherDomains, heartbeats []string
 	for incarnation, peer := range gossiper.peers {
 		switch {
 		case !gossiper.inContact(peer, now) && !(gossiper.leaving && !gossiper.delegating):
+			if gossiper.leaving && !peer.stopAnnounced {
+				peer.stopAnnounced = true
+				heartbeats = append(heartbeats, incarnation)
+			}
 		case peer.delegating && !peer.busy:
 			if heartbeatDue {
 				heartbeats = append(heartbeats, incarnation)
@@ -665,7 +685,7 @@
 	}
 	gossiper.checkedAt = now
 	for incarnation, peer := range gossiper.peers {
-		if !gossiper.inContact(peer, now) && links != nil && links.Connected(incarnation) {
+		if !gossiper.expectsMessages(peer, now) && links != nil && links.Connected(incarnation) {
 			// The peer sends nothing to this instance, and nothing depends on detecting its loss quickly.
 			continue
 		}
@@ -691,6 +711,7 @@
 	switch message := message.(type) {
 	case linker.Hello:
 		gossiper.recordContact(from, linker.StateUpdate{})
+		gossiper.announceStop(from.Incarnation)
 		gossiper.sendClock(from)
 	case linker.LinkEnded:
 		gossiper.recordLinkEnd(from.Incarnation, message.Cause)
@@ -737,6 +758,7 @@
 	defer gossiper.mu.Unlock()
 	if peer, ok := gossiper.peers[incarnation]; ok {
 		peer.linkEnded, peer.endedAt, peer.endCause = true, now, cause
+		peer.stopAnnounced = false
 	}
 }
 
--- a/gossiper/roles.go
+++ b/gossiper/roles.go
@@ -178,7 +178,7 @@
 	now := gossiper.now()
 	before := make(map[*peer]bool, len(gossiper.peers))
 	for _, peer := range gossiper.peers {
-		before[peer] = gossiper.inContact(peer, now)
+		before[peer] = gossiper.expectsMessages(peer, now)
 	}
 	change()
 	for _, peer := range gossiper.peers {
@@ -186,10 +186,10 @@
 	}
 }
 
-// beginContact prepares the exchange of heartbeats if the peer was not in contact before: their absence until now is no
+// beginContact prepares the exchange of heartbeats if none were expected of the peer before: their absence until now is no
 // evidence of a loss. The caller holds the lock.
 func (gossiper *Gossiper) beginContact(peer *peer, before bool, now time.Time) {
-	if !before && gossiper.inContact(peer, now) {
+	if !before && gossiper.expectsMessages(peer, now) {
 		peer.lastHeard, peer.contactSince = now, now
 		gossiper.heartbeatSentAt = time.Time{}
 		notify(gossiper.changed)
@@ -222,3 +222,13 @@
 	}
 	return peer.busy
 }
+
+// expectsMessages reports whether the absence of messages of the peer would be evidence of its loss. Nothing depends on a leaving
+// instance without jobs, and it may see the roles differently: it sends heartbeats to those that it is in contact with by its own
+// view. The caller holds the lock.
+func (gossiper *Gossiper) expectsMessages(peer *peer, now time.Time) bool {
+	if peer.leaving && !peer.busy && peer.sharedJobs == 0 {
+		return false
+	}
+	return gossiper.inContact(peer, now)
+}
