Record a cancellation in the store while an instance cannot be reached

Cause: cancellations were only in the memory of the instances that were linked at that moment, and were acknowledged before any other one had them. An instance that was considered lost was not asked at all, and the answer was 410.

Change: if an instance cannot be reached, the cancellation is written to a topic of the store, and the acknowledgement waits until the store or another instance has it, for 1.2 s at most. An instance reads the topic at its start, and every 2 s at most while another one cannot be reached or after it was paused or has lost one. The writer deletes a record after a minute. The answer is 200 then, since the job may be active where it was not reached. While all instances are linked, the only new call is one read for each start.

--- a/executor/cancel_test.go
+++ b/executor/cancel_test.go
@@ -1,6 +1,8 @@
 package executor
 
 import (
+	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -87,3 +89,92 @@
 	executor.HandleStateUpdate("silent", linker.StateUpdate{CancelAnswers: []linker.CancelledAnswer{{Job: "j"}}}) // too late
 	is.Equal(len(executor.cancelQueries), 0)
 }
+
+// memoryArchive is a CancellationArchive that records cancellations when recorded is closed.
+type memoryArchive struct {
+	recorded chan struct{}
+
+	mu   sync.Mutex
+	jobs []string
+}
+
+func (archive *memoryArchive) Archive(job string) <-chan struct{} {
+	archive.mu.Lock()
+	defer archive.mu.Unlock()
+	archive.jobs = append(archive.jobs, job)
+	return archive.recorded
+}
+
+func (archive *memoryArchive) count() int {
+	archive.mu.Lock()
+	defer archive.mu.Unlock()
+	return len(archive.jobs)
+}
+
+// A cancel was acknowledged although the instance of the job could not be reached and no other one knew of it. If the one that had
+// acknowledged it was killed, the job ran on. The acknowledgement must not wait long for a store that is away.
+func TestCancelIsRecordedWhileAnInstanceCannotBeReached(t *testing.T) {
+	is := is.New(t)
+	executor := newTestExecutor(t)
+	links := linker.New(executor.self, linker.DefaultLimits(), hclog.NewNullLogger(), executor.peers.Receive)
+	defer links.Close()
+	executor.peers.SetLinks(links)
+	archive := &memoryArchive{recorded: make(chan struct{})}
+	executor.SetCancellationArchive(archive)
+	cancel := func(job string) (active bool, took time.Duration) {
+		began := time.Now()
+		active = executor.Cancel(t.Context(), job)
+		return active, time.Since(began)
+	}
+	active, _ := cancel("j")
+	is.True(!active)
+	is.Equal(archive.count(), 0) // there is no other instance
+	is.True(!executor.MayHaveMissedCancellations())
+
+	// A paused process accepts connections and does not answer.
+	paused, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = paused.Close() }()
+	links.SetMembers([]linker.Peer{{Name: "paused", Incarnation: "paused", Address: paused.Addr().String()}})
+	is.True(executor.MayHaveMissedCancellations())
+	active, took := cancel("j")
+	is.True(active) // it may be active there
+	is.Equal(archive.count(), 1)
+	is.True(took >= cancelRecordTimeout && took < 2*cancelRecordTimeout)
+	close(archive.recorded)
+	_, took = cancel("j")
+	is.True(took < cancelRecordTimeout)
+	is.Equal(archive.count(), 2)
+
+	// Another instance that has it can tell the one that cannot be reached.
+	archive.recorded = make(chan struct{})
+	hello := linker.Hello{Domain: "a", Incarnation: "live", Revision: linker.Revision}
+	executor.peers.Receive(hello, hello)
+	go func() {
+		for archive.count() < 3 {
+			time.Sleep(time.Millisecond)
+		}
+		executor.HandleStateUpdate("live", linker.StateUpdate{CancelAnswers: []linker.CancelledAnswer{{Job: "j"}}})
+	}()
+	active, took = cancel("j")
+	is.True(active)
+	is.True(took < cancelTimeout+cancelRecordTimeout)
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	is.Equal(len(executor.cancelQueries), 0)
+}
+
+// A cancellation that another instance has recorded must stop the job here.
+func TestRecordedCancellationStopsTheJob(t *testing.T) {
+	is := is.New(t)
+	target := newMemoryTarget(time.Minute)
+	members := newEquals(t, target, "one", "two")
+	outcome := members[0].submit(t.Context(), memoryJob("j", 2))
+	await(t, "the job runs", func() bool { return target.readLocked(func() int { return len(target.running) }) == 2 })
+	members[0].ApplyCancellations([]string{"j", "another job"})
+	_, unknown := (<-outcome).(dispatcher.Unknown)
+	is.True(unknown)
+	await(t, "all runs are stopped", func() bool { return target.readLocked(func() int { return target.stopped }) == 2 })
+	_, unknown = (<-members[0].submit(t.Context(), memoryJob("another job", 1))).(dispatcher.Unknown)
+	is.True(unknown)
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -129,6 +129,9 @@
 	foreignJobs map[foreignJob]context.CancelFunc
 	// cancelQueries holds the jobs of cancellations that other instances have not answered.
 	cancelQueries map[*cancelQuery]string
+	// cancellationArchive may be nil. cancellationsMissed means that an instance was lost or this one paused since it was read.
+	cancellationArchive CancellationArchive
+	cancellationsMissed bool
 	// locator holds the jobs that other instances have announced.
 	locator *locator.Locator
 	// reservations holds the reservations that starts wait for.
@@ -657,7 +660,7 @@
 		}
 		executor.scheduler.RecordPause(now)
 		executor.holdStartsAfter(paused, now)
-		executor.pauseNoticedAt = now
+		executor.pauseNoticedAt, executor.cancellationsMissed = now, true
 	}
 	return paused > pauseThreshold
 }
--- a/gossiper/cancellations.go
+++ b/gossiper/cancellations.go
@@ -15,6 +15,25 @@
 	}
 }
 
+// OutOfTouch reports whether an instance may be running that this one has no link to or considers lost.
+func (gossiper *Gossiper) OutOfTouch() bool {
+	links := gossiper.currentLinks()
+	if links == nil {
+		return false
+	}
+	if !links.AllLinked() {
+		return true
+	}
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	for incarnation, peer := range gossiper.peers {
+		if peer.lost && links.Connected(incarnation) {
+			return true
+		}
+	}
+	return false
+}
+
 // AnswerCancellation tells an instance without delay whether a cancelled job was active here.
 func (gossiper *Gossiper) AnswerCancellation(to, job string, active bool) {
 	gossiper.mu.Lock()
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -235,6 +235,19 @@
 	return known && !slices.ContainsFunc(pending, func(peer Peer) bool { return linker.linkTo(peer) == nil })
 }
 
+// AllLinked reports whether each member is linked or is known to be absent.
+func (linker *Linker) AllLinked() bool {
+	linker.mu.RLock()
+	var present []Peer
+	for peer, member := range linker.members {
+		if !member.absent {
+			present = append(present, peer)
+		}
+	}
+	linker.mu.RUnlock()
+	return !slices.ContainsFunc(present, func(peer Peer) bool { return linker.linkTo(peer) == nil })
+}
+
 // setAbsent records whether an attempt to connect to a member has shown that it is absent.
 func (linker *Linker) setAbsent(member *member, err error) {
 	linker.mu.Lock()
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -430,6 +430,7 @@
 	unknown.SetMembers(nil)
 	is.True(unknown.MembersSettled(time.Hour))
 	is.True(a.MembersSettled(time.Hour))
+	is.True(a.AllLinked())
 	refused := closedAddress(t)
 	a.SetMembers([]Peer{
 		{Name: "b", Incarnation: b.self.Incarnation, Address: b.address()},
@@ -437,12 +438,14 @@
 		{Name: "b", Incarnation: "b-former", Address: b.address()},
 	})
 	waitFor(t, "the refused and the former incarnation are absent", func() bool { return a.MembersSettled(time.Hour) })
+	is.True(a.AllLinked())
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	t.Cleanup(func() { _ = silent.Close() })
 	a.SetMembers([]Peer{{Name: "silent", Incarnation: "silent-1", Address: silent.Addr().String()}})
 	is.True(!a.MembersSettled(time.Hour))
 	is.True(a.MembersSettled(0))
+	is.True(!a.AllLinked()) // it may be running
 }
 
 // closedAddress returns an address at which connections are refused.
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -173,6 +173,9 @@
 	supervisor.publisher = newPublisher(ctx, hello, supervisor.store, clocker.Now, logger)
 	supervisor.peers = newPeerRegistry(hello, supervisor.publisher)
 	supervisor.followTopics()
+	cancellations := newCancellationArchive(ctx, settings.Name, supervisor.store, jobExecutor, clocker.Now, logger)
+	jobExecutor.SetCancellationArchive(cancellations)
+	supervisor.group.Go(cancellations.follow)
 	supervisor.group.Go(supervisor.logLoad)
 	return supervisor, nil
 }
