Count a stop as accepted by the incarnation that it named

A target refuses the late starts of its former incarnations once it has accepted a request that names the present one. Which one an accepted stop had named was taken from the pending stop when the answer arrived: for a stop that another instance had asked for, and for one whose run was known to have ended, that was the present incarnation, whichever was asked. The target then counted as one that refuses, and the task of an outstanding start could begin elsewhere.

The incarnation is now that of the request itself, which the executor knows. TestTaskWithUnansweredStartOnCrashedTargetStartsAgain and the simulation, which stand in for the executor, report both results of an accepted stop as that does.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -557,7 +557,10 @@
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
 	executor.noticePause(executor.now())
-	if errors.Is(err, ErrFenced) {
+	switch {
+	case err == nil:
+		executor.scheduler.HandleAccepted(stop.RunTarget, executor.now())
+	case errors.Is(err, ErrFenced):
 		executor.scheduler.HandleFenced(stop.RunTarget, executor.now())
 	}
 	if errors.Is(err, ErrReplaced) && executor.scheduler.HasEndedWith(stop.RunTarget, stop.Run) {
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -102,6 +102,13 @@
 	scheduler.recordNamed(target, poll.Named, now)
 }
 
+// HandleAccepted handles a request that a target has accepted, as it was known when the request was sent.
+func (scheduler *Scheduler) HandleAccepted(on Target, now time.Time) {
+	if target, ok := scheduler.targets[on.ID]; ok {
+		scheduler.recordNamed(target, on.Incarnation, now)
+	}
+}
+
 // recordNamed records that the target has answered a request that names the given incarnation.
 func (scheduler *Scheduler) recordNamed(target *target, incarnation int64, now time.Time) {
 	if incarnation == 0 || incarnation != target.Incarnation || target.guarded == incarnation {
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -520,8 +520,11 @@
 		case StopRun:
 			simulation.request(number, action.RunTarget.ID, time.Time{}, func(target *simulatedTarget) StartResult { return simulation.stop(target, &action) },
 				func(result StartResult, answered bool) {
-					if result == StartFenced {
+					switch {
+					case result == StartFenced:
 						scheduler.HandleFenced(action.RunTarget, at(simulation.now))
+					case answered:
+						scheduler.HandleAccepted(action.RunTarget, at(simulation.now))
 					}
 					scheduler.HandleStopResult(action.RunTarget.ID, action.Run, answered && result != StartFenced, at(simulation.now))
 				})
--- a/scheduler/stop.go
+++ b/scheduler/stop.go
@@ -51,11 +51,9 @@
 	// since is when the stop was first requested, and requestedAt when it was last requested.
 	since       time.Time
 	requestedAt time.Time
-	// underWay counts the requests without a result, and failures those that got no answer. isMixed means that requests for several
-	// incarnations have been under way at a time, so that it is not known which of them has accepted one.
+	// underWay counts the requests without a result, and failures those that got no answer.
 	underWay int
 	failures int
-	isMixed  bool
 	// unwanted means that no job of this instance waits for the end of the run. Its caller may send the job again at any
 	// time, to any instance.
 	unwanted bool
@@ -86,7 +84,6 @@
 	if pending.isAccepted() {
 		pending.since, pending.acceptedAt, pending.missingSince = now, time.Time{}, time.Time{}
 	}
-	pending.isMixed = pending.underWay > 0 && (pending.isMixed || pending.incarnation != target.Incarnation)
 	pending.reason, pending.requestedAt = reason, now
 	pending.incarnation, pending.address = target.Incarnation, target.Address
 	pending.underWay++
@@ -146,9 +143,6 @@
 	scheduler.resumeRenewals(key, pending)
 	pending.acceptedAt, pending.nextListAt, pending.failures = now, now, 0
 	if target, ok := scheduler.targets[key.target]; ok {
-		if !pending.isMixed {
-			scheduler.recordNamed(target, pending.incarnation, now)
-		}
 		if allocation, ok := target.allocations[key.run]; ok && !allocation.confirmedAt.IsZero() {
 			pending.nextListAt = now.Add(MaxStopDuration)
 		}
--- a/scheduler/stop_test.go
+++ b/scheduler/stop_test.go
@@ -243,6 +243,9 @@
 		scheduler.Tick(at(now))
 		actions := drain(scheduler)
 		for _, stop := range actions.stops {
+			if now >= 820 {
+				scheduler.HandleAccepted(stop.RunTarget, at(now+1))
+			}
 			scheduler.HandleStopResult(stop.RunTarget.ID, stop.Run, now >= 820, at(now+1))
 		}
 		if len(actions.starts) > 0 {
