Do not stop a straggler that has to stay on its target

A run was not stopped as a straggler while a start of that run was outstanding. A start of an earlier attempt of its task keeps the task on the target as well: the run was stopped, and started again on the same target from the beginning. Both are outstanding starts of the task. TestStragglerIsNotStoppedForTheTargetThatItIsOn failed before, with a stop of the run.

--- a/scheduler/announce.go
+++ b/scheduler/announce.go
@@ -97,10 +97,7 @@
 	job := newJob(info)
 	scheduler.findEarlierRuns(job)
 	for _, task := range job.tasks {
-		if scheduler.earlierRunGoesOn(task, now) {
-			return true
-		}
-		for range scheduler.outstandingOf(task.name, now) {
+		if scheduler.earlierRunGoesOn(task, now) || scheduler.hasOutstandingOf(task.name, now) {
 			return true
 		}
 	}
--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -155,6 +155,14 @@
 	}
 }
 
+// hasOutstandingOf reports whether a start of a task got no answer and may still be carried out.
+func (scheduler *Scheduler) hasOutstandingOf(task string, now time.Time) bool {
+	for range scheduler.outstandingOf(task, now) {
+		return true
+	}
+	return false
+}
+
 // mustStayOn reports whether a task may start on no other target than the given one, which may still carry out a start of it. What the
 // target has answered to the task before does not count then, unless one more failed run would fail the job.
 func (scheduler *Scheduler) mustStayOn(task *task, target *target, now time.Time) bool {
--- a/scheduler/outstanding_start_test.go
+++ b/scheduler/outstanding_start_test.go
@@ -440,3 +440,28 @@
 		})
 	}
 }
+
+// A run must not be stopped as a straggler if its task must start on the same target again, since a start of an earlier attempt is
+// outstanding there.
+func TestStragglerIsNotStoppedForTheTargetThatItIsOn(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	scheduler.Submit(longJob(20000), at(0))
+	start := drain(scheduler).starts[0]
+	_, _ = scheduler.RepeatStart(&start, StartUnanswered, true, at(60))
+	scheduler.HandleRepeatedStartResult(&start, StartTaken, at(62))
+	scheduler.tasks[start.Run.Task].job.MaxFailures = 3
+	scheduler.HandleEnd(start.Target, End{Seq: 1, Run: start.Run, Cause: Failed, Incarnation: 1}, at(200))
+	next := drain(scheduler).starts
+	is.Equal(len(next), 1)
+	is.Equal(next[0].Target, start.Target)
+	acceptStarts(scheduler, next, at(202))
+	scheduler.SetReader(start.Target, false, at(203))
+	for now := 210; now < 6000; now += 10 {
+		scheduler.HandlePeerReport(CapacityReport{Target: start.Target, Incarnation: 1, Reporter: "peer", FreeCapacity: testTarget(0).Capacity}, at(now))
+		scheduler.RecordLeaseRenewal(start.Target, at(now))
+		scheduler.HandlePoll(start.Target, PollResult{Incarnation: 1, Named: 1, Sent: at(now), Answered: at(now + 1), Running: []ActiveRun{{Run: next[0].Run}}})
+		scheduler.Tick(at(now + 2))
+		is.Equal(len(drain(scheduler).stops), 0)
+	}
+}
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -149,7 +149,7 @@
 		return
 	}
 	overdue := time.Duration(float64(task.predicted)*stragglerFactor) + stragglerSlack
-	if now.Sub(task.startedAt) < overdue || task.restarts > 0 || scheduler.outstandingFor(task.runTarget.ID, task.run(), now) > 0 {
+	if now.Sub(task.startedAt) < overdue || task.restarts > 0 || scheduler.hasOutstandingOf(task.name, now) {
 		return
 	}
 	if task.runTarget.lastPolled.Before(task.startedAt.Add(task.predicted)) {
