Do not wait for a target whose address belongs to another one

A task stays on a target while a start of it is outstanding there. If another target has answered at the address to which the start was sent, that one refuses it, and the present runs of the former count as ended; the task still waited for 12 s, or for its deadline. Such a start is not outstanding now, unless the target is known at that address again. TestTaskDoesNotWaitForATargetWhoseAddressBelongsToAnother failed before: the next start came after 12,060 ms.

--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -23,8 +23,9 @@
 	targetRun
 	// startedAt is when the start was decided, which distinguishes it from a start of the same run in a later submission.
 	startedAt time.Time
-	// orderedFor is the incarnation of the target that the start was meant for; 0 if unknown.
+	// orderedFor is the incarnation of the target that the start was meant for, 0 if unknown, and orderedAt its address.
 	orderedFor int64
+	orderedAt  string
 	// incarnation and address are those of the target that was last asked to stop the run.
 	incarnation int64
 	address     string
@@ -45,11 +46,11 @@
 		scheduler.lateStarts = slices.Delete(scheduler.lateStarts, 0, 1)
 	}
 	late := lateStart{
-		targetRun: targetRun{target.ID, run}, startedAt: started, orderedFor: target.Incarnation,
+		targetRun: targetRun{target.ID, run}, startedAt: started, orderedFor: target.Incarnation, orderedAt: target.Address,
 		incarnation: target.Incarnation, address: target.Address, until: now.Add(maxRequestDelay),
 	}
 	if allocation, ok := target.allocations[run]; ok {
-		late.orderedFor = allocation.incarnation
+		late.orderedFor, late.orderedAt = allocation.incarnation, allocation.address
 	}
 	scheduler.lateStarts = append(scheduler.lateStarts, late)
 	scheduler.countLateStart(&late, 1)
@@ -85,11 +86,13 @@
 }
 
 // isOutstanding reports whether a start without an answer may still be carried out. Its own incarnation of the target knows the run or
-// refuses it; a later one refuses it once it has answered a request that names it, until it ends itself.
+// refuses it; a later one refuses it once it has answered a request that names it, until it ends itself. Another target at the address
+// refuses all that is meant for this one.
 func (scheduler *Scheduler) isOutstanding(late *lateStart, now time.Time) bool {
 	target, ok := scheduler.targets[late.target]
 	isRefused := ok && target.guarded == target.Incarnation && target.Incarnation > late.orderedFor
-	return now.Before(late.until) && !isRefused
+	isReplaced := ok && target.replaced && target.Address == late.orderedAt
+	return now.Before(late.until) && !isRefused && !isReplaced
 }
 
 // void requests the stop of a start without an answer on the present incarnation of its target.
--- a/scheduler/outstanding_start_test.go
+++ b/scheduler/outstanding_start_test.go
@@ -465,3 +465,33 @@
 		is.Equal(len(drain(scheduler).stops), 0)
 	}
 }
+
+// A start is sent to the target at its address. Once another target answers there, none can be carried out, and the task must not wait
+// until its requests have expired.
+func TestTaskDoesNotWaitForATargetWhoseAddressBelongsToAnother(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	for _, id := range scheduler.Targets() {
+		scheduler.HandlePoll(id, PollResult{Incarnation: 1, Named: 1, Address: "127.0.0.1:1", Sent: at(-2), Answered: at(-1)})
+	}
+	scheduler.Submit(longJob(20000), at(0))
+	start := drain(scheduler).starts[0]
+	_, _ = scheduler.RepeatStart(&start, StartUnanswered, true, at(60))
+	scheduler.HandleRepeatedStartResult(&start, StartTaken, at(62))
+	scheduler.HandleReplaced(start.RunTarget, at(300))
+	startedAt := -1
+	for now := 310; now < 15000 && startedAt < 0; now += 10 {
+		for _, id := range scheduler.Targets() {
+			if id != start.Target {
+				scheduler.HandlePoll(id, PollResult{Incarnation: 1, Named: 1, Sent: at(now), Answered: at(now + 1)})
+			}
+		}
+		scheduler.Tick(at(now + 2))
+		scheduler.Sweep(at(now + 2))
+		if len(drain(scheduler).starts) > 0 {
+			startedAt = now
+		}
+	}
+	t.Log("next start at", startedAt, "ms")
+	is.True(startedAt >= 0 && startedAt < 2000)
+}
