Announce a given-up job under a key of its own

A job that was given up with an outstanding start was announced like an active one. The last announcement counts, so that a caller whose job was active on one instance was sent to the one that had given it up, which ran it beside the runs of the other. And an instance where the job waited abandoned it as if another one ran it; two that had both given the job up did so in turn, and it ran nowhere.

Such a job now has a key of its own. It leads a caller to the instance that knows of the start if no instance has the job, and ends nothing where the job is active. TestJobThatWasGivenUpIsJoinedWhereItIsActive and TestWaitingJobIsNotAbandonedForAnInstanceThatHasGivenItUp failed with the common key. TestJobWithAnOutstandingStartIsAnnouncedAfterItIsGivenUp demands the list of such jobs, apart from that of the active ones.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -386,7 +386,7 @@
 	case scheduler.AwaitRunEnd:
 		executor.wake(action.Target)
 	case scheduler.AnnounceJob:
-		executor.peers.AnnounceJob(locator.KeyOf(action.Job))
+		executor.peers.AnnounceJob(action.Key())
 	case scheduler.AnnounceLeaseEnd:
 		for _, peer := range action.To {
 			executor.peers.AnnounceLeaseEnd(peer, action.Target, action.End)
--- a/executor/join.go
+++ b/executor/join.go
@@ -59,12 +59,16 @@
 	}
 }
 
-// sendActiveJobs announces the active jobs of this instance to one that may have missed that; the caller holds the lock.
+// sendActiveJobs announces the active jobs of this instance, and those given up with outstanding starts, to one that may have missed that;
+// the caller holds the lock.
 func (executor *Executor) sendActiveJobs(to string) {
-	active := executor.scheduler.ActiveJobIDs(executor.now())
-	keys := make([]locator.Key, len(active))
-	for i, job := range active {
-		keys[i] = locator.KeyOf(job)
+	now := executor.now()
+	var keys []locator.Key
+	for _, job := range executor.scheduler.ActiveJobIDs(now) {
+		keys = append(keys, locator.KeyOf(job))
+	}
+	for _, job := range executor.scheduler.GivenUpJobIDs(now) {
+		keys = append(keys, locator.GivenUpKeyOf(job))
 	}
 	executor.peers.SendActiveJobs(to, keys)
 }
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -33,13 +33,18 @@
 	return Key(hash.Sum64())
 }
 
+// GivenUpKeyOf returns the key of a job that is not active on the instance that announces it, and of which a target may carry out a start
+// all the same. It differs from that of the active job, which may run on another instance by now.
+func GivenUpKeyOf(job string) Key { return KeyOf("given-up/" + job) }
+
 // Decision says what an instance does with a job that a caller has handed in: Run, Join or Withhold.
 type Decision interface{ isDecision() }
 
 // Run means that no other instance is known to have the job.
 type Run struct{}
 
-// Join means that the job is active on another instance, whose outcome counts for this caller too.
+// Join means that the job is active on another instance, whose outcome counts for this caller too, or that only that instance knows which
+// targets may carry out a start of it.
 type Join struct{ Instance string }
 
 // Withhold means that runs of the job may go on whose instance is lost.
@@ -79,7 +84,18 @@
 // Decide decides what to do with a job that is not active on this instance. contact returns what is known of another instance, or false
 // if nothing is.
 func (locator *Locator) Decide(job string, contact func(instance string) (Contact, bool), now time.Time) Decision {
-	known, ok := locator.locations[KeyOf(job)]
+	if decision := locator.decide(KeyOf(job), contact, now); decision != (Run{}) {
+		return decision
+	}
+	if join, ok := locator.decide(GivenUpKeyOf(job), contact, now).(Join); ok {
+		return join
+	}
+	// A lost instance that has given the job up runs nothing of it.
+	return Run{}
+}
+
+func (locator *Locator) decide(key Key, contact func(instance string) (Contact, bool), now time.Time) Decision {
+	known, ok := locator.locations[key]
 	if !ok || !now.Before(known.until) {
 		return Run{}
 	}
--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -89,3 +89,36 @@
 		locator.Decide("d8bad9b9d9cef9ff", live, at(100))
 	}
 }
+
+// A job that one instance has given up must be joined where it is active: the former would run it beside the runs there.
+func TestJobThatWasGivenUpIsJoinedWhereItIsActive(t *testing.T) {
+	const recorded = 100
+	tests := []struct {
+		name    string
+		active  bool
+		givenUp Contact
+		want    Decision
+	}{
+		{"given up", false, Contact{}, Join{"former"}},
+		{"given up, active elsewhere", true, Contact{}, Join{"present"}},
+		{"given up by a lost instance", false, Contact{LastHeard: at(recorded), Lost: true}, Run{}},
+		{"given up by a lost instance, active elsewhere", true, Contact{LastHeard: at(recorded), Lost: true}, Join{"present"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			locator := New()
+			if test.active {
+				locator.Record("present", KeyOf("j"), at(0))
+			}
+			locator.Record("former", GivenUpKeyOf("j"), at(recorded))
+			decision := locator.Decide("j", func(instance string) (Contact, bool) {
+				if instance == "former" {
+					return test.givenUp, true
+				}
+				return Contact{}, true
+			}, at(200))
+			is.Equal(decision, test.want)
+		})
+	}
+}
--- a/scheduler/announce.go
+++ b/scheduler/announce.go
@@ -10,16 +10,28 @@
 	"github.com/hyssoplift/hyssoplift/locator"
 )
 
-// AnnounceJob asks to announce to the other instances that a job has been active here for some time.
-type AnnounceJob struct{ Job string }
+// AnnounceJob asks to announce to the other instances that a job has been active here for some time, or that it was given up here while
+// a start of it is outstanding.
+type AnnounceJob struct {
+	Job     string
+	GivenUp bool
+}
 
 func (AnnounceJob) isAction() {}
 
+// Key returns the key under which the job is announced.
+func (announce AnnounceJob) Key() locator.Key {
+	if announce.GivenUp {
+		return locator.GivenUpKeyOf(announce.Job)
+	}
+	return locator.KeyOf(announce.Job)
+}
+
 // announceJob announces an active job if its next announcement is due. The caller of the job may hand it in again elsewhere.
 func (scheduler *Scheduler) announceJob(job *job, now time.Time) {
 	if _, active := scheduler.jobs[job.ID]; active && !now.Before(job.announceAt) && !scheduler.mayBeAbandoned(job, now) {
 		job.announceAt = now.Add(locator.AnnounceInterval)
-		scheduler.emit(AnnounceJob{job.ID})
+		scheduler.emit(AnnounceJob{Job: job.ID})
 	}
 }
 
@@ -31,7 +43,7 @@
 		outstanding[id] = true
 		if !now.Before(scheduler.outstandingAnnouncedUntil[id]) {
 			scheduler.outstandingAnnouncedUntil[id] = now.Add(locator.AnnounceInterval)
-			scheduler.emit(AnnounceJob{id})
+			scheduler.emit(AnnounceJob{Job: id, GivenUp: true})
 		}
 	}
 	maps.DeleteFunc(scheduler.outstandingAnnouncedUntil, func(id string, _ time.Time) bool { return !outstanding[id] })
@@ -54,10 +66,15 @@
 	}
 }
 
-// ActiveJobIDs returns the IDs of the active jobs, and of those given up with outstanding starts, for an instance that may have missed
-// announcements.
+// GivenUpJobIDs returns the IDs of the jobs that were given up here while a start of them is outstanding, for an instance that may have
+// missed announcements.
+func (scheduler *Scheduler) GivenUpJobIDs(now time.Time) []string {
+	return slices.Compact(slices.Sorted(scheduler.outstandingJobs(now)))
+}
+
+// ActiveJobIDs returns the IDs of the active jobs for an instance that may have missed announcements.
 func (scheduler *Scheduler) ActiveJobIDs(now time.Time) []string {
-	active := slices.Compact(slices.Sorted(scheduler.outstandingJobs(now)))
+	var active []string
 	for id, job := range scheduler.jobs {
 		if !scheduler.mayBeAbandoned(job, now) {
 			active = append(active, id)
--- a/scheduler/announce_test.go
+++ b/scheduler/announce_test.go
@@ -134,7 +134,38 @@
 		}
 		isOutstanding := now < 1500
 		is.Equal(scheduler.Concerns(testJob("j", 1, 400, now), at(now)), isOutstanding)
-		is.Equal(len(scheduler.ActiveJobIDs(at(now))) == 1, isOutstanding)
+		is.Equal(len(scheduler.GivenUpJobIDs(at(now))) == 1, isOutstanding)
+		is.Equal(len(scheduler.ActiveJobIDs(at(now))), 0)
 	}
 	is.Equal(announcedAt, map[int]bool{100: true, 600: true, 1100: true})
 }
+
+// Two instances that have given a job up with outstanding starts must not abandon it in turn when it is handed in again: neither runs it.
+func TestWaitingJobIsNotAbandonedForAnInstanceThatHasGivenItUp(t *testing.T) {
+	is := is.New(t)
+	schedulers := []*Scheduler{newTestScheduler(2), newTestScheduler(2)}
+	for _, scheduler := range schedulers {
+		start := startAgain(scheduler, true)
+		scheduler.Abandon("j", "the caller left", at(61))
+		scheduler.HandleStopResult(start.Target, start.Run, true, at(63))
+		scheduler.HandlePoll(start.Target, PollResult{Incarnation: 1, Named: 1, Sent: at(64), Answered: at(65)})
+		scheduler.targets[start.Target].heldUntil = at(2200) // full
+		_ = drain(scheduler)
+	}
+	job := longJob(10000)
+	job.Arrived = at(1400)
+	schedulers[0].Submit(job, at(1400))
+	is.True(schedulers[0].Has("j"))
+	announced := 0
+	for now := 1500; now < 2200; now += 100 {
+		schedulers[1].Sweep(at(now))
+		for _, action := range schedulers[1].TakeActions() {
+			if announce, ok := action.(AnnounceJob); ok {
+				announced++
+				schedulers[0].HandlePeerAnnouncement(announce.Key(), at(now), at(now+1))
+			}
+		}
+	}
+	is.True(announced > 0)
+	is.True(schedulers[0].Has("j"))
+}
