Find the outstanding starts of a task without a scan of all

Each placement asked for every waiting task with an outstanding start, and for every candidate, which of all recorded starts are its own.

--- a/scheduler/accepted_former_test.go
+++ b/scheduler/accepted_former_test.go
@@ -39,7 +39,7 @@
 			scheduler.HandleStopResult(start.Target, run, true, at(test.restart+5)) // the answer of incarnation 1
 			is.True(scheduler.TargetState(start.Target).Unguarded)
 			is.Equal(len(scheduler.lateStarts), 1)
-			is.True(scheduler.isOutstanding(&scheduler.lateStarts[0], at(test.restart+6)))
+			is.True(scheduler.isOutstanding(scheduler.lateStarts[0], at(test.restart+6)))
 		})
 	}
 }
--- a/scheduler/announce.go
+++ b/scheduler/announce.go
@@ -53,8 +53,7 @@
 // returned more than once.
 func (scheduler *Scheduler) outstandingJobs(now time.Time) iter.Seq[string] {
 	return func(yield func(string) bool) {
-		for i := range scheduler.lateStarts {
-			late := &scheduler.lateStarts[i]
+		for _, late := range scheduler.lateStarts {
 			id := isolator.JobOf(late.run.Task)
 			if _, completed := scheduler.completedAt[id]; completed || scheduler.Has(id) || scheduler.Cancelled(id) || !scheduler.isOutstanding(late, now) {
 				continue
--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -36,16 +36,16 @@
 func (scheduler *Scheduler) recordLateStart(target *target, run Run, now time.Time) {
 	started := startedAt(target, run, now)
 	for i := range scheduler.lateStarts {
-		if late := &scheduler.lateStarts[i]; late.targetRun == (targetRun{target.ID, run}) && late.startedAt.Equal(started) {
+		if late := scheduler.lateStarts[i]; late.targetRun == (targetRun{target.ID, run}) && late.startedAt.Equal(started) {
 			late.until = now.Add(maxRequestDelay)
 			return
 		}
 	}
 	if len(scheduler.lateStarts) >= maxLateStarts {
-		scheduler.countLateStart(&scheduler.lateStarts[0], -1)
+		scheduler.unindexLateStart(scheduler.lateStarts[0])
 		scheduler.lateStarts = slices.Delete(scheduler.lateStarts, 0, 1)
 	}
-	late := lateStart{
+	late := &lateStart{
 		targetRun: targetRun{target.ID, run}, startedAt: started, orderedFor: target.Incarnation, orderedAt: target.Address,
 		incarnation: target.Incarnation, address: target.Address, until: now.Add(maxRequestDelay),
 	}
@@ -53,21 +53,22 @@
 		late.orderedFor, late.orderedAt = allocation.incarnation, allocation.address
 	}
 	scheduler.lateStarts = append(scheduler.lateStarts, late)
-	scheduler.countLateStart(&late, 1)
+	scheduler.lateStartsOf[run.Task] = append(scheduler.lateStartsOf[run.Task], late)
 }
 
-// countLateStart adds to the number of recorded starts of a task.
-func (scheduler *Scheduler) countLateStart(late *lateStart, change int) {
-	if scheduler.lateStartsOf[late.run.Task] += change; scheduler.lateStartsOf[late.run.Task] <= 0 {
-		delete(scheduler.lateStartsOf, late.run.Task)
+// unindexLateStart removes a start from those of its task.
+func (scheduler *Scheduler) unindexLateStart(late *lateStart) {
+	task := late.run.Task
+	remaining := slices.DeleteFunc(scheduler.lateStartsOf[task], func(other *lateStart) bool { return other == late })
+	if scheduler.lateStartsOf[task] = remaining; len(remaining) == 0 {
+		delete(scheduler.lateStartsOf, task)
 	}
 }
 
 // voidLateStarts requests the stop of starts without an answer again if the target has another incarnation or address than
 // the one that was asked before.
 func (scheduler *Scheduler) voidLateStarts(target *target, now time.Time) {
-	for i := range scheduler.lateStarts {
-		late := &scheduler.lateStarts[i]
+	for _, late := range scheduler.lateStarts {
 		if late.target == target.ID && (late.incarnation != target.Incarnation || late.address != target.Address) {
 			scheduler.void(late, target, now)
 		}
@@ -76,10 +77,10 @@
 
 // expireLateStarts forgets starts that are not carried out any longer.
 func (scheduler *Scheduler) expireLateStarts(now time.Time) {
-	scheduler.lateStarts = slices.DeleteFunc(scheduler.lateStarts, func(late lateStart) bool {
+	scheduler.lateStarts = slices.DeleteFunc(scheduler.lateStarts, func(late *lateStart) bool {
 		expired := !now.Before(late.until)
 		if expired {
-			scheduler.countLateStart(&late, -1)
+			scheduler.unindexLateStart(late)
 		}
 		return expired
 	})
@@ -119,7 +120,7 @@
 
 // hasOutstanding reports whether a start on a target got no answer and may still be carried out.
 func (scheduler *Scheduler) hasOutstanding(targetID string) bool {
-	return slices.ContainsFunc(scheduler.lateStarts, func(late lateStart) bool { return late.target == targetID })
+	return slices.ContainsFunc(scheduler.lateStarts, func(late *lateStart) bool { return late.target == targetID })
 }
 
 // outstandingTargets returns the number of targets whose hosts refuse connections and that may carry out a start of this instance.
@@ -147,11 +148,8 @@
 // outstandingOf returns the starts of a task that got no answer and may still be carried out.
 func (scheduler *Scheduler) outstandingOf(task string, now time.Time) iter.Seq[*lateStart] {
 	return func(yield func(*lateStart) bool) {
-		if scheduler.lateStartsOf[task] == 0 {
-			return
-		}
-		for i := range scheduler.lateStarts {
-			if late := &scheduler.lateStarts[i]; late.run.Task == task && scheduler.isOutstanding(late, now) && !yield(late) {
+		for _, late := range scheduler.lateStartsOf[task] {
+			if scheduler.isOutstanding(late, now) && !yield(late) {
 				return
 			}
 		}
@@ -181,7 +179,7 @@
 // 0 if there is none.
 func (scheduler *Scheduler) outstandingFor(targetID string, run Run, now time.Time) time.Duration {
 	for i := range scheduler.lateStarts {
-		if late := &scheduler.lateStarts[i]; late.targetRun == (targetRun{targetID, run}) {
+		if late := scheduler.lateStarts[i]; late.targetRun == (targetRun{targetID, run}) {
 			return max(0, late.until.Sub(now))
 		}
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -116,10 +116,14 @@
 	// If some target can still meet the objective, targets that would miss it are not considered.
 	canMeetObjective := now.Add(startOverhead + time.Duration(float64(step.Estimate)/rate.bestSpeed)).Before(task.job.Objective)
 	contentionCost := scheduler.contention.cost()
+	boundTo, _ := scheduler.outstandingElsewhere(task.name, "", now)
 	var best *candidate
 	bestCost := time.Duration(0)
 	for i := range candidates {
 		candidate := &candidates[i]
+		if boundTo != "" && candidate.ID != boundTo {
+			continue
+		}
 		if !step.Resources.Fits(candidate.free) || candidate.probation && len(candidate.allocations) > 0 || !scheduler.mayRunOn(task, candidate.target, now) {
 			continue
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -105,9 +105,9 @@
 	// suspensions holds the leases whose renewals are suspended.
 	suspensions map[suspensionKey]Suspension
 	// lateStarts holds the starts that got no answer and may still be carried out, the earliest first.
-	lateStarts []lateStart
-	// lateStartsOf counts them by task.
-	lateStartsOf map[string]int
+	lateStarts []*lateStart
+	// lateStartsOf holds them by task.
+	lateStartsOf map[string][]*lateStart
 	// outstandingAnnouncedUntil holds until when the last announcement of a job counts that was given up with an outstanding start.
 	outstandingAnnouncedUntil map[string]time.Time
 	// foreignEnds holds recent ends of other instances' runs on the targets that this instance reads.
@@ -180,7 +180,7 @@
 		ownerless:    make(map[string]map[Run]ownerlessRun),
 		pendingStops: make(map[targetRun]*pendingStop),
 		suspensions:  make(map[suspensionKey]Suspension),
-		lateStartsOf: make(map[string]int),
+		lateStartsOf: make(map[string][]*lateStart),
 
 		outstandingAnnouncedUntil: make(map[string]time.Time),
 		foreignEnds:               make(map[targetRun]recordedEnd),
