Do not request a start without end that its target holds to be wrong

A target with an outstanding start of a task may be asked to start it again, whatever it has answered before. The task now waits until nothing is outstanding there, as it does when one more failed run would fail the job.

--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -162,6 +162,7 @@
 	switch result {
 	case StartImpossible:
 		task.avoid(task.runTarget)
+		task.wrongOn = task.runTarget.ID
 		if len(task.avoided) >= task.job.MaxFailures {
 			scheduler.finish(task.job, dispatcher.NewFailed("targets hold the task to be wrong", nil), "task is invalid", now)
 			return
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -62,6 +62,8 @@
 	earlier []targetRun
 	// avoided holds the IDs of the targets that failed or rejected the task.
 	avoided map[string]bool
+	// wrongOn is the ID of the target that last held the task to be wrong; empty if none has.
+	wrongOn string
 }
 
 func (task *task) run() Run { return Run{task.name, task.attempt} }
--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -165,11 +165,12 @@
 }
 
 // mustStayOn reports whether a task may start on no other target than the given one, which may still carry out a start of it. What the
-// target has answered to the task before does not count then, unless one more failed run would fail the job.
+// target has answered to the task before does not count then, unless it holds the task to be wrong, or one more failed run would fail the
+// job.
 func (scheduler *Scheduler) mustStayOn(task *task, target *target, now time.Time) bool {
 	for late := range scheduler.outstandingOf(task.name, now) {
 		if late.target == target.ID {
-			return task.failures == 0 || task.failures+1 < task.job.MaxFailures
+			return target.ID != task.wrongOn && (task.failures == 0 || task.failures+1 < task.job.MaxFailures)
 		}
 	}
 	return false
