Await the end of a late run that the next incarnation has begun

A waiting task was free to start as soon as the next incarnation of the target of its outstanding start had answered a request, also if that answer listed the late run. Only the run of the latest attempt was awaited: the copy of an earlier attempt ran beside the new start until it was stopped. The task now waits until that incarnation has answered, and until it has ended the run if it lists it or has accepted its stop. TestTaskDoesNotStartBesideItsLateRunOnTheNextIncarnation failed before for both kinds of readers: the task started 1 ms after the list with the run.

--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -164,6 +164,22 @@
 	return false
 }
 
+// awaitsLateRun reports whether the present incarnation of a target may have carried out a start that a former one left without an answer,
+// and its run is not known to have ended.
+func (scheduler *Scheduler) awaitsLateRun(task string, now time.Time) bool {
+	for _, late := range scheduler.lateStartsOf[task] {
+		target, ok := scheduler.targets[late.target]
+		if !ok || target.Incarnation <= late.orderedFor || !now.Before(late.until) {
+			continue
+		}
+		pending, ending := scheduler.pendingStops[late.targetRun]
+		if target.guarded != target.Incarnation || target.allocations[late.run] != nil || ending && pending.isAccepted() {
+			return true
+		}
+	}
+	return false
+}
+
 // mustStayOn reports whether a task may start on no other target than the given one, which may still carry out a start of it. What the
 // target has answered to the task before does not count then, unless it holds the task to be wrong, or one more failed run would fail the
 // job.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -44,7 +44,7 @@
 	kept := scheduler.queue[:0]
 	for _, task := range scheduler.queue {
 		// After a pause, jobs may be past their deadlines before Tick has removed them.
-		if scheduler.link.Backlog(now) > maxStartBacklog || !now.Before(task.job.Deadline) || scheduler.held(task.job) || scheduler.mayStillRun(task.name, now) || scheduler.earlierRunGoesOn(task, now) || scheduler.mayBeAbandoned(task.job, now) || !scheduler.placeTask(task, candidates, now) {
+		if scheduler.link.Backlog(now) > maxStartBacklog || !now.Before(task.job.Deadline) || scheduler.held(task.job) || scheduler.mayStillRun(task.name, now) || scheduler.earlierRunGoesOn(task, now) || scheduler.awaitsLateRun(task.name, now) || scheduler.mayBeAbandoned(task.job, now) || !scheduler.placeTask(task, candidates, now) {
 			kept = append(kept, task)
 		}
 	}
