--- a/executor/executor.go
+++ b/executor/executor.go
@@ -395,7 +395,7 @@
 	case scheduler.AwaitRunEnd:
 		executor.wake(action.Target)
 	case scheduler.AnnounceJob:
-		executor.peers.AnnounceJob(locator.KeyOf(action.Job))
+		executor.peers.AnnounceJob(action.Key())
 	case scheduler.AnnounceLeaseEnd:
 		for _, peer := range action.To {
 			executor.peers.AnnounceLeaseEnd(peer, action.Target, action.End)
@@ -566,7 +566,10 @@
 	executor.mu.Lock()
 	defer executor.mu.Unlock()
 	executor.noticePause(executor.now())
-	if errors.Is(err, ErrFenced) {
+	switch {
+	case err == nil:
+		executor.scheduler.HandleAccepted(stop.RunTarget, executor.now())
+	case errors.Is(err, ErrFenced):
 		executor.scheduler.HandleFenced(stop.RunTarget, executor.now())
 	}
 	if errors.Is(err, ErrReplaced) && executor.scheduler.HasEndedWith(stop.RunTarget, stop.Run) {
