Take the first look at targets 100 ms after the start, and retry it after 40 ms

Since no task starts before all targets have been looked at, what delays a look delays all starts. Looks began 200 ms after the start, and a first poll that got no answer was repeated after 100 ms. They begin 100 ms after the start now, once each listed instance is linked or known to be absent, and first polls are repeated after 40 ms. Other instances are asked for the owner of a run at most every 50 ms. A refusal during the wait names the usual second, and not the time by which the wait ends at the latest.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -25,7 +25,7 @@
 	// time.
 	startupGrace = time.Second
 	// minStartupGrace is the shortest such time: other instances that were started together register meanwhile.
-	minStartupGrace = 200 * time.Millisecond
+	minStartupGrace = 100 * time.Millisecond
 	// tickInterval is how often time-based events are handled: a quarter of 39 ms, the shortest time after which
 	// a job that has not started is refused.
 	tickInterval = 10 * time.Millisecond
@@ -609,11 +609,13 @@
 			executor.updateConnectionLimits()
 			executor.updatePeers(now)
 			executor.repeatAbandonments(now)
-		} else if executor.scheduler.AwaitsFirstLook(now) {
+		} else if executor.scheduler.AwaitsFirstLook() {
 			executor.assignReaders(now)
 			executor.updatePeers(now)
 		}
-		executor.scheduler.CheckFirstLook(executor.peers.OldestStart(), now)
+		if executor.scheduler.AwaitsFirstLook() {
+			executor.scheduler.CheckFirstLook(executor.peers.OldestStart(), now)
+		}
 		if now.Sub(lastRepeat) >= scheduler.ClaimRepeatInterval {
 			lastRepeat = now
 			executor.repeatClaims()
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -246,7 +246,8 @@
 // the target.
 func (executor *Executor) poll(ctx context.Context, poller *poller, target scheduler.Target, request PollRequest) bool {
 	timeout := request.Wait + pollTimeout
-	if poller.failures > 0 || executor.degraded(poller.lastPoll) {
+	if poller.failures > 0 || !poller.polled || executor.degraded(poller.lastPoll) {
+		// No task starts before the first answers.
 		timeout = request.Wait + degradedPollTimeout
 	}
 	pollContext, cancel := context.WithTimeout(ctx, timeout+executor.uplink.Send(0, executor.now()))
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -206,5 +206,5 @@
 // refusal returns a refusal whose retry time is when the tasks ahead are expected to have started.
 func (scheduler *Scheduler) refusal(job *job, reason dispatcher.Reason, detail string, now time.Time) dispatcher.Refused {
 	load := scheduler.load(job, scheduler.releaseRateOf(job.Service, now), now)
-	return dispatcher.NewRefused(reason, detail, "", now.Add(max(load.ExpectedWait, minRetryAfter, scheduler.mostFirstLook(now))))
+	return dispatcher.NewRefused(reason, detail, "", now.Add(max(load.ExpectedWait, minRetryAfter)))
 }
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -739,7 +739,7 @@
 	var reports []CapacityReport
 	for _, id := range slices.Sorted(maps.Keys(scheduler.changedTargets)) {
 		target, ok := scheduler.targets[id]
-		if ok && (scheduler.offered[id] || target.readBySelf && scheduler.withholdsReport(target, now)) {
+		if ok && (scheduler.offered[id] || target.readBySelf && scheduler.withholdsReport(target)) {
 			continue
 		}
 		delete(scheduler.changedTargets, id)
@@ -756,7 +756,7 @@
 // RenewalReport returns a report for a target whose lease was just renewed, if the last report is old.
 func (scheduler *Scheduler) RenewalReport(targetID string, now time.Time) (CapacityReport, bool) {
 	target, ok := scheduler.targets[targetID]
-	if !ok || !target.readBySelf || scheduler.offered[targetID] || now.Sub(target.lastReportAt) < reportInterval || scheduler.withholdsReport(target, now) {
+	if !ok || !target.readBySelf || scheduler.offered[targetID] || now.Sub(target.lastReportAt) < reportInterval || scheduler.withholdsReport(target) {
 		return CapacityReport{}, false
 	}
 	target.lastReport, target.lastReportAt = target.report(now), now
--- a/scheduler/first_look.go
+++ b/scheduler/first_look.go
@@ -57,9 +57,7 @@
 }
 
 // AwaitsFirstLook reports whether no task starts since not all targets have been looked at.
-func (scheduler *Scheduler) AwaitsFirstLook(now time.Time) bool {
-	return scheduler.firstLook.awaited && now.Before(scheduler.firstLook.until)
-}
+func (scheduler *Scheduler) AwaitsFirstLook() bool { return scheduler.firstLook.awaited }
 
 // CheckFirstLook ends the wait for the first look if it is over; oldestStart is the earliest start of the live instances that are
 // known, including this one. An instance that has been running for longer than the wait lasts has ended its own.
@@ -144,8 +142,8 @@
 }
 
 // withholdsReport reports whether the reader of a target does not report it yet, since the report would say that it has looked at it.
-func (scheduler *Scheduler) withholdsReport(target *target, now time.Time) bool {
-	return scheduler.AwaitsFirstLook(now) && !target.unreachable && !scheduler.isLookedAt(target)
+func (scheduler *Scheduler) withholdsReport(target *target) bool {
+	return scheduler.AwaitsFirstLook() && !target.unreachable && !scheduler.isLookedAt(target)
 }
 
 // UnownedRuns returns the runs on the targets that this instance reads which no instance is known to own.
@@ -164,21 +162,14 @@
 	return unowned
 }
 
-// leastFirstLook returns how much longer the first look takes at least, and mostFirstLook at most; 0 if it is not awaited.
+// leastFirstLook returns how much longer the first look takes at least; 0 if it is not awaited.
 func (scheduler *Scheduler) leastFirstLook(now time.Time) time.Duration {
-	if !scheduler.AwaitsFirstLook(now) {
+	if !scheduler.AwaitsFirstLook() {
 		return 0
 	}
 	return max(0, min(scheduler.firstLook.looksFrom.Sub(now), scheduler.firstLook.until.Sub(now)))
 }
 
-func (scheduler *Scheduler) mostFirstLook(now time.Time) time.Duration {
-	if !scheduler.AwaitsFirstLook(now) {
-		return 0
-	}
-	return scheduler.firstLook.until.Sub(now)
-}
-
 // awaitListedRun lets a waiting task of this instance wait for the end of another run of it that a target lists.
 func (scheduler *Scheduler) awaitListedRun(target *target, run Run) {
 	task := scheduler.tasks[run.Task]
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -127,7 +127,7 @@
 func (scheduler *Scheduler) Reports(now time.Time) []CapacityReport {
 	var reports []CapacityReport
 	for _, target := range scheduler.ordered {
-		if target.readBySelf && (target.unreachable || target.listedByReader()) && !scheduler.withholdsReport(target, now) {
+		if target.readBySelf && (target.unreachable || target.listedByReader()) && !scheduler.withholdsReport(target) {
 			reports = append(reports, target.report(now))
 		}
 	}
--- a/scheduler/orphan.go
+++ b/scheduler/orphan.go
@@ -83,7 +83,7 @@
 func (scheduler *Scheduler) checkUnowned(target *target, run Run, allocation *allocation, now time.Time) {
 	scheduler.changedTargets[target.ID] = true // the free capacity is withheld from now on
 	listedFor, queryDelay := now.Sub(allocation.claimedAt), ownerQueryDelay
-	if scheduler.AwaitsFirstLook(now) {
+	if scheduler.AwaitsFirstLook() {
 		// Nothing has started yet, so that no claim is under way.
 		queryDelay = 0
 	}
@@ -96,7 +96,8 @@
 	switch {
 	case listedFor >= orphanGrace, listedFor >= queryDelay && scheduler.peers.Complete && len(unasked) == 0:
 		scheduler.stopOrphan(target, run, "no instance owns the run", now)
-	case listedFor >= queryDelay && len(unasked) > 0:
+	case listedFor >= queryDelay && len(unasked) > 0 && now.Sub(allocation.queriedAt) >= ownerQueryDelay:
+		allocation.queriedAt = now
 		scheduler.queryOwner(target, run, allocation, unasked, now)
 	}
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -31,7 +31,7 @@
 
 // place starts waiting tasks in queue order, each on the target with the lowest cost.
 func (scheduler *Scheduler) place(now time.Time) {
-	if len(scheduler.queue) == 0 || now.Before(scheduler.startsHeldUntil) || scheduler.AwaitsFirstLook(now) {
+	if len(scheduler.queue) == 0 || now.Before(scheduler.startsHeldUntil) || scheduler.AwaitsFirstLook() {
 		return
 	}
 	if scheduler.link.Backlog(now) > maxStartBacklog {
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -73,6 +73,8 @@
 	// ownerLost means that the owner is lost, and disowned holds the instances that do not own the run.
 	ownerLost bool
 	disowned  map[string]bool
+	// queriedAt is when other instances were last asked for the owner of the run.
+	queriedAt time.Time
 	// confirmedAt is when the target last listed or accepted the run, or zero.
 	confirmedAt time.Time
 	// missingSince is when the target first omitted the run from its list, or zero.
