--- a/executor/log.go
+++ b/executor/log.go
@@ -35,12 +35,15 @@
 
 // logStart logs the result of a start; deniedBy is the reader that denied the reservation, or empty.
 func (executor *Executor) logStart(start scheduler.StartTask, result scheduler.StartResult, deniedBy string, took time.Duration) {
-	if result == scheduler.StartTaken {
+	if result.IsTaken() {
 		fields := []any{
 			"job", start.Job, "task", start.Run.Task, "attempt", start.Run.Attempt, "target", start.Target,
 			"room", start.FreeCapacity.MilliCores, "room-age-ms", start.FreeCapacityAge.Milliseconds(), "room-evidence", string(start.FreeCapacityEvidence),
 			"predicted-ms", start.Predicted.Milliseconds(), "took-ms", took.Milliseconds(),
 		}
+		if result == scheduler.StartTakenAgain {
+			start.Unanswered++
+		}
 		if start.Unanswered > 0 {
 			fields = append(fields, "unanswered", start.Unanswered)
 		}
@@ -151,6 +154,17 @@
 		"evidence", string(restart.Evidence), "runs", formatRuns(restart.Runs))
 }
 
+func (executor *Executor) logGuarded(guarded scheduler.TargetGuarded) {
+	executor.logger.Info("restarted target refuses former orders", "target", guarded.Target, "incarnation", guarded.Incarnation,
+		"after-ms", guarded.After.Milliseconds(), "since-start-ms", sinceStart(&guarded, executor.now(), time.Now()).Milliseconds(), "asked-by", string(guarded.Asker), "outstanding", guarded.Outstanding)
+}
+
+// sinceStart returns the time from the start of a target to the answer that guards it. The target's clock of day tells the start, and now
+// and wall are the same moment on the executor's clock and on this host's clock of day.
+func sinceStart(guarded *scheduler.TargetGuarded, now, wall time.Time) time.Duration {
+	return wall.Sub(time.UnixMilli(guarded.Incarnation)) - now.Sub(guarded.At)
+}
+
 func (executor *Executor) logCold(cold scheduler.TargetCold) {
 	executor.logger.Info("target is cold", "target", cold.Target, "cause", string(cold.Cause), "for-ms", cold.Until.Sub(executor.now()).Milliseconds(), "taken-over", cold.TakenOver)
 }
@@ -159,6 +173,22 @@
 	executor.logger.Info("first look at targets", "targets", reads, "peers", peers, "since-start-ms", now.Sub(executor.startedAt).Milliseconds())
 }
 
+func (executor *Executor) logFirstLookEnd(ended scheduler.FirstLookEnded) {
+	executor.logger.Info("first look at targets ended", "end", string(ended.End), "targets", ended.Targets, "not-looked-at", ended.Unlooked,
+		"unreachable", ended.Unreachable, "waiting", ended.Waiting, "passes-on", executor.delegating, "since-start-ms", executor.now().Sub(executor.startedAt).Milliseconds())
+}
+
+// logFirstStart logs the first start of a task and how many targets had not been looked at by then. The caller holds the lock.
+func (executor *Executor) logFirstStart(start *scheduler.StartTask) {
+	if executor.hasStartedTask {
+		return
+	}
+	executor.hasStartedTask = true
+	progress := executor.scheduler.FirstLookProgress()
+	executor.logger.Info("first task started", "task", start.Run.Task, "target", start.Target, "targets", progress.Targets,
+		"not-looked-at", progress.Unlooked, "unreachable", progress.Unreachable, "since-start-ms", start.Issued.Sub(executor.startedAt).Milliseconds())
+}
+
 // logFirstList logs the first list of a target if it holds runs whose owners this instance does not know. The caller holds the lock.
 func (executor *Executor) logFirstList(poller *poller, poll scheduler.PollResult) {
 	var unknown []string
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -39,13 +39,16 @@
 	// doubles with each poll that gets no answer, up to maxProbeInterval.
 	probeInterval = 400 * time.Millisecond
 	// minProbeInterval is the pause of the reader after the target has become unreachable, which doubles up to probeInterval: a
-	// target that is back carries out orders for its former incarnation until it is polled.
+	// target that is back carries out orders for its former incarnation until it is polled. Targets whose hosts refuse connections are
+	// probed at this interval, which all of them share, while such orders may be under way: a refused connection costs little.
 	minProbeInterval = 12 * time.Millisecond
 	// outstandingProbeInterval is how often an instance polls a target that refuses connections and on which a start of it may still be
 	// carried out: from the first poll of the next incarnation on, that incarnation refuses the start. All such targets share it.
 	outstandingProbeInterval = 50 * time.Millisecond
-	maxProbeInterval         = 3200 * time.Millisecond
-	maxProbeDoublings        = 3
+	// watchInterval is how often a reader polls its idle targets to notice their ends; all of them share it.
+	watchInterval     = 25 * time.Millisecond
+	maxProbeInterval  = 3200 * time.Millisecond
+	maxProbeDoublings = 3
 	// withholdPeriod is how long the acknowledgement of an end is withheld if the run's owner is unknown or
 	// unreachable. Within it, owners repeat their claims, or poll the target themselves after readerTimeout. After a
 	// loss of all instances, each one reads all targets until it has discovered the others. When it acknowledged such
@@ -164,6 +167,12 @@
 	case poller.isReader.Load() && state.IncarnationSince.After(poller.incarnationSince):
 		// The target has restarted. The poll makes it refuse what was sent to its former incarnation.
 		return PollRequest{}, 0
+	case poller.isReader.Load() && state.Refusing > 0 && !state.Unreachable && poller.failures == 0:
+		// Another instance has found that the target's host refuses connections.
+		return PollRequest{}, time.Duration(state.Refusing)*minProbeInterval - sincePoll
+	case poller.isReader.Load() && state.Unreachable && poller.failures < unreachableThreshold:
+		// A start could not be sent. If the host refuses connections, the target has probably ended.
+		return PollRequest{}, minPollInterval - sincePoll
 	case state.Outstanding > 0:
 		return PollRequest{}, min(time.Duration(state.Outstanding)*outstandingProbeInterval, poller.probePause(state)) - sincePoll
 	case state.Unreachable || poller.failures >= unreachableThreshold:
@@ -184,6 +193,9 @@
 		return request, minPollInterval - sincePoll
 	case poller.isReader.Load() && (poller.acknowledgeable > poller.acknowledged || len(poller.withheld) > 0):
 		return PollRequest{Acknowledged: acknowledged}, acknowledgeDelay - now.Sub(poller.lastPoll)
+	case poller.isReader.Load() && state.Watched > 0 && now.Before(state.WatchedUntil):
+		// The target closes the connection at its end, which nobody would notice otherwise before it is back.
+		return PollRequest{Acknowledged: acknowledged, Wait: pollWait}, max(pollWait, time.Duration(state.Watched)*watchInterval) - sincePoll
 	case !poller.isReader.Load() && state.Unverified && poller.lastAnswer.After(state.IncarnationSince):
 		return PollRequest{}, unverifiedPollInterval - sincePoll
 	case !poller.isReader.Load() && state.Unverified:
@@ -205,7 +217,11 @@
 	switch {
 	case poller.isReader.Load():
 		// A pause as long as the outage had lasted at the last poll doubles each time.
-		return min(max(minProbeInterval, poller.lastPoll.Sub(state.UnreachableSince)), probeInterval)
+		pause := min(max(minProbeInterval, poller.lastPoll.Sub(state.UnreachableSince)), probeInterval)
+		if state.Refusing > 0 && poller.lastPoll.Before(state.DelayedUntil) {
+			pause = min(pause, time.Duration(state.Refusing)*minProbeInterval)
+		}
+		return pause
 	case state.HasOwnRuns:
 		return probeInterval
 	}
--- a/gossiper/roles.go
+++ b/gossiper/roles.go
@@ -33,13 +33,25 @@
 	if now.Sub(startedAt) >= joiningPeriod {
 		return false
 	}
+	return startedAt.Sub(gossiper.oldestStart()) > commonStartPeriod
+}
+
+// oldestStart returns the earliest start of the live instances that are known, including this one. The caller holds the lock.
+func (gossiper *Gossiper) oldestStart() time.Time {
 	oldest := gossiper.startedAt
 	for _, peer := range gossiper.peers {
 		if !peer.lost && peer.startedAt.Before(oldest) {
 			oldest = peer.startedAt
 		}
 	}
-	return startedAt.Sub(oldest) > commonStartPeriod
+	return oldest
+}
+
+// OldestStart returns the earliest start of the live instances that are known, including this one; zero if one does not state it.
+func (gossiper *Gossiper) OldestStart() time.Time {
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	return gossiper.oldestStart()
 }
 
 // countJoining counts the live instances, including this one, that are joining. The caller holds the lock.
@@ -178,7 +190,7 @@
 	now := gossiper.now()
 	before := make(map[*peer]bool, len(gossiper.peers))
 	for _, peer := range gossiper.peers {
-		before[peer] = gossiper.inContact(peer, now)
+		before[peer] = gossiper.expectsMessages(peer, now)
 	}
 	change()
 	for _, peer := range gossiper.peers {
@@ -186,10 +198,10 @@
 	}
 }
 
-// beginContact prepares the exchange of heartbeats if the peer was not in contact before: their absence until now is no
+// beginContact prepares the exchange of heartbeats if none were expected of the peer before: their absence until now is no
 // evidence of a loss. The caller holds the lock.
 func (gossiper *Gossiper) beginContact(peer *peer, before bool, now time.Time) {
-	if !before && gossiper.inContact(peer, now) {
+	if !before && gossiper.expectsMessages(peer, now) {
 		peer.lastHeard, peer.contactSince = now, now
 		gossiper.heartbeatSentAt = time.Time{}
 		notify(gossiper.changed)
@@ -222,3 +234,13 @@
 	}
 	return peer.busy
 }
+
+// expectsMessages reports whether the absence of messages of the peer would be evidence of its loss. Nothing depends on a leaving
+// instance without jobs, and it may see the roles differently: it sends heartbeats to those that it is in contact with by its own
+// view. The caller holds the lock.
+func (gossiper *Gossiper) expectsMessages(peer *peer, now time.Time) bool {
+	if peer.leaving && !peer.busy && peer.sharedJobs == 0 {
+		return false
+	}
+	return gossiper.inContact(peer, now)
+}
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -23,7 +23,10 @@
 		scheduler.recordContention(target, run, result)
 	}
 	switch result {
-	case StartTaken:
+	case StartTaken, StartTakenAgain:
+		if result == StartTakenAgain && target != nil {
+			scheduler.recordLateStart(target, run, now)
+		}
 		scheduler.handleStartTaken(target, task, current, run, now)
 	case StartUnanswered:
 		if target != nil {
@@ -115,7 +118,8 @@
 		target.exclude(now)
 		target.recordResponse(now)
 	case StartUnsent:
-		scheduler.setUnreachable(target, false, now)
+		// An unsent start does not tell why, and does not undo that the target's host is known to refuse connections.
+		scheduler.setUnreachable(target, target.refusing, now)
 	case StartUnconnected:
 		target.heldUntil = now.Add(unconnectedBackoff)
 	case StartFenced:
@@ -124,7 +128,7 @@
 		scheduler.handleNoRoom(target, now)
 	case StartNoConnection:
 		target.unconnectedUntil = now.Add(noConnectionBackoff)
-	case StartTaken, StartStale, StartLate, StartImpossible, StartUnanswered, StartWithheld:
+	case StartTaken, StartTakenAgain, StartStale, StartLate, StartImpossible, StartUnanswered, StartWithheld:
 	}
 }
 
@@ -165,7 +169,7 @@
 		}
 	case StartStale, StartRefused, StartUnsent, StartUnconnected:
 		task.avoid(task.runTarget)
-	case StartTaken, StartNoRoom, StartLate, StartUnanswered, StartFenced, StartWithheld, StartNoConnection, StartDenied:
+	case StartTaken, StartTakenAgain, StartNoRoom, StartLate, StartUnanswered, StartFenced, StartWithheld, StartNoConnection, StartDenied:
 	}
 	task.lossReason = ""
 	scheduler.enqueue(task)
@@ -435,6 +439,7 @@
 		known = &allocation{resources: resources, claimedAt: now}
 		target.allocate(active.Run, known)
 		scheduler.changedTargets[target.ID] = true
+		scheduler.awaitListedRun(target, active.Run)
 	}
 	scheduler.clearSurvivor(target.ID, target.Incarnation, active.Run, known, now)
 	known.confirmedAt, known.missingSince, known.restarted = now, time.Time{}, false
@@ -489,7 +494,7 @@
 		target.described = incarnation
 		return
 	}
-	target.restartedAt, target.refusing = now, false
+	target.restartedAt, target.refusing, target.delayedUntil = now, false, time.Time{}
 	scheduler.forgetReport(target, now)
 	defer scheduler.observeIncarnation(target.ID, target.Address, incarnation, now)
 	scheduler.recordUnnoticedEnd(target, previous, now)
@@ -738,7 +743,7 @@
 	var reports []CapacityReport
 	for _, id := range slices.Sorted(maps.Keys(scheduler.changedTargets)) {
 		target, ok := scheduler.targets[id]
-		if ok && scheduler.offered[id] {
+		if ok && (scheduler.offered[id] || target.readBySelf && scheduler.withholdsReport(target, now)) {
 			continue
 		}
 		delete(scheduler.changedTargets, id)
@@ -755,7 +760,7 @@
 // RenewalReport returns a report for a target whose lease was just renewed, if the last report is old.
 func (scheduler *Scheduler) RenewalReport(targetID string, now time.Time) (CapacityReport, bool) {
 	target, ok := scheduler.targets[targetID]
-	if !ok || !target.readBySelf || scheduler.offered[targetID] || now.Sub(target.lastReportAt) < reportInterval {
+	if !ok || !target.readBySelf || scheduler.offered[targetID] || now.Sub(target.lastReportAt) < reportInterval || scheduler.withholdsReport(target, now) {
 		return CapacityReport{}, false
 	}
 	target.lastReport, target.lastReportAt = target.report(now), now
--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -119,6 +119,17 @@
 	return slices.ContainsFunc(scheduler.lateStarts, func(late lateStart) bool { return late.target == targetID })
 }
 
+// outstandingOn returns the number of starts on a target that got no answer and may still be carried out.
+func (scheduler *Scheduler) outstandingOn(targetID string) int {
+	outstanding := 0
+	for i := range scheduler.lateStarts {
+		if scheduler.lateStarts[i].target == targetID {
+			outstanding++
+		}
+	}
+	return outstanding
+}
+
 // outstandingTargets returns the number of targets whose hosts refuse connections and that may carry out a start of this instance.
 func (scheduler *Scheduler) outstandingTargets() int {
 	refusing := make(map[string]bool)
@@ -166,6 +177,28 @@
 	return false
 }
 
+// refusingTargets returns the number of targets that this instance reads and whose hosts refuse connections.
+func (scheduler *Scheduler) refusingTargets() int {
+	refusing := 0
+	for _, target := range scheduler.ordered {
+		if target.refusing && target.readBySelf {
+			refusing++
+		}
+	}
+	return refusing
+}
+
+// readTargets returns the number of targets that this instance reads.
+func (scheduler *Scheduler) readTargets() int {
+	reads := 0
+	for _, target := range scheduler.ordered {
+		if target.readBySelf {
+			reads++
+		}
+	}
+	return reads
+}
+
 // outstandingFor returns how much longer a start of a run that got no answer may be carried out by a later incarnation of its target;
 // 0 if there is none.
 func (scheduler *Scheduler) outstandingFor(targetID string, run Run, now time.Time) time.Duration {
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -194,21 +194,27 @@
 	StartNoConnection
 	// StartDenied means that the target's reader has denied the reservation, so that nothing was sent to the target.
 	StartDenied
+	// StartTakenAgain means that the target runs the task, and that a connection broke over which the start had been sent before, so that
+	// a copy of it may be carried out later.
+	StartTakenAgain
 )
 
 // mayHaveRun reports whether the task runs, has run or may have run.
 func (result StartResult) mayHaveRun() bool {
 	switch result {
-	case StartTaken, StartUnanswered, StartStale:
+	case StartTaken, StartTakenAgain, StartUnanswered, StartStale:
 		return true
 	case StartNoRoom, StartLate, StartRefused, StartImpossible, StartUnsent, StartUnconnected, StartFenced, StartWithheld, StartNoConnection, StartDenied:
 	}
 	return false
 }
 
+// IsTaken reports whether the target runs the task.
+func (result StartResult) IsTaken() bool { return result == StartTaken || result == StartTakenAgain }
+
 // String returns the name used in logs and metrics.
 func (result StartResult) String() string {
-	names := []string{"unknown", "taken", "no-room", "stale", "late", "refused", "impossible", "unanswered", "unsent", "unconnected", "fenced", "withheld", "no-connection", "denied"}
+	names := []string{"unknown", "taken", "no-room", "stale", "late", "refused", "impossible", "unanswered", "unsent", "unconnected", "fenced", "withheld", "no-connection", "denied", "taken-again"}
 	if int(result) < len(names) && result > 0 {
 		return names[result]
 	}
@@ -531,8 +537,26 @@
 	Incarnation int64
 	// After is the time since this instance has known of the incarnation.
 	After time.Duration
+	// At is when the answer arrived.
+	At    time.Time
+	Asker GuardAsker
+	// Outstanding is the number of starts of this instance that got no answer and that the target may still carry out.
+	Outstanding int
 }
 
+// GuardAsker is what an instance was to a target when it sent the request. The values are used in logs.
+type GuardAsker string
+
+// Instances that ask a target, by what the target is to them.
+const (
+	// AskerReader is the instance that reads the target for all.
+	AskerReader GuardAsker = "reader"
+	// AskerOwner is another instance, a start of which may still be carried out there.
+	AskerOwner GuardAsker = "owner"
+	// AskerOther is any other instance.
+	AskerOther GuardAsker = "other"
+)
+
 func (StartTask) isAction()        {}
 func (StopRun) isAction()          {}
 func (AnswerJob) isAction()        {}
--- a/scheduler/outstanding_start_test.go
+++ b/scheduler/outstanding_start_test.go
@@ -283,6 +283,40 @@
 	}
 }
 
+// A start that was sent again after its connection broke, and was taken then, leaves the first copy outstanding: the task must not start
+// elsewhere before the next incarnation of the target refuses it.
+func TestCopySentOverABrokenConnectionIsOutstanding(t *testing.T) {
+	tests := []struct {
+		name   string
+		result StartResult
+		moves  bool
+	}{
+		{"sent once", StartTaken, true},
+		{"sent twice", StartTakenAgain, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			scheduler := newTestScheduler(2)
+			scheduler.Submit(longJob(20000), at(0))
+			start := drain(scheduler).starts[0]
+			scheduler.HandleStartResult(start.Target, start.Run, test.result, at(5))
+			is.Equal(scheduler.tasks[start.Run.Task].state, running)
+			scheduler.HandleEnd(start.Target, End{Seq: 1, Run: start.Run, Cause: Failed, Incarnation: 1}, at(200))
+			starts := drain(scheduler).starts
+			is.Equal(len(starts) == 1 && starts[0].Target != start.Target, test.moves)
+			if test.moves {
+				return
+			}
+			scheduler.HandlePoll(start.Target, PollResult{Incarnation: 2, Named: 2, Sent: at(500), Answered: at(501)})
+			scheduler.Tick(at(502))
+			starts = drain(scheduler).starts
+			is.Equal(len(starts), 1)
+			is.True(starts[0].Target != start.Target)
+		})
+	}
+}
+
 // The clock that names incarnations may have been set back: a poll that named the former incarnation then named a higher number, and
 // does not make the present one refuse former orders either.
 func TestRunOfARestartedTargetIsNotLostByAPollThatNamedAHigherFormerIncarnation(t *testing.T) {
@@ -391,6 +425,10 @@
 		{"refusing another instance", func(scheduler *Scheduler, targetID string) {
 			scheduler.HandlePeerLoss(isolator.Loss{Target: targetID, Incarnation: 1, Evidence: isolator.Refused, At: at(100), Observer: "peer"}, at(101))
 		}, 1},
+		{"refusing another instance, then a start that could not be sent", func(scheduler *Scheduler, targetID string) {
+			scheduler.HandlePeerLoss(isolator.Loss{Target: targetID, Incarnation: 1, Evidence: isolator.Refused, At: at(100), Observer: "peer"}, at(101))
+			scheduler.recordRejection(scheduler.targets[targetID], StartUnsent, at(102))
+		}, 1},
 		{"refusing, then silent", func(scheduler *Scheduler, targetID string) {
 			scheduler.MarkUnreachable(targetID, true, at(100))
 			scheduler.MarkUnreachable(targetID, false, at(200))
@@ -406,3 +444,46 @@
 		})
 	}
 }
+
+// Only the reader is told of a host that refuses connections, and how many more there are that it reads.
+func TestReaderIsToldOfTargetsWhoseHostsRefuseConnections(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(4)
+	for _, id := range []string{"t0", "t1", "t2"} {
+		scheduler.SetReader(id, true, at(-1000))
+	}
+	scheduler.SetReader("t3", false, at(-1000))
+	for _, id := range []string{"t0", "t1", "t3"} {
+		scheduler.MarkUnreachable(id, true, at(100))
+	}
+	scheduler.MarkUnreachable("t2", false, at(100))
+	for id, refusing := range map[string]int{"t0": 2, "t1": 2, "t2": 0, "t3": 0} {
+		is.Equal(scheduler.TargetState(id).Refusing, refusing)
+	}
+	is.Equal(scheduler.TargetState("t0").DelayedUntil, at(100).Add(maxRequestDelay))
+	scheduler.HandlePoll("t0", PollResult{Incarnation: 2, Named: 1, Sent: at(300), Answered: at(301)})
+	is.Equal(scheduler.TargetState("t0").Refusing, 0)
+	is.Equal(scheduler.TargetState("t1").Refusing, 1)
+}
+
+// An idle target that ended was not asked before something else woke its reader, and carried out starts for its former incarnation.
+func TestReaderWatchesAnIdleTargetWhileStartsAreUnderWay(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(3)
+	scheduler.SetReader("t0", true, at(-1000))
+	scheduler.SetReader("t1", true, at(-1000))
+	scheduler.SetReader("t2", false, at(-1000))
+	scheduler.HandlePoll("t0", PollResult{Incarnation: 1, Named: 1, Sent: at(-2), Answered: at(-1)})
+	run := Run{Task: "j.0.0.0", Attempt: 1}
+	scheduler.HandlePeerClaim("peer", Claim{Target: "t0", Run: run, Incarnation: 1, Resources: Resources{MilliCores: 1000}}, at(100))
+	scheduler.HandlePeerWithdrawal("t0", run, at(500))
+	is.True(!scheduler.TargetState("t0").Occupied)
+	is.Equal(scheduler.TargetState("t0").Watched, 0) // no start is known to get no answer
+	scheduler.recordLateStart(scheduler.targets["t2"], Run{Task: "k.0.0.0", Attempt: 1}, at(600))
+	is.Equal(scheduler.TargetState("t0").Watched, 2)
+	is.Equal(scheduler.TargetState("t0").WatchedUntil, at(100).Add(maxRequestDelay))
+	is.True(scheduler.TargetState("t1").WatchedUntil.IsZero()) // nothing was started there
+	is.Equal(scheduler.TargetState("t2").Watched, 0)
+	scheduler.HandlePeerRestart("t0", 2, at(700))
+	is.True(scheduler.TargetState("t0").WatchedUntil.IsZero())
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -200,9 +200,13 @@
 	// next incarnation.
 	verified        int64
 	addressVerified bool
+	// delayedUntil is until when the start of the latest run that was claimed on the present incarnation may be carried out.
+	delayedUntil time.Time
 	// guarded is the incarnation that has answered a request of this instance that names it, and that refuses orders for former ones
 	// since; 0 if none.
 	guarded int64
+	// lookedAt is the incarnation that is known to have answered a poll of this instance or of its reader that names it; 0 if none.
+	lookedAt int64
 	// described is the incarnation that the entry in use describes.
 	described int64
 	// pending is an entry that contradicts what the target has answered, or nil, and pendingSince when it was read.
@@ -335,6 +339,7 @@
 		target.used = target.used.Minus(former.resources)
 	}
 	allocation.incarnation, allocation.address = target.Incarnation, target.Address
+	target.delayedUntil = allocation.claimedAt.Add(maxRequestDelay)
 	target.allocations[run] = allocation
 	if allocation.owner != "" {
 		target.countColdStart(allocation.claimedAt)
