--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -23,8 +23,9 @@
 	targetRun
 	// startedAt is when the start was decided, which distinguishes it from a start of the same run in a later submission.
 	startedAt time.Time
-	// orderedFor is the incarnation of the target that the start was meant for; 0 if unknown.
+	// orderedFor is the incarnation of the target that the start was meant for, 0 if unknown, and orderedAt its address.
 	orderedFor int64
+	orderedAt  string
 	// incarnation and address are those of the target that was last asked to stop the run.
 	incarnation int64
 	address     string
@@ -35,38 +36,39 @@
 func (scheduler *Scheduler) recordLateStart(target *target, run Run, now time.Time) {
 	started := startedAt(target, run, now)
 	for i := range scheduler.lateStarts {
-		if late := &scheduler.lateStarts[i]; late.targetRun == (targetRun{target.ID, run}) && late.startedAt.Equal(started) {
+		if late := scheduler.lateStarts[i]; late.targetRun == (targetRun{target.ID, run}) && late.startedAt.Equal(started) {
 			late.until = now.Add(maxRequestDelay)
 			return
 		}
 	}
 	if len(scheduler.lateStarts) >= maxLateStarts {
-		scheduler.countLateStart(&scheduler.lateStarts[0], -1)
+		scheduler.unindexLateStart(scheduler.lateStarts[0])
 		scheduler.lateStarts = slices.Delete(scheduler.lateStarts, 0, 1)
 	}
-	late := lateStart{
-		targetRun: targetRun{target.ID, run}, startedAt: started, orderedFor: target.Incarnation,
+	late := &lateStart{
+		targetRun: targetRun{target.ID, run}, startedAt: started, orderedFor: target.Incarnation, orderedAt: target.Address,
 		incarnation: target.Incarnation, address: target.Address, until: now.Add(maxRequestDelay),
 	}
 	if allocation, ok := target.allocations[run]; ok {
-		late.orderedFor = allocation.incarnation
+		late.orderedFor, late.orderedAt = allocation.incarnation, allocation.address
 	}
 	scheduler.lateStarts = append(scheduler.lateStarts, late)
-	scheduler.countLateStart(&late, 1)
+	scheduler.lateStartsOf[run.Task] = append(scheduler.lateStartsOf[run.Task], late)
 }
 
-// countLateStart adds to the number of recorded starts of a task.
-func (scheduler *Scheduler) countLateStart(late *lateStart, change int) {
-	if scheduler.lateStartsOf[late.run.Task] += change; scheduler.lateStartsOf[late.run.Task] <= 0 {
-		delete(scheduler.lateStartsOf, late.run.Task)
+// unindexLateStart removes a start from those of its task.
+func (scheduler *Scheduler) unindexLateStart(late *lateStart) {
+	task := late.run.Task
+	remaining := slices.DeleteFunc(scheduler.lateStartsOf[task], func(other *lateStart) bool { return other == late })
+	if scheduler.lateStartsOf[task] = remaining; len(remaining) == 0 {
+		delete(scheduler.lateStartsOf, task)
 	}
 }
 
 // voidLateStarts requests the stop of starts without an answer again if the target has another incarnation or address than
 // the one that was asked before.
 func (scheduler *Scheduler) voidLateStarts(target *target, now time.Time) {
-	for i := range scheduler.lateStarts {
-		late := &scheduler.lateStarts[i]
+	for _, late := range scheduler.lateStarts {
 		if late.target == target.ID && (late.incarnation != target.Incarnation || late.address != target.Address) {
 			scheduler.void(late, target, now)
 		}
@@ -75,21 +77,23 @@
 
 // expireLateStarts forgets starts that are not carried out any longer.
 func (scheduler *Scheduler) expireLateStarts(now time.Time) {
-	scheduler.lateStarts = slices.DeleteFunc(scheduler.lateStarts, func(late lateStart) bool {
+	scheduler.lateStarts = slices.DeleteFunc(scheduler.lateStarts, func(late *lateStart) bool {
 		expired := !now.Before(late.until)
 		if expired {
-			scheduler.countLateStart(&late, -1)
+			scheduler.unindexLateStart(late)
 		}
 		return expired
 	})
 }
 
 // isOutstanding reports whether a start without an answer may still be carried out. Its own incarnation of the target knows the run or
-// refuses it; a later one refuses it once it has answered a request that names it, until it ends itself.
+// refuses it; a later one refuses it once it has answered a request that names it, until it ends itself. Another target at the address
+// refuses all that is meant for this one.
 func (scheduler *Scheduler) isOutstanding(late *lateStart, now time.Time) bool {
 	target, ok := scheduler.targets[late.target]
 	isRefused := ok && target.guarded == target.Incarnation && target.Incarnation > late.orderedFor
-	return now.Before(late.until) && !isRefused
+	isReplaced := ok && target.replaced && target.Address == late.orderedAt
+	return now.Before(late.until) && !isRefused && !isReplaced
 }
 
 // void requests the stop of a start without an answer on the present incarnation of its target.
@@ -116,7 +120,7 @@
 
 // hasOutstanding reports whether a start on a target got no answer and may still be carried out.
 func (scheduler *Scheduler) hasOutstanding(targetID string) bool {
-	return slices.ContainsFunc(scheduler.lateStarts, func(late lateStart) bool { return late.target == targetID })
+	return slices.ContainsFunc(scheduler.lateStarts, func(late *lateStart) bool { return late.target == targetID })
 }
 
 // outstandingOn returns the number of starts on a target that got no answer and may still be carried out.
@@ -155,23 +159,45 @@
 // outstandingOf returns the starts of a task that got no answer and may still be carried out.
 func (scheduler *Scheduler) outstandingOf(task string, now time.Time) iter.Seq[*lateStart] {
 	return func(yield func(*lateStart) bool) {
-		if scheduler.lateStartsOf[task] == 0 {
-			return
-		}
-		for i := range scheduler.lateStarts {
-			if late := &scheduler.lateStarts[i]; late.run.Task == task && scheduler.isOutstanding(late, now) && !yield(late) {
+		for _, late := range scheduler.lateStartsOf[task] {
+			if scheduler.isOutstanding(late, now) && !yield(late) {
 				return
 			}
 		}
 	}
 }
 
+// hasOutstandingOf reports whether a start of a task got no answer and may still be carried out.
+func (scheduler *Scheduler) hasOutstandingOf(task string, now time.Time) bool {
+	for range scheduler.outstandingOf(task, now) {
+		return true
+	}
+	return false
+}
+
+// awaitsLateRun reports whether the present incarnation of a target may have carried out a start that a former one left without an answer,
+// and its run is not known to have ended.
+func (scheduler *Scheduler) awaitsLateRun(task string, now time.Time) bool {
+	for _, late := range scheduler.lateStartsOf[task] {
+		target, ok := scheduler.targets[late.target]
+		if !ok || target.Incarnation <= late.orderedFor || !now.Before(late.until) {
+			continue
+		}
+		pending, ending := scheduler.pendingStops[late.targetRun]
+		if target.guarded != target.Incarnation || target.allocations[late.run] != nil || ending && pending.isAccepted() {
+			return true
+		}
+	}
+	return false
+}
+
 // mustStayOn reports whether a task may start on no other target than the given one, which may still carry out a start of it. What the
-// target has answered to the task before does not count then, unless one more failed run would fail the job.
+// target has answered to the task before does not count then, unless it holds the task to be wrong, or one more failed run would fail the
+// job.
 func (scheduler *Scheduler) mustStayOn(task *task, target *target, now time.Time) bool {
 	for late := range scheduler.outstandingOf(task.name, now) {
 		if late.target == target.ID {
-			return task.failures == 0 || task.failures+1 < task.job.MaxFailures
+			return target.ID != task.wrongOn && (task.failures == 0 || task.failures+1 < task.job.MaxFailures)
 		}
 	}
 	return false
@@ -203,7 +229,7 @@
 // 0 if there is none.
 func (scheduler *Scheduler) outstandingFor(targetID string, run Run, now time.Time) time.Duration {
 	for i := range scheduler.lateStarts {
-		if late := &scheduler.lateStarts[i]; late.targetRun == (targetRun{targetID, run}) {
+		if late := scheduler.lateStarts[i]; late.targetRun == (targetRun{targetID, run}) {
 			return max(0, late.until.Sub(now))
 		}
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -44,7 +44,7 @@
 	kept := scheduler.queue[:0]
 	for _, task := range scheduler.queue {
 		// After a pause, jobs may be past their deadlines before Tick has removed them.
-		if scheduler.link.Backlog(now) > maxStartBacklog || !now.Before(task.job.Deadline) || scheduler.held(task.job) || scheduler.mayStillRun(task.name, now) || scheduler.earlierRunGoesOn(task, now) || scheduler.mayBeAbandoned(task.job, now) || !scheduler.placeTask(task, candidates, now) {
+		if scheduler.link.Backlog(now) > maxStartBacklog || !now.Before(task.job.Deadline) || scheduler.held(task.job) || scheduler.mayStillRun(task.name, now) || scheduler.earlierRunGoesOn(task, now) || scheduler.awaitsLateRun(task.name, now) || scheduler.mayBeAbandoned(task.job, now) || !scheduler.placeTask(task, candidates, now) {
 			kept = append(kept, task)
 		}
 	}
@@ -116,10 +116,14 @@
 	// If some target can still meet the objective, targets that would miss it are not considered.
 	canMeetObjective := now.Add(startOverhead + time.Duration(float64(step.Estimate)/rate.bestSpeed)).Before(task.job.Objective)
 	contentionCost := scheduler.contention.cost()
+	boundTo, _ := scheduler.outstandingElsewhere(task.name, "", now)
 	var best *candidate
 	bestCost := time.Duration(0)
 	for i := range candidates {
 		candidate := &candidates[i]
+		if boundTo != "" && candidate.ID != boundTo {
+			continue
+		}
 		if !step.Resources.Fits(candidate.free) || candidate.probation && len(candidate.allocations) > 0 || !scheduler.mayRunOn(task, candidate.target, now) {
 			continue
 		}
