Remember completed jobs for as long as their starts are outstanding

A completed job was forgotten after 10 s, and a start of it without an answer is outstanding for 12 s: in between the job was announced as one that was given up, and would have run again where it was joined. TestCompletedJobIsNotAnnouncedAsGivenUp failed before.

--- a/scheduler/announce_test.go
+++ b/scheduler/announce_test.go
@@ -169,3 +169,17 @@
 	is.True(announced > 0)
 	is.True(schedulers[0].Has("j"))
 }
+
+// A completed job must not be announced as one that was given up while a start of it is outstanding: it would run again where it is joined.
+func TestCompletedJobIsNotAnnouncedAsGivenUp(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(1)
+	start := startAgain(scheduler, true)
+	scheduler.HandleRepeatedStartResult(&start, StartTaken, at(62))
+	scheduler.HandleEnd(start.Target, End{Seq: 1, Run: start.Run, Cause: Done, Incarnation: 1}, at(300))
+	for now := 400; now < 13000; now += 100 {
+		scheduler.Sweep(at(now))
+		is.Equal(len(announcements(scheduler, now)), 0)
+		is.Equal(len(scheduler.GivenUpJobIDs(at(now))), 0)
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// completedRetention is how long a completed job is kept for a caller that sends it again.
-	completedRetention = 10 * time.Second
+	// completedRetention is how long a completed job is kept for a caller that sends it again, and at least for as long as a start of it is
+	// outstanding.
+	completedRetention = maxRequestDelay
 	// minRetryAfter is the shortest retry delay of a refusal; Retry-After has a resolution of one second.
 	minRetryAfter = time.Second
 	// maxWaitDivisor: a job may wait for its first start for at most 1/maxWaitDivisor of the time from its arrival to
