--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -495,7 +495,7 @@
 		target.described = incarnation
 		return
 	}
-	target.restartedAt, target.refusing, target.delayedUntil = now, false, time.Time{}
+	target.restartedAt, target.refusing, target.delayedUntil = now, false, now.Add(maxRequestDelay)
 	scheduler.forgetReport(target, now)
 	defer scheduler.observeIncarnation(target.ID, target.Address, incarnation, now)
 	scheduler.recordUnnoticedEnd(target, previous, now)
@@ -744,7 +744,7 @@
 	var reports []CapacityReport
 	for _, id := range slices.Sorted(maps.Keys(scheduler.changedTargets)) {
 		target, ok := scheduler.targets[id]
-		if ok && (scheduler.offered[id] || target.readBySelf && scheduler.withholdsReport(target, now)) {
+		if ok && (scheduler.offered[id] || target.readBySelf && scheduler.withholdsReport(target)) {
 			continue
 		}
 		delete(scheduler.changedTargets, id)
@@ -761,7 +761,7 @@
 // RenewalReport returns a report for a target whose lease was just renewed, if the last report is old.
 func (scheduler *Scheduler) RenewalReport(targetID string, now time.Time) (CapacityReport, bool) {
 	target, ok := scheduler.targets[targetID]
-	if !ok || !target.readBySelf || scheduler.offered[targetID] || now.Sub(target.lastReportAt) < reportInterval || scheduler.withholdsReport(target, now) {
+	if !ok || !target.readBySelf || scheduler.offered[targetID] || now.Sub(target.lastReportAt) < reportInterval || scheduler.withholdsReport(target) {
 		return CapacityReport{}, false
 	}
 	target.lastReport, target.lastReportAt = target.report(now), now
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -73,6 +73,8 @@
 	// ownerLost means that the owner is lost, and disowned holds the instances that do not own the run.
 	ownerLost bool
 	disowned  map[string]bool
+	// queriedAt is when other instances were last asked for the owner of the run.
+	queriedAt time.Time
 	// confirmedAt is when the target last listed or accepted the run, or zero.
 	confirmedAt time.Time
 	// missingSince is when the target first omitted the run from its list, or zero.
@@ -200,7 +202,8 @@
 	// next incarnation.
 	verified        int64
 	addressVerified bool
-	// delayedUntil is until when the start of the latest run that was claimed on the present incarnation may be carried out.
+	// delayedUntil is until when starts of the runs that were claimed on the target, or that were sent before it was known to have
+	// restarted, may be carried out.
 	delayedUntil time.Time
 	// guarded is the incarnation that has answered a request of this instance that names it, and that refuses orders for former ones
 	// since; 0 if none.
@@ -339,7 +342,9 @@
 		target.used = target.used.Minus(former.resources)
 	}
 	allocation.incarnation, allocation.address = target.Incarnation, target.Address
-	target.delayedUntil = allocation.claimedAt.Add(maxRequestDelay)
+	if until := allocation.claimedAt.Add(maxRequestDelay); until.After(target.delayedUntil) {
+		target.delayedUntil = until
+	}
 	target.allocations[run] = allocation
 	if allocation.owner != "" {
 		target.countColdStart(allocation.claimedAt)
