Watch idle targets after a restart, whoever has lost a start there

The owner had been killed, so that no instance knew of the start.

The simulation plays these polls as the executor does.

TestReaderWatchesAnIdleTargetAfterItsRestart fails before.

--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -490,7 +490,7 @@
 		target.described = incarnation
 		return
 	}
-	target.restartedAt, target.refusing, target.delayedUntil = now, false, time.Time{}
+	target.restartedAt, target.refusing, target.delayedUntil = now, false, now.Add(maxRequestDelay)
 	scheduler.forgetReport(target, now)
 	defer scheduler.observeIncarnation(target.ID, target.Address, incarnation, now)
 	scheduler.recordUnnoticedEnd(target, previous, now)
--- a/scheduler/outstanding_start_test.go
+++ b/scheduler/outstanding_start_test.go
@@ -450,6 +450,16 @@
 	is.Equal(scheduler.TargetState("t0").WatchedUntil, at(100).Add(maxRequestDelay))
 	is.True(scheduler.TargetState("t1").WatchedUntil.IsZero()) // nothing was started there
 	is.Equal(scheduler.TargetState("t2").Watched, 0)
+}
+
+// A restarted target refuses what was sent before, and its next incarnation does not: seed 2 of the simulation with targets that end again.
+func TestReaderWatchesAnIdleTargetAfterItsRestart(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	scheduler.SetReader("t0", true, at(-1000))
 	scheduler.HandlePeerRestart("t0", 2, at(700))
-	is.True(scheduler.TargetState("t0").WatchedUntil.IsZero())
+	scheduler.HandlePoll("t0", PollResult{Incarnation: 2, Named: 2, Sent: at(701), Answered: at(702)})
+	is.True(scheduler.TargetState("t0").Watched > 0) // the owner of the start may have been lost
+	is.Equal(scheduler.TargetState("t0").WatchedUntil, at(700).Add(maxRequestDelay))
+	is.Equal(scheduler.TargetState("t1").Watched, 0)
 }
--- a/scheduler/spontaneous_test.go
+++ b/scheduler/spontaneous_test.go
@@ -278,7 +278,7 @@
 
 // pollInterval returns the time between two polls of a target, as in the executor's pollers.
 func (poller *simulatedPoller) pollInterval(state TargetState, reads bool, now int) int {
-	const interval, awaitedInterval, degradedInterval, fencedInterval, minProbeInterval, outstandingInterval, probeInterval, readerTimeout = 4, 75, 90, 100, 12, 50, 400, 650
+	const interval, awaitedInterval, degradedInterval, fencedInterval, minProbeInterval, outstandingInterval, probeInterval, readerTimeout, watchWait, watchInterval = 4, 75, 90, 100, 12, 50, 400, 650, 300, 25
 	switch {
 	case state.Fenced:
 		return fencedInterval
@@ -299,6 +299,8 @@
 		return interval
 	case reads && (!poller.answered || state.Occupied), !reads && state.Unverified:
 		return interval
+	case reads && state.watches(at(now)):
+		return max(watchWait, state.Watched*watchInterval)
 	case !reads && state.Awaited:
 		return awaitedInterval
 	case !reads && state.HasOwnRuns && at(now).Sub(state.LastHeard) >= readerTimeout*time.Millisecond:
@@ -307,6 +309,11 @@
 	return noPoll
 }
 
+// watches reports whether the reader keeps a poll waiting on an idle target, as in the executor's pollers.
+func (state *TargetState) watches(now time.Time) bool {
+	return state.Watched > 0 && now.Before(state.WatchedUntil)
+}
+
 // poll lets an instance poll a target if that is due.
 func (spontaneous *spontaneousEnds) poll(simulation *simulation, number, index int) {
 	if simulation.starvation != nil {
--- a/scheduler/starvation_test.go
+++ b/scheduler/starvation_test.go
@@ -532,7 +532,10 @@
 			return
 		}
 	}
-	if poller.underWay || !restarted && simulation.now-poller.polledAt < poller.pollInterval(state, reads, simulation.now) {
+	// The target has closed the connection on which a poll waits.
+	connected := instance.connections[target.id]
+	closed := reads && state.watches(at(simulation.now)) && connected != 0 && (target.down(simulation.now) || connected != target.incarnation)
+	if poller.underWay || !restarted && !closed && simulation.now-poller.polledAt < poller.pollInterval(state, reads, simulation.now) {
 		return
 	}
 	known, _ := instance.scheduler.Target(target.id)
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -200,7 +200,8 @@
 	// next incarnation.
 	verified        int64
 	addressVerified bool
-	// delayedUntil is until when the start of the latest run that was claimed on the present incarnation may be carried out.
+	// delayedUntil is until when starts of the runs that were claimed on the target, or that were sent before it was known to have
+	// restarted, may be carried out.
 	delayedUntil time.Time
 	// guarded is the incarnation that has answered a request of this instance that names it, and that refuses orders for former ones
 	// since; 0 if none.
@@ -337,7 +338,9 @@
 		target.used = target.used.Minus(former.resources)
 	}
 	allocation.incarnation, allocation.address = target.Incarnation, target.Address
-	target.delayedUntil = allocation.claimedAt.Add(maxRequestDelay)
+	if until := allocation.claimedAt.Add(maxRequestDelay); until.After(target.delayedUntil) {
+		target.delayedUntil = until
+	}
 	target.allocations[run] = allocation
 	if allocation.owner != "" {
 		target.countColdStart(allocation.claimedAt)
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -222,10 +222,10 @@
 	// DelayedUntil is until when the target's next incarnation may carry out starts that were sent before the target was found not to
 	// answer.
 	DelayedUntil time.Time
-	// Watched is 0 unless this instance reads the target, which is idle, and starts on any target get no answer at present. It is the
-	// number of targets that this instance reads.
+	// Watched is 0 unless this instance reads the target, which is idle, and the target has restarted or starts on any target get no
+	// answer at present. It is the number of targets that this instance reads.
 	Watched int
-	// WatchedUntil is until when a start of a run that was claimed on the idle target may still be carried out.
+	// WatchedUntil is until when a start that was sent to the idle target may still be carried out.
 	WatchedUntil time.Time
 	// Awaited means that a task of this instance waits for the end of a run there that no live instance owns.
 	Awaited bool
@@ -276,7 +276,7 @@
 	if target.refusing && target.readBySelf {
 		state.Refusing, state.DelayedUntil = scheduler.refusingTargets(), target.unreachableSince.Add(maxRequestDelay)
 	}
-	if target.readBySelf && !state.Occupied && scheduler.OutstandingStarts() > 0 {
+	if target.readBySelf && !state.Occupied && (scheduler.OutstandingStarts() > 0 || !target.restartedAt.IsZero()) {
 		state.Watched, state.WatchedUntil = scheduler.readTargets(), target.delayedUntil
 	}
 	for _, allocation := range target.allocations {
