Do not bind a task by a request to a former incarnation

If a request for a start on a former incarnation got no answer after the present one had listed its runs without that one, the start was recorded as meant for the present incarnation, and kept its task on the target for 12 s. What it was meant for is taken from the task then. TestTaskIsNotBoundByAnAnswerThatIsMissedAfterARestart failed before.

--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -34,7 +34,13 @@
 
 // recordLateStart remembers a start that got no answer.
 func (scheduler *Scheduler) recordLateStart(target *target, run Run, now time.Time) {
-	started := startedAt(target, run, now)
+	started, orderedFor, orderedAt := startedAt(target, run, now), target.Incarnation, target.Address
+	if allocation, ok := target.allocations[run]; ok {
+		orderedFor, orderedAt = allocation.incarnation, allocation.address
+	} else if task := scheduler.tasks[run.Task]; task != nil && task.latest(target.ID, run) {
+		// A later incarnation has listed its runs without this one.
+		started, orderedFor = task.startedAt, task.incarnation
+	}
 	for i := range scheduler.lateStarts {
 		if late := scheduler.lateStarts[i]; late.targetRun == (targetRun{target.ID, run}) && late.startedAt.Equal(started) {
 			late.until = now.Add(maxRequestDelay)
@@ -46,12 +52,9 @@
 		scheduler.lateStarts = slices.Delete(scheduler.lateStarts, 0, 1)
 	}
 	late := &lateStart{
-		targetRun: targetRun{target.ID, run}, startedAt: started, orderedFor: target.Incarnation, orderedAt: target.Address,
+		targetRun: targetRun{target.ID, run}, startedAt: started, orderedFor: orderedFor, orderedAt: orderedAt,
 		incarnation: target.Incarnation, address: target.Address, until: now.Add(maxRequestDelay),
 	}
-	if allocation, ok := target.allocations[run]; ok {
-		late.orderedFor, late.orderedAt = allocation.incarnation, allocation.address
-	}
 	scheduler.lateStarts = append(scheduler.lateStarts, late)
 	scheduler.lateStartsOf[run.Task] = append(scheduler.lateStartsOf[run.Task], late)
 }
--- a/scheduler/outstanding_start_test.go
+++ b/scheduler/outstanding_start_test.go
@@ -495,3 +495,27 @@
 	t.Log("next start at", startedAt, "ms")
 	is.True(startedAt >= 0 && startedAt < 2000)
 }
+
+// A request for a start on a former incarnation that gets no answer after the present one has listed its runs must not keep the task on the
+// target: the present incarnation refuses it.
+func TestTaskIsNotBoundByAnAnswerThatIsMissedAfterARestart(t *testing.T) {
+	is := is.New(t)
+	scheduler := newTestScheduler(2)
+	scheduler.Submit(longJob(20000), at(0))
+	start := drain(scheduler).starts[0]
+	_, _ = scheduler.RepeatStart(&start, StartUnanswered, true, at(60))
+	scheduler.HandlePoll(start.Target, PollResult{Incarnation: 1, Named: 1, Sent: at(61), Answered: at(62), Running: []ActiveRun{{Run: start.Run}}})
+	for _, now := range []int{70, 80} {
+		scheduler.HandlePoll(start.Target, PollResult{Incarnation: 2, Named: 2, Sent: at(now), Answered: at(now + 1)})
+	}
+	scheduler.HandleRepeatedStartResult(&start, StartUnanswered, at(120))
+	for now := 125; now < 400; now += 10 {
+		for _, stop := range drain(scheduler).stops {
+			scheduler.HandleAccepted(stop.RunTarget, at(now))
+			scheduler.HandleStopResult(start.Target, start.Run, true, at(now))
+		}
+		scheduler.HandlePoll(start.Target, PollResult{Incarnation: 2, Named: 2, Sent: at(now + 1), Answered: at(now + 2)})
+		scheduler.Tick(at(now + 3))
+	}
+	is.True(!scheduler.hasOutstandingOf(start.Run.Task, at(400)))
+}
