--- a/executor/cancel_test.go
+++ b/executor/cancel_test.go
@@ -146,7 +146,7 @@
 	is.True(took < cancelRecordTimeout)
 	is.Equal(archive.count(), 2)
 
-	// Another instance that has it can tell the one that cannot be reached.
+	// Another instance that has it passes it on to the one that cannot be reached.
 	archive.recorded = make(chan struct{})
 	hello := linker.Hello{Domain: "a", Incarnation: "live", Revision: linker.Revision}
 	executor.peers.Receive(hello, hello)
--- a/executor/log_guard_test.go
+++ b/executor/log_guard_test.go
@@ -9,7 +9,7 @@
 	"github.com/hyssoplift/hyssoplift/scheduler"
 )
 
-// The time since a target's start must be told on the clock of day that names incarnations: the executor's clock counts from the boot.
+// The time since a target's start must be measured on the clock of day that names incarnations: the executor's clock counts from the boot.
 func TestTimeSinceStartIsToldOnTheClockOfDay(t *testing.T) {
 	is := is.New(t)
 	now, wall := time.UnixMilli(50_000), time.UnixMilli(1_800_000_000_000)
--- a/executor/poller.go
+++ b/executor/poller.go
@@ -194,7 +194,7 @@
 	case poller.isReader.Load() && (poller.acknowledgeable > poller.acknowledged || len(poller.withheld) > 0):
 		return PollRequest{Acknowledged: acknowledged}, acknowledgeDelay - now.Sub(poller.lastPoll)
 	case poller.isReader.Load() && state.Watched > 0 && now.Before(state.WatchedUntil):
-		// The target closes the connection at its end, which nobody would notice otherwise before it is back.
+		// The target closes the connection at its end, which would go unnoticed otherwise until it is back.
 		return PollRequest{Acknowledged: acknowledged, Wait: pollWait}, max(pollWait, time.Duration(state.Watched)*watchInterval) - sincePoll
 	case !poller.isReader.Load() && state.Unverified && poller.lastAnswer.After(state.IncarnationSince):
 		return PollRequest{}, unverifiedPollInterval - sincePoll
--- a/gossiper/stop_test.go
+++ b/gossiper/stop_test.go
@@ -32,7 +32,7 @@
 	}
 	is.Equal(announced(), []string{"large", "small"})
 	*now = now.Add(heartbeatInterval)
-	is.Equal(announced(), []string{"large"}) // the others are told once
+	is.Equal(announced(), []string{"large"}) // the others receive the announcement once
 	stopping.contact("late", 0.144)
 	*now = now.Add(heartbeatInterval)
 	is.Equal(announced(), []string{"large", "late"}) // its link has come up since
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -118,7 +118,7 @@
 		target.exclude(now)
 		target.recordResponse(now)
 	case StartUnsent:
-		// An unsent start does not tell why, and does not undo that the target's host is known to refuse connections.
+		// An unsent start does not show why, and does not undo that the target's host is known to refuse connections.
 		scheduler.setUnreachable(target, target.refusing, now)
 	case StartUnconnected:
 		target.heldUntil = now.Add(unconnectedBackoff)
--- a/scheduler/first_look.go
+++ b/scheduler/first_look.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// firstLook is the wait of an instance that has started together with all others. Nobody remembers any run then, and a job that a
+// firstLook is the wait of an instance that has started together with all others. No instance remembers any run then, and a job that a
 // caller sends again may have a run on a target that no instance has asked yet.
 type firstLook struct {
 	awaited bool
@@ -16,7 +16,7 @@
 	until time.Time
 }
 
-// maxFirstLook bounds the wait for the first look: by then, the leases of all runs have ended that nobody has listed or renewed since
+// maxFirstLook bounds the wait for the first look: by then, the leases of all runs have ended that no instance has listed or renewed since
 // this instance started.
 const maxFirstLook = unknownRunTimeout
 
@@ -43,7 +43,7 @@
 
 func (FirstLookEnded) isAction() {}
 
-// FirstLookProgress counts the known targets, those that nobody is known to have looked at, and among these the ones that do not answer.
+// FirstLookProgress counts the known targets, those that no instance is known to have looked at, and among these the ones that do not answer.
 type FirstLookProgress struct {
 	Targets     int
 	Unlooked    int
@@ -108,7 +108,7 @@
 }
 
 // isLookedAt reports whether the present incarnation of a target has answered a poll that names it, and the other instances know the
-// runs that it listed then and that nobody owns.
+// runs without an owner that it listed then.
 func (scheduler *Scheduler) isLookedAt(target *target) bool {
 	if target.lookedAt != 0 && target.lookedAt == target.Incarnation {
 		return true
--- a/scheduler/outstanding_start_test.go
+++ b/scheduler/outstanding_start_test.go
@@ -445,7 +445,7 @@
 	}
 }
 
-// Only the reader is told of a host that refuses connections, and how many more there are that it reads.
+// Only the state of the reader says that a host refuses connections, and how many more there are that it reads.
 func TestReaderIsToldOfTargetsWhoseHostsRefuseConnections(t *testing.T) {
 	is := is.New(t)
 	scheduler := newTestScheduler(4)
--- a/scheduler/outstanding_test.go
+++ b/scheduler/outstanding_test.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// Who sent the first answered request that names the new incarnation must be told.
+// The record must say who sent the first answered request that names the new incarnation.
 func TestGuardTellsWhoAsked(t *testing.T) {
 	tests := []struct {
 		reads, starts bool
--- a/scheduler/restart_simulation_test.go
+++ b/scheduler/restart_simulation_test.go
@@ -194,8 +194,8 @@
 	return text
 }
 
-// A task must not start beside a run of it that a late order has begun on a target which nobody has asked since all instances were
-// restarted. Late orders that begin beside another run are not counted: nobody can stop them while no instance is up.
+// A task must not start beside a run of it that a late order has begun on a target which no instance has asked since all were
+// restarted. Late orders that begin beside another run are not counted: they cannot be stopped while no instance is up.
 func TestNoTaskStartsBesideARunThatNobodyHasLookedFor(t *testing.T) {
 	seeds := 10
 	if *starvationSeeds > 0 {
