Start a failed task again on the target that it is bound to

It was kept from a second failure on the same target, which fails the job; a target that fails what it runs is excluded for all tasks, so that a run there serves callers better than the wait.

--- a/scheduler/late_start.go
+++ b/scheduler/late_start.go
@@ -195,12 +195,12 @@
 }
 
 // mustStayOn reports whether a task may start on no other target than the given one, which may still carry out a start of it. What the
-// target has answered to the task before does not count then, unless it holds the task to be wrong, or one more failed run would fail the
-// job.
+// target has answered to the task before does not count then, unless it holds the task to be wrong: a target that fails what it runs is
+// excluded for all tasks, and a caller is better served by a run there than by a wait until the start has expired.
 func (scheduler *Scheduler) mustStayOn(task *task, target *target, now time.Time) bool {
 	for late := range scheduler.outstandingOf(task.name, now) {
 		if late.target == target.ID {
-			return target.ID != task.wrongOn && (task.failures == 0 || task.failures+1 < task.job.MaxFailures)
+			return target.ID != task.wrongOn
 		}
 	}
 	return false
